--- /dev/null
+++ b/code.go
@@ -0,0 +1,34 @@
+package fireflysaddle
+
+// Code names the reason of a refusal; docs/OPERATIONS.md lists all.
+type Code string
+
+// The refusal codes.
+const (
+	CodeBadRequest    Code = "bad_request"
+	CodeUnauthorized  Code = "unauthorized"
+	CodeNotGranted    Code = "not_granted"
+	CodeNoTarget      Code = "no_target"
+	CodeOverloaded    Code = "overloaded"
+	CodeLeaving       Code = "leaving"
+	CodeStale         Code = "stale_revision"
+	CodeIncarnation   Code = "wrong_incarnation"
+	CodeSealed        Code = "sealed"
+	CodeDuplicate     Code = "duplicate_attempt"
+	CodeUnreachable   Code = "unreachable"
+	CodeDeadline      Code = "deadline"
+	CodeTargetFailed  Code = "target_failed"
+	CodeUnknown       Code = "outcome_unknown"
+	CodeKeyReused     Code = "key_reused"
+	CodeInProgress    Code = "in_progress"
+	CodeNoMajority    Code = "no_majority"
+	CodeNotReady      Code = "not_ready"
+	CodeConflict      Code = "revision_conflict"
+	CodeInvalid       Code = "invalid"
+	CodeNotFound      Code = "not_found"
+	CodeTooLarge      Code = "too_large"
+	CodeRetriesSpent  Code = "retries_spent"
+	CodeWrongTarget   Code = "wrong_target"
+	CodeCallerGone    Code = "caller_gone"
+	CodeOrderRejected Code = "order_rejected"
+)
--- /dev/null
+++ b/ids.go
@@ -0,0 +1,50 @@
+package fireflysaddle
+
+// RequestID identifies one request of a caller over all its attempts.
+type RequestID string
+
+// Attempt numbers the attempts of one request, from 1.
+type Attempt uint32
+
+// TargetID identifies a target over its restarts.
+type TargetID string
+
+// NodeID identifies a process of the system over its restarts.
+type NodeID string
+
+// Incarnation is drawn at every start of a process; a later start of the same
+// process has a higher one.
+type Incarnation uint64
+
+// Workspace names a customer of the users.
+type Workspace string
+
+// Group names a set of interchangeable targets: a model or a plain service.
+type Group string
+
+// Version names one version of a model or service.
+type Version string
+
+// DataCentre names a failure domain.
+type DataCentre string
+
+// Accelerator names a kind of accelerator.
+type Accelerator string
+
+// Revision numbers the revisions of a configuration object, from 1.
+type Revision uint64
+
+// Term numbers the terms of control leaders.
+type Term uint64
+
+// Sequence numbers the orders given in one term.
+type Sequence uint64
+
+// Priority orders requests of one workspace; higher ones go first.
+type Priority int32
+
+// Position numbers the tokens of one request.
+type Position uint32
+
+// Layer numbers the layers of a model from 0.
+type Layer uint32
--- /dev/null
+++ b/internal/admin/saddleadmin/paths.go
@@ -0,0 +1,9 @@
+package saddleadmin
+
+// The paths of the admin listener.
+const (
+	PathLive     = "/live"
+	PathReady    = "/ready"
+	PathCounters = "/debug/vars"
+	PathTimeline = "/timeline"
+)
--- /dev/null
+++ b/internal/agent/saddleagent/backend.go
@@ -0,0 +1,50 @@
+package saddleagent
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/agent/saddlegate"
+	"github.com/fireflysaddle/fireflysaddle/internal/agent/saddlequeue"
+	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleannounce"
+	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleengine"
+	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleservice"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// backend is one incarnation of the announced target. It is immutable.
+type backend struct {
+	announced saddleannounce.Announcement
+	info      *saddlewire.Target
+	engine    fireflysaddle.Engine  // engines only
+	service   fireflysaddle.Service // services only
+	gate      *saddlegate.Gate
+	close     func()
+}
+
+func newBackend(a saddleannounce.Announcement, queueWait time.Duration) *backend {
+	b := &backend{
+		announced: a,
+		info:      a.Target(),
+		gate:      saddlegate.New(saddlequeue.New(int(a.Slots), queueWait)),
+	}
+	id := fireflysaddle.TargetID(a.ID)
+	if fireflysaddle.TargetKind(a.Kind) == fireflysaddle.KindEngine {
+		b.engine, b.close = saddleengine.New(id, a.Address)
+	} else {
+		b.service, b.close = saddleservice.New(id, a.Address)
+	}
+	return b
+}
+
+func (b *backend) id() fireflysaddle.TargetID {
+	return fireflysaddle.TargetID(b.announced.ID)
+}
+
+func (b *backend) alive(ctx context.Context) error {
+	if b.engine != nil {
+		return b.engine.Alive(ctx)
+	}
+	return b.service.Alive(ctx)
+}
--- /dev/null
+++ b/internal/agent/saddleagent/call.go
@@ -0,0 +1,134 @@
+package saddleagent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// Call passes a request to the plain service beside the agent.
+//
+// A call that was sent goes on to its end even when the entry's stream breaks
+// off: its outcome is kept in the ledger, where Seal finds it.
+func (s *Server) Call(in *saddlewire.CallRequest, stream saddlewire.DRPCAgent_CallStream) error {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	countReceived.Add(1)
+	now := time.Now()
+	t := in.GetTicket()
+	s.cfg.Timeline.Observe(now, t.GetStamp())
+	out := &callStream{server: s, ticket: t, stream: stream}
+	b, err := s.admit(now, t, fireflysaddle.KindService, Repeatable(in.GetMethod()))
+	if err != nil {
+		return out.refuse(err)
+	}
+	ctx, cancel := context.WithTimeout(stream.Context(), budget(t))
+	defer cancel()
+	go beats(ctx, out.beat)
+	answer, err := s.runCall(ctx, b, in)
+	if refusal := refusalOf(err); refusal != nil {
+		s.refuse(t)
+		return out.refuse(err)
+	}
+	return out.end(b, answer, err)
+}
+
+// Repeatable reports whether a request with this method may be run again.
+func Repeatable(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+func (s *Server) runCall(ctx context.Context, b *backend, in *saddlewire.CallRequest) (*fireflysaddle.Answer, error) {
+	t := in.GetTicket()
+	leave, err := b.gate.Enter(ctx, demand(time.Now(), t, 1))
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	if err := s.start(t); err != nil {
+		return nil, err
+	}
+	countStarted.Add(1)
+	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "call_start", Request: t.GetRequest(), Attempt: t.GetAttempt(), Target: string(b.id())})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), budget(t))
+	defer cancel()
+	answer, err := b.service.Call(ctx, fireflysaddle.Call{
+		Request:     fireflysaddle.RequestID(t.GetRequest()),
+		Method:      in.GetMethod(),
+		Path:        in.GetPath(),
+		ContentType: in.GetContentType(),
+		Body:        in.GetBody(),
+	})
+	if err != nil {
+		s.finish(t, nil)
+		return nil, err
+	}
+	s.finish(t, &answer)
+	return &answer, nil
+}
+
+// callStream sends the events of one call. It is safe for concurrent use.
+type callStream struct {
+	server *Server
+	ticket *saddlewire.Ticket
+	stream saddlewire.DRPCAgent_CallStream
+
+	mu    sync.Mutex
+	ended bool
+}
+
+func (c *callStream) beat() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return nil
+	}
+	return c.send(&saddlewire.CallEvent{Event: &saddlewire.CallEvent_Beat{Beat: &saddlewire.Empty{}}})
+}
+
+func (c *callStream) refuse(err error) error {
+	countRefused.Add(1)
+	return c.last(nil, &saddlewire.CallEvent{Event: &saddlewire.CallEvent_Refusal{Refusal: refusalOf(err)}})
+}
+
+func (c *callStream) end(b *backend, answer *fireflysaddle.Answer, err error) error {
+	if err == nil {
+		return c.last(b, &saddlewire.CallEvent{Event: &saddlewire.CallEvent_Answer{Answer: wireAnswer(answer)}})
+	}
+	countFaults.Add(1)
+	return c.last(b, &saddlewire.CallEvent{Event: &saddlewire.CallEvent_Fault{Fault: faultOf(b, err)}})
+}
+
+func (c *callStream) last(b *backend, e *saddlewire.CallEvent) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	if b != nil {
+		e.Load = loadOf(time.Now(), b)
+	}
+	return c.send(e)
+}
+
+func (c *callStream) send(e *saddlewire.CallEvent) error {
+	e.Request = c.ticket.GetRequest()
+	e.Attempt = c.ticket.GetAttempt()
+	e.Incarnation = uint64(c.server.cfg.Incarnation)
+	e.Stamp = c.server.cfg.Timeline.Stamp(time.Now())
+	return c.stream.Send(e)
+}
+
+func wireAnswer(a *fireflysaddle.Answer) *saddlewire.Answer {
+	if a == nil {
+		return nil
+	}
+	return &saddlewire.Answer{Status: uint32(a.Status), ContentType: a.ContentType, Body: a.Body}
+}
--- /dev/null
+++ b/internal/agent/saddleagent/config.go
@@ -0,0 +1,30 @@
+package saddleagent
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+)
+
+// Config holds the settings of an agent.
+type Config struct {
+	Node        fireflysaddle.NodeID
+	Incarnation fireflysaddle.Incarnation
+	Centre      fireflysaddle.DataCentre
+	Listen      string // drpc
+	Announce    string // HTTP for the target
+	Admin       string
+	Controls    []string
+	Beat        time.Duration
+	Silence     time.Duration // of control replicas and of other agents
+	Probe       time.Duration // between checks that the target answers
+	Lost        time.Duration // silence after which the target is taken for lost
+	StepTimeout time.Duration // after which the head of a chain asks after its stages
+	QueueWait   time.Duration // longest predicted wait accepted
+	Shutdown    time.Duration // bound of the wait for work in progress, 0: none
+	Log         zerolog.Logger
+	Timeline    *saddletimeline.Ring
+}
--- /dev/null
+++ b/internal/agent/saddleagent/draft.go
@@ -0,0 +1,83 @@
+package saddleagent
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/pipeline/saddlestage"
+	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// Draft runs a request on this agent's target, alone or as the head of a
+// chain, and streams its tokens.
+func (s *Server) Draft(in *saddlewire.DraftRequest, stream saddlewire.DRPCAgent_DraftStream) error {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	countReceived.Add(1)
+	now := time.Now()
+	s.cfg.Timeline.Observe(now, in.GetTicket().GetStamp())
+	out := newDraftStream(s, in.GetTicket(), stream)
+	b, err := s.admit(now, in.GetTicket(), fireflysaddle.KindEngine, true)
+	if err != nil {
+		return out.refuse(err)
+	}
+	ctx, cancel := context.WithTimeout(stream.Context(), budget(in.GetTicket()))
+	defer cancel()
+	go beats(ctx, out.beat)
+	err = s.runDraft(ctx, b, in, out)
+	if refusal := refusalOf(err); refusal != nil && !out.begun() {
+		s.refuse(in.GetTicket())
+		return out.refuse(err)
+	}
+	return out.end(b, err)
+}
+
+// runDraft waits for a slot and runs the request.
+func (s *Server) runDraft(ctx context.Context, b *backend, in *saddlewire.DraftRequest, out *draftStream) error {
+	t := in.GetTicket()
+	tokens := len(strings.Fields(in.GetPrompt())) + len(in.GetGiven()) + int(in.GetMaxTokens())
+	leave, err := b.gate.Enter(ctx, demand(time.Now(), t, tokens))
+	if err != nil {
+		return err
+	}
+	defer leave()
+	if err := s.start(t); err != nil {
+		return err
+	}
+	defer s.finish(t, nil)
+	countStarted.Add(1)
+	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "draft_start", Request: t.GetRequest(), Attempt: t.GetAttempt(), Target: string(b.id())})
+	if len(in.GetChain()) > 1 {
+		return s.stages.Drive(ctx, saddlestage.Draft{
+			Request:   t.GetRequest(),
+			Attempt:   t.GetAttempt(),
+			Priority:  t.GetPriority(),
+			Chain:     in.GetChain(),
+			Prompt:    in.GetPrompt(),
+			Given:     in.GetGiven(),
+			MaxTokens: in.GetMaxTokens(),
+			Budget:    budget(t),
+		}, out.token)
+	}
+	return b.engine.Generate(ctx, fireflysaddle.Generation{
+		Request:   fireflysaddle.RequestID(t.GetRequest()),
+		Attempt:   fireflysaddle.Attempt(t.GetAttempt()),
+		Priority:  fireflysaddle.Priority(t.GetPriority()),
+		Prompt:    in.GetPrompt(),
+		Given:     in.GetGiven(),
+		MaxTokens: in.GetMaxTokens(),
+	}, out.token)
+}
+
+// faultOf describes an error after which the request may have been run.
+func faultOf(b *backend, err error) *saddlewire.Fault {
+	var lost *saddlestage.LostError
+	if errors.As(err, &lost) {
+		return &saddlewire.Fault{Target: string(lost.Target), Message: lost.Reason}
+	}
+	return &saddlewire.Fault{Target: string(b.id()), Message: err.Error()}
+}
--- /dev/null
+++ b/internal/agent/saddleagent/draftstream.go
@@ -0,0 +1,89 @@
+package saddleagent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// draftStream sends the events of one attempt. It is safe for concurrent use;
+// nothing follows the last event.
+type draftStream struct {
+	server *Server
+	ticket *saddlewire.Ticket
+	stream saddlewire.DRPCAgent_DraftStream
+
+	mu       sync.Mutex
+	position uint32
+	ended    bool
+}
+
+func newDraftStream(s *Server, t *saddlewire.Ticket, stream saddlewire.DRPCAgent_DraftStream) *draftStream {
+	return &draftStream{server: s, ticket: t, stream: stream}
+}
+
+// begun reports whether a token went out.
+func (d *draftStream) begun() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.position > 0
+}
+
+func (d *draftStream) token(text string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := &saddlewire.DraftEvent{Event: &saddlewire.DraftEvent_Token{Token: &saddlewire.Token{Position: d.position, Text: text}}}
+	d.position++
+	countTokens.Add(1)
+	return d.send(e)
+}
+
+func (d *draftStream) beat() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ended {
+		return nil
+	}
+	return d.send(&saddlewire.DraftEvent{Event: &saddlewire.DraftEvent_Beat{Beat: &saddlewire.Empty{}}})
+}
+
+// refuse says that the attempt was not run.
+func (d *draftStream) refuse(err error) error {
+	countRefused.Add(1)
+	return d.last(nil, &saddlewire.DraftEvent{Event: &saddlewire.DraftEvent_Refusal{Refusal: refusalOf(err)}})
+}
+
+// end says that the attempt is done, or what it failed of.
+func (d *draftStream) end(b *backend, err error) error {
+	if err == nil {
+		return d.last(b, &saddlewire.DraftEvent{Event: &saddlewire.DraftEvent_Done{Done: &saddlewire.Empty{}}})
+	}
+	countFaults.Add(1)
+	fault := faultOf(b, err)
+	d.server.cfg.Timeline.Add(time.Now(), saddletimeline.Event{
+		Name: "draft_fault", Request: d.ticket.GetRequest(), Attempt: d.ticket.GetAttempt(), Target: fault.GetTarget(),
+	})
+	return d.last(b, &saddlewire.DraftEvent{Event: &saddlewire.DraftEvent_Fault{Fault: fault}})
+}
+
+func (d *draftStream) last(b *backend, e *saddlewire.DraftEvent) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = true
+	if b != nil {
+		e.Load = loadOf(time.Now(), b)
+	}
+	return d.send(e)
+}
+
+func (d *draftStream) send(e *saddlewire.DraftEvent) error {
+	e.Request = d.ticket.GetRequest()
+	e.Attempt = d.ticket.GetAttempt()
+	e.Incarnation = uint64(d.server.cfg.Incarnation)
+	if e.GetToken() == nil {
+		e.Stamp = d.server.cfg.Timeline.Stamp(time.Now())
+	}
+	return d.stream.Send(e)
+}
--- /dev/null
+++ b/internal/agent/saddleagent/refusal.go
@@ -0,0 +1,27 @@
+package saddleagent
+
+import (
+	"errors"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// refusalOf turns an error into a refusal, or returns nil when the request may
+// have been run.
+func refusalOf(err error) *saddlewire.Refusal {
+	var r *fireflysaddle.RefusedError
+	if errors.As(err, &r) {
+		return &saddlewire.Refusal{
+			Code:     string(r.Code),
+			Message:  r.Message,
+			RetryMs:  r.RetryAfter.Milliseconds(),
+			Revision: uint64(r.Revision),
+		}
+	}
+	var n *fireflysaddle.NotSentError
+	if errors.As(err, &n) {
+		return &saddlewire.Refusal{Code: string(fireflysaddle.CodeUnreachable), Message: n.Error()}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/saddlectl/doc.go
@@ -0,0 +1,2 @@
+// Package saddlectl is the operators' command line.
+package saddlectl
--- /dev/null
+++ b/internal/command/saddlectl/fleet.go
@@ -0,0 +1,77 @@
+package saddlectl
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/BurntSushi/toml"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddletemplate"
+)
+
+// fleet is the file that apply reads.
+type fleet struct {
+	Templates   []string          `toml:"templates"` // files, relative to this one
+	Deployments []fleetDeployment `toml:"deployments"`
+}
+
+// fleetDeployment fills in a template for a workspace.
+type fleetDeployment struct {
+	Workspace  string            `toml:"workspace"`
+	Template   string            `toml:"template"`
+	Parameters map[string]string `toml:"parameters"`
+}
+
+// fleetTemplate is a template that a fleet file names.
+type fleetTemplate struct {
+	name string
+	body string
+}
+
+// readFleet reads a fleet file and the templates that it names. Everything is
+// checked before anything is submitted.
+func readFleet(file string) (fleet, []fleetTemplate, error) {
+	var f fleet
+	meta, err := toml.DecodeFile(file, &f)
+	if err != nil {
+		return f, nil, fmt.Errorf("%s: %w", file, err)
+	}
+	if extra := meta.Undecoded(); len(extra) > 0 {
+		return f, nil, fmt.Errorf("%s: unknown key %q", file, extra[0].String())
+	}
+	var templates []fleetTemplate
+	parsed := map[string]*saddletemplate.Template{}
+	for _, name := range f.Templates {
+		path := filepath.Join(filepath.Dir(file), name)
+		t, p, err := readTemplate(path)
+		if err != nil {
+			return f, nil, fmt.Errorf("%s: %w", path, err)
+		}
+		templates = append(templates, t)
+		parsed[t.name] = p
+	}
+	for _, d := range f.Deployments {
+		t, ok := parsed[d.Template]
+		if !ok {
+			continue // control may have the template
+		}
+		if _, err := t.Render(d.Workspace, d.Parameters); err != nil {
+			return f, nil, fmt.Errorf("%s: workspace %q: %w", file, d.Workspace, err)
+		}
+	}
+	return f, templates, nil
+}
+
+func readTemplate(path string) (fleetTemplate, *saddletemplate.Template, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return fleetTemplate{}, nil, err
+	}
+	name, err := saddletemplate.Name(string(body))
+	if err != nil {
+		return fleetTemplate{}, nil, err
+	}
+	parsed, err := saddletemplate.Parse(name, string(body))
+	return fleetTemplate{name: name, body: string(body)}, parsed, err
+}
--- /dev/null
+++ b/internal/command/saddlemain/doc.go
@@ -0,0 +1,2 @@
+// Package saddlemain is the command line of the daemons.
+package saddlemain
--- /dev/null
+++ b/internal/command/saddlemain/run.go
@@ -0,0 +1,153 @@
+package saddlemain
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"runtime/debug"
+	"text/tabwriter"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+	"github.com/fireflysaddle/fireflysaddle/internal/daemon/saddledaemon"
+	"github.com/fireflysaddle/fireflysaddle/internal/demo/saddledemo"
+)
+
+// The exit codes of the daemons.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitSettings = 2 // the command line or the settings are wrong
+)
+
+// command is one entry of the table of commands.
+type command struct {
+	name    string
+	args    string
+	summary string
+	run     func(ctx context.Context, args []string, out, errOut io.Writer) int
+}
+
+func commands() []command {
+	return []command{
+		{"entry", "-settings FILE", "take callers' requests", runEntry},
+		{"agent", "-settings FILE", "run beside a target", runAgent},
+		{"control", "-settings FILE", "keep the configuration and the claims", runControl},
+		{"check", "ROLE FILE...", "check settings files", runCheck},
+		{"demo", "[-hold]", "run everything on this machine, with stand-ins", runDemo},
+		{"version", "", "print the version", runVersion},
+	}
+}
+
+// Run runs a command line and returns the exit code. The context ends when the
+// process is told to stop.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	if len(args) == 0 || args[0] == "help" || args[0] == "-h" || args[0] == "--help" {
+		help(out)
+		return ExitOK
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return c.run(ctx, args[1:], out, errOut)
+		}
+	}
+	_, _ = fmt.Fprintf(errOut, "fireflysaddle: unknown command %q; see fireflysaddle help\n", args[0])
+	return ExitSettings
+}
+
+func help(w io.Writer) {
+	_, _ = fmt.Fprint(w, "fireflysaddle routes requests to model pipelines and plain services.\n\nUsage: fireflysaddle COMMAND [arguments]\n\n")
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, c := range commands() {
+		_, _ = fmt.Fprintf(tw, "  %s %s\t%s\n", c.name, c.args, c.summary)
+	}
+	_ = tw.Flush()
+}
+
+// daemon reads a role's settings and runs it.
+func daemon[S any](ctx context.Context, role string, args []string, errOut io.Writer, load func(string) (S, error), run func(context.Context, S, io.Writer) error) int {
+	fs := flag.NewFlagSet(role, flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	file := fs.String("settings", "", "settings file")
+	if err := fs.Parse(args); err != nil {
+		return ExitSettings
+	}
+	settings, err := load(*file)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return ExitSettings
+	}
+	if err := run(ctx, settings, errOut); err != nil {
+		_, _ = fmt.Fprintf(errOut, "fireflysaddle %s: %v\n", role, err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func runEntry(ctx context.Context, args []string, _, errOut io.Writer) int {
+	return daemon(ctx, "entry", args, errOut, saddlesettings.LoadEntry, saddledaemon.RunEntry)
+}
+
+func runAgent(ctx context.Context, args []string, _, errOut io.Writer) int {
+	return daemon(ctx, "agent", args, errOut, saddlesettings.LoadAgent, saddledaemon.RunAgent)
+}
+
+func runControl(ctx context.Context, args []string, _, errOut io.Writer) int {
+	return daemon(ctx, "control", args, errOut, saddlesettings.LoadControl, saddledaemon.RunControl)
+}
+
+// runCheck checks settings files and names every error.
+func runCheck(_ context.Context, args []string, out, errOut io.Writer) int {
+	if len(args) < 2 {
+		_, _ = fmt.Fprintln(errOut, "fireflysaddle check: name a role and its settings files")
+		return ExitSettings
+	}
+	code := ExitOK
+	for _, file := range args[1:] {
+		if err := checkFile(args[0], file); err != nil {
+			_, _ = fmt.Fprintln(errOut, err)
+			code = ExitSettings
+			continue
+		}
+		_, _ = fmt.Fprintf(out, "%s: good\n", file)
+	}
+	return code
+}
+
+func checkFile(role, file string) error {
+	var err error
+	switch role {
+	case "entry":
+		_, err = saddlesettings.LoadEntry(file)
+	case "agent":
+		_, err = saddlesettings.LoadAgent(file)
+	case "control":
+		_, err = saddlesettings.LoadControl(file)
+	default:
+		err = fmt.Errorf("role %q must be entry, agent or control", role)
+	}
+	return err
+}
+
+func runDemo(ctx context.Context, args []string, out, errOut io.Writer) int {
+	fs := flag.NewFlagSet("demo", flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	hold := fs.Bool("hold", false, "stay up until interrupted and print commands to try")
+	if err := fs.Parse(args); err != nil {
+		return ExitSettings
+	}
+	if err := saddledemo.Run(ctx, out, errOut, *hold); err != nil {
+		_, _ = fmt.Fprintf(errOut, "fireflysaddle demo: %v\n", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func runVersion(_ context.Context, _ []string, out, _ io.Writer) int {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+	}
+	_, _ = fmt.Fprintln(out, "fireflysaddle", version)
+	return ExitOK
+}
--- /dev/null
+++ b/internal/config/saddlesettings/agent.go
@@ -0,0 +1,55 @@
+package saddlesettings
+
+import "time"
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Common
+	Listen   string `toml:"listen"`   // drpc, for entries and other agents
+	Announce string `toml:"announce"` // HTTP, for the target beside it
+	Attend   Attend `toml:"attend"`
+	// Probe is the time between checks that the target answers.
+	Probe Duration `toml:"probe"`
+	// Lost is how long the target may stay silent before it is taken for lost.
+	Lost Duration `toml:"lost"`
+	// StepTimeout bounds one token's way through a chain.
+	StepTimeout Duration `toml:"step_timeout"`
+	// QueueWait is the longest wait in the queue that is accepted.
+	QueueWait Duration `toml:"queue_wait"`
+}
+
+const (
+	defaultProbe       = 500 * time.Millisecond
+	defaultLost        = 2 * time.Second
+	defaultStepTimeout = 3 * time.Second
+	defaultQueueWait   = 30 * time.Second
+	minProbe           = 10 * time.Millisecond
+	maxProbe           = time.Minute
+	maxQueueWait       = time.Hour
+)
+
+// DefaultAgent returns the settings before the file is read.
+func DefaultAgent() Agent {
+	return Agent{
+		Common:      defaultCommon(),
+		Attend:      defaultAttend(),
+		Probe:       Duration(defaultProbe),
+		Lost:        Duration(defaultLost),
+		StepTimeout: Duration(defaultStepTimeout),
+		QueueWait:   Duration(defaultQueueWait),
+	}
+}
+
+// Check returns every error of the settings.
+func (s *Agent) Check(file string) error {
+	c := &checker{file: file}
+	s.check(c)
+	s.Attend.check(c)
+	c.address("listen", s.Listen)
+	c.address("announce", s.Announce)
+	c.duration("probe", s.Probe, minProbe, maxProbe)
+	c.duration("lost", s.Lost, s.Probe.Std(), time.Minute)
+	c.duration("step_timeout", s.StepTimeout, minCallSilence, time.Minute)
+	c.duration("queue_wait", s.QueueWait, 0, maxQueueWait)
+	return c.err()
+}
--- /dev/null
+++ b/internal/config/saddlesettings/checker.go
@@ -0,0 +1,64 @@
+package saddlesettings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+)
+
+// checker gathers the errors of one file.
+type checker struct {
+	file string
+	errs []error
+}
+
+func (c *checker) fail(key string, value any, allowed string) {
+	c.errs = append(c.errs, &Error{File: c.file, Key: key, Value: fmt.Sprintf("%q", fmt.Sprint(value)), Allowed: allowed})
+}
+
+func (c *checker) err() error { return errors.Join(c.errs...) }
+
+func (c *checker) required(key, value string) {
+	if value == "" {
+		c.fail(key, value, "must be given")
+	}
+}
+
+func (c *checker) address(key, value string) {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || port == "" || net.ParseIP(host) == nil {
+		c.fail(key, value, "must be IP:port")
+	}
+}
+
+func (c *checker) addresses(key string, values []string) {
+	if len(values) == 0 {
+		c.fail(key, values, "must name at least one address")
+	}
+	for i, v := range values {
+		c.address(fmt.Sprintf("%s[%d]", key, i), v)
+		if slices.Contains(values[:i], v) {
+			c.fail(fmt.Sprintf("%s[%d]", key, i), v, "stands there twice")
+		}
+	}
+}
+
+func (c *checker) duration(key string, value Duration, low, high time.Duration) {
+	if v := value.Std(); v < low || v > high {
+		c.fail(key, value, fmt.Sprintf("must be from %s to %s", low, high))
+	}
+}
+
+func (c *checker) count(key string, value, high int) {
+	if value < 1 || value > high {
+		c.fail(key, value, fmt.Sprintf("must be from 1 to %d", high))
+	}
+}
+
+func (c *checker) oneOf(key, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		c.fail(key, value, fmt.Sprintf("must be one of %q", allowed))
+	}
+}
--- /dev/null
+++ b/internal/config/saddlesettings/common.go
@@ -0,0 +1,52 @@
+package saddlesettings
+
+import "time"
+
+// Common holds the settings that every role has.
+type Common struct {
+	Node   string `toml:"node"`   // name of the process, unique in the fleet
+	Centre string `toml:"centre"` // data centre
+	Admin  string `toml:"admin"`  // address of the admin listener
+	Log    Log    `toml:"log"`
+	// Timeline is the number of events kept.
+	Timeline int `toml:"timeline"`
+	// LameDuck is how long a process that was told to stop still accepts work,
+	// so that those who send it can react.
+	LameDuck Duration `toml:"lame_duck"`
+	// Shutdown bounds the wait for work in progress after that; 0 waits
+	// without bound.
+	Shutdown Duration `toml:"shutdown"`
+}
+
+// Log holds the settings of the log.
+type Log struct {
+	Level  string `toml:"level"`  // "debug", "info", "warn", "error"
+	Format string `toml:"format"` // "json", "console"
+}
+
+const (
+	defaultTimeline = 4096
+	maxTimeline     = 1 << 20
+	defaultLameDuck = 2 * time.Second
+	maxLameDuck     = 10 * time.Minute
+	maxShutdown     = 24 * time.Hour
+)
+
+func defaultCommon() Common {
+	return Common{
+		Log:      Log{Level: "info", Format: "json"},
+		Timeline: defaultTimeline,
+		LameDuck: Duration(defaultLameDuck),
+	}
+}
+
+func (s *Common) check(c *checker) {
+	c.required("node", s.Node)
+	c.required("centre", s.Centre)
+	c.address("admin", s.Admin)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("log.format", s.Log.Format, "json", "console")
+	c.count("timeline", s.Timeline, maxTimeline)
+	c.duration("lame_duck", s.LameDuck, 0, maxLameDuck)
+	c.duration("shutdown", s.Shutdown, 0, maxShutdown)
+}
--- /dev/null
+++ b/internal/config/saddlesettings/control.go
@@ -0,0 +1,75 @@
+package saddlesettings
+
+import (
+	"slices"
+	"time"
+)
+
+// Control holds the settings of a control replica.
+type Control struct {
+	Common
+	Listen string `toml:"listen"` // drpc, for all other processes
+	Data   string `toml:"data"`   // data folder
+	// Replicas are the voters; this one's node must be among them.
+	Replicas []Replica `toml:"replicas"`
+	// Heartbeat is the time between a leader's heartbeats.
+	Heartbeat Duration `toml:"heartbeat"`
+	// Election is the silence after which a new leader is sought.
+	Election Duration `toml:"election"`
+	// Lost is how long a node may stay silent before it is taken for lost.
+	Lost Duration `toml:"lost"`
+	// SnapshotEvery is the number of log entries between snapshots.
+	SnapshotEvery int `toml:"snapshot_every"`
+}
+
+// Replica names one control replica.
+type Replica struct {
+	Node    string `toml:"node"`
+	Address string `toml:"address"` // its drpc listener
+}
+
+const (
+	defaultHeartbeat     = 100 * time.Millisecond
+	defaultElection      = 600 * time.Millisecond
+	defaultNodeLost      = 2 * time.Second
+	defaultSnapshotEvery = 4096
+	minHeartbeat         = 5 * time.Millisecond
+	maxElection          = time.Minute
+	maxSnapshotEvery     = 1 << 20
+	maxReplicas          = 12
+)
+
+// DefaultControl returns the settings before the file is read.
+func DefaultControl() Control {
+	return Control{
+		Common:        defaultCommon(),
+		Heartbeat:     Duration(defaultHeartbeat),
+		Election:      Duration(defaultElection),
+		Lost:          Duration(defaultNodeLost),
+		SnapshotEvery: defaultSnapshotEvery,
+	}
+}
+
+// Check returns every error of the settings.
+func (s *Control) Check(file string) error {
+	c := &checker{file: file}
+	s.check(c)
+	c.address("listen", s.Listen)
+	c.required("data", s.Data)
+	c.duration("heartbeat", s.Heartbeat, minHeartbeat, time.Second)
+	c.duration("election", s.Election, 3*s.Heartbeat.Std(), maxElection)
+	c.duration("lost", s.Lost, minCallSilence, time.Minute)
+	c.count("snapshot_every", s.SnapshotEvery, maxSnapshotEvery)
+	c.count("replicas (count)", len(s.Replicas), maxReplicas)
+	for i, r := range s.Replicas {
+		c.required("replicas.node", r.Node)
+		c.address("replicas.address", r.Address)
+		if slices.ContainsFunc(s.Replicas[:i], func(o Replica) bool { return o.Node == r.Node || o.Address == r.Address }) {
+			c.fail("replicas", r.Node, "stands there twice, by node or address")
+		}
+	}
+	if !slices.ContainsFunc(s.Replicas, func(r Replica) bool { return r.Node == s.Node }) {
+		c.fail("replicas", s.Node, "must name this node")
+	}
+	return c.err()
+}
--- /dev/null
+++ b/internal/config/saddlesettings/load.go
@@ -0,0 +1,54 @@
+package saddlesettings
+
+import (
+	"os"
+
+	"github.com/BurntSushi/toml"
+)
+
+// LoadEntry reads the settings of an entry.
+func LoadEntry(file string) (Entry, error) {
+	s := DefaultEntry()
+	if err := load(file, &s); err != nil {
+		return Entry{}, err
+	}
+	return s, s.Check(file)
+}
+
+// LoadAgent reads the settings of an agent.
+func LoadAgent(file string) (Agent, error) {
+	s := DefaultAgent()
+	if err := load(file, &s); err != nil {
+		return Agent{}, err
+	}
+	return s, s.Check(file)
+}
+
+// LoadControl reads the settings of a control replica.
+func LoadControl(file string) (Control, error) {
+	s := DefaultControl()
+	if err := load(file, &s); err != nil {
+		return Control{}, err
+	}
+	return s, s.Check(file)
+}
+
+func load(file string, into any) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return &Error{File: file, Allowed: err.Error()}
+	}
+	return decode(file, string(text), into)
+}
+
+func decode(file, text string, into any) error {
+	meta, err := toml.Decode(text, into)
+	if err != nil {
+		return &Error{File: file, Allowed: err.Error()}
+	}
+	c := &checker{file: file}
+	for _, key := range meta.Undecoded() {
+		c.fail(key.String(), "", "unknown key")
+	}
+	return c.err()
+}
--- /dev/null
+++ b/internal/control/saddlecontrol/attendee.go
@@ -0,0 +1,51 @@
+package saddlecontrol
+
+import (
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// attendee is a node that attends. Its sent fields belong to the core.
+type attendee struct {
+	role   fireflysaddle.Role
+	notify chan struct{} // of capacity 1: there is something to pull
+
+	started  bool
+	revision uint64 // configuration revision sent
+	version  uint64 // member version sent
+}
+
+func newAttendee(role fireflysaddle.Role) *attendee {
+	return &attendee{role: role, notify: make(chan struct{}, 1)}
+}
+
+func (a *attendee) wake() {
+	select {
+	case a.notify <- struct{}{}:
+	default:
+	}
+}
+
+// update returns what the attendee does not know yet. Only entries are told of
+// members: agents choose no targets.
+func (c *core) update(now time.Time, a *attendee) *saddlewire.Update {
+	u := &saddlewire.Update{
+		Snapshot:  !a.started,
+		Revision:  c.state.Revision(),
+		Confirmed: c.replica.Confirmed(now),
+		Stamp:     c.cfg.Timeline.Stamp(now),
+	}
+	if !a.started || a.revision != u.GetRevision() {
+		u.Deployments, u.Drains = c.state.Since(a.revision)
+	}
+	if a.role == fireflysaddle.RoleEntry {
+		u.Members, u.Gone = c.members.since(a.version)
+	}
+	a.started = true
+	a.revision = u.GetRevision()
+	a.version = c.members.version
+	countUpdates.Add(1)
+	return u
+}
--- /dev/null
+++ b/internal/control/saddlecontrol/peer.go
@@ -0,0 +1,76 @@
+package saddlecontrol
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+const peerQueue = 512 // messages waiting for one peer
+
+// peer sends messages to one other replica. Messages may be lost: the replicas
+// repeat what matters.
+type peer struct {
+	address string
+	timeout time.Duration // of one exchange; a silent connection is closed
+	queue   chan *saddlewire.Message
+	conn    *drpcconn.Conn
+}
+
+func newPeer(address string, timeout time.Duration) *peer {
+	return &peer{address: address, timeout: timeout, queue: make(chan *saddlewire.Message, peerQueue)}
+}
+
+// send queues a message, or drops it when the peer does not keep up.
+func (p *peer) send(m *saddlewire.Message) {
+	select {
+	case p.queue <- m:
+	default:
+		countDropped.Add(1)
+	}
+}
+
+// run sends until the context ends.
+func (p *peer) run(ctx context.Context) {
+	defer p.close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-p.queue:
+			batch := &saddlewire.MessageBatch{Messages: []*saddlewire.Message{m}}
+			for range len(p.queue) {
+				batch.Messages = append(batch.Messages, <-p.queue)
+			}
+			if err := p.exchange(ctx, batch); err != nil {
+				countDropped.Add(int64(len(batch.GetMessages())))
+				p.close()
+			}
+		}
+	}
+}
+
+func (p *peer) exchange(ctx context.Context, batch *saddlewire.MessageBatch) error {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	if p.conn == nil {
+		conn, err := saddlelink.Dial(ctx, p.address)
+		if err != nil {
+			return err
+		}
+		p.conn = conn
+	}
+	_, err := saddlewire.NewDRPCControlClient(p.conn).Exchange(ctx, batch)
+	return err
+}
+
+func (p *peer) close() {
+	if p.conn != nil {
+		_ = p.conn.Close()
+		p.conn = nil
+	}
+}
--- /dev/null
+++ b/internal/control/saddlecontrol/server.go
@@ -0,0 +1,191 @@
+package saddlecontrol
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestore"
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// pullEvery is how often a node that attends hears from the replica at least.
+const pullEvery = 500 * time.Millisecond
+
+// Server is a control replica. Run serves it.
+type Server struct {
+	cfg    Config
+	core   *core
+	events chan event
+	lis    net.Listener
+	done   chan struct{} // closed when the core has stopped
+}
+
+// New opens the data folder and the listener. The clean-up closes both.
+func New(now time.Time, cfg Config) (*Server, func() error, error) {
+	store, loaded, closeStore, err := saddlestore.Open(cfg.Data)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := newCore(now, cfg, store, loaded)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "decode snapshot")
+	}
+	lis, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Listen)
+	}
+	for id, address := range cfg.Replicas {
+		if id != cfg.Node {
+			c.peers[id] = newPeer(address, cfg.Election)
+		}
+	}
+	s := &Server{cfg: cfg, core: c, events: make(chan event, eventQueue), lis: lis, done: make(chan struct{})}
+	cleanup := func() error {
+		_ = lis.Close()
+		return closeStore()
+	}
+	return s, cleanup, nil
+}
+
+// Run serves until the context ends. An error of the store ends it at once:
+// nothing that was not stored is acknowledged.
+func (s *Server) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, p := range s.core.peers {
+		wg.Go(func() { p.run(ctx) })
+	}
+	wg.Go(func() {
+		_ = saddlelink.Serve(ctx, s.lis, func(mux drpc.Mux) error {
+			return saddlewire.DRPCRegisterControl(mux, s)
+		})
+	})
+	err := s.core.run(ctx, s.events)
+	close(s.done)
+	cancel()
+	return err
+}
+
+// post hands an event to the core.
+func (s *Server) post(ctx context.Context, e event) error {
+	select {
+	case s.events <- e:
+		return nil
+	case <-s.done:
+		return eris.New("this replica has stopped")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ask hands an event to the core and waits for its reply.
+func ask[T any](ctx context.Context, s *Server, e event, reply <-chan T) (T, error) {
+	var zero T
+	if err := s.post(ctx, e); err != nil {
+		return zero, err
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-s.done:
+		return zero, eris.New("this replica has stopped")
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
+
+// Submit proposes a command and returns its result once it is committed.
+func (s *Server) Submit(ctx context.Context, in *saddlewire.SubmitRequest) (*saddlewire.SubmitResponse, error) {
+	s.cfg.Timeline.Observe(time.Now(), in.GetStamp())
+	reply := make(chan *saddlewire.SubmitResponse, 1)
+	return ask(ctx, s, submitEvent{command: in.GetCommand(), reply: reply}, reply)
+}
+
+// Read returns the state.
+func (s *Server) Read(ctx context.Context, _ *saddlewire.ReadRequest) (*saddlewire.ReadResponse, error) {
+	reply := make(chan *saddlewire.ReadResponse, 1)
+	return ask(ctx, s, readEvent{reply: reply}, reply)
+}
+
+// Exchange takes in messages of another replica.
+func (s *Server) Exchange(ctx context.Context, in *saddlewire.MessageBatch) (*saddlewire.Empty, error) {
+	return &saddlewire.Empty{}, s.post(ctx, messageEvent{messages: in.GetMessages()})
+}
+
+// Attend takes in a node's heartbeats and sends it updates.
+func (s *Server) Attend(stream saddlewire.DRPCControl_AttendStream) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if err := s.takeBeat(ctx, first); err != nil {
+		return err
+	}
+	a := newAttendee(fireflysaddle.Role(first.GetMember().GetRole()))
+	if err := s.post(ctx, joinEvent{who: a}); err != nil {
+		return err
+	}
+	defer func() { _ = s.post(context.WithoutCancel(ctx), leaveEvent{who: a}) }()
+	go func() {
+		defer cancel()
+		s.takeBeats(ctx, stream)
+	}()
+	return s.sendUpdates(ctx, stream, a)
+}
+
+func (s *Server) takeBeats(ctx context.Context, stream saddlewire.DRPCControl_AttendStream) {
+	for {
+		b, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		if err := s.takeBeat(ctx, b); err != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) takeBeat(ctx context.Context, b *saddlewire.Beat) error {
+	s.cfg.Timeline.Observe(time.Now(), b.GetStamp())
+	return s.post(ctx, beatEvent{member: b.GetMember()})
+}
+
+func (s *Server) sendUpdates(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, a *attendee) error {
+	tick := time.NewTicker(pullEvery)
+	defer tick.Stop()
+	reply := make(chan *saddlewire.Update, 1)
+	for {
+		u, err := ask(ctx, s, pullEvent{who: a, reply: reply}, reply)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(u); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.notify:
+		case <-tick.C:
+		}
+	}
+}
+
+// Ready returns nil when the replica knows a leader and is up to date with it.
+func (s *Server) Ready() error {
+	if !s.core.confirmed.Load() {
+		return eris.New("no leader with a majority is known")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/saddlereplica/role.go
@@ -0,0 +1,17 @@
+package saddlereplica
+
+// Role is what a replica is at a moment.
+type Role int
+
+// The roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role's name.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
--- /dev/null
+++ b/internal/control/saddlestate/configuration.go
@@ -0,0 +1,105 @@
+package saddlestate
+
+import (
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddletemplate"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// putTemplate takes a revision of a template and renders every deployment made
+// from it again. It is refused whole when one of them cannot be rendered.
+func (s *State) putTemplate(index uint64, put *saddlewire.PutTemplate) *saddlewire.Result {
+	current := s.templates[put.GetName()].GetRevision()
+	if put.GetBase() != current {
+		return conflict("template", put.GetName(), put.GetBase(), current)
+	}
+	template, err := saddletemplate.Parse(put.GetName(), put.GetBody())
+	if err != nil {
+		return refuse(fireflysaddle.CodeInvalid, "%v", err)
+	}
+	next := &saddlewire.Template{Name: put.GetName(), Revision: current + 1, Body: put.GetBody()}
+	var rendered []*saddlewire.Deployment
+	for _, old := range s.Deployments() {
+		if old.GetTemplate() != put.GetName() {
+			continue
+		}
+		d, err := template.Render(old.GetWorkspace(), old.GetParameters())
+		if err != nil {
+			return refuse(fireflysaddle.CodeInvalid, "workspace %q: %v", old.GetWorkspace(), err)
+		}
+		d.Revision = old.GetRevision() + 1
+		d.TemplateRevision = next.GetRevision()
+		d.Index = index
+		rendered = append(rendered, d)
+	}
+	s.templates[put.GetName()] = next
+	for _, d := range rendered {
+		s.deployments[d.GetWorkspace()] = d
+	}
+	return s.accept(index, next.GetRevision())
+}
+
+func (s *State) putDeployment(index uint64, put *saddlewire.PutDeployment) *saddlewire.Result {
+	current := s.deployments[put.GetWorkspace()].GetRevision()
+	if put.GetBase() != current {
+		return conflict("deployment", put.GetWorkspace(), put.GetBase(), current)
+	}
+	t, ok := s.templates[put.GetTemplate()]
+	if !ok {
+		return refuse(fireflysaddle.CodeNotFound, "template %q does not exist", put.GetTemplate())
+	}
+	template, err := saddletemplate.Parse(t.GetName(), t.GetBody())
+	if err != nil {
+		return refuse(fireflysaddle.CodeInvalid, "%v", err)
+	}
+	d, err := template.Render(put.GetWorkspace(), put.GetParameters())
+	if err != nil {
+		return refuse(fireflysaddle.CodeInvalid, "%v", err)
+	}
+	if other := s.keyOwner(d); other != "" {
+		return refuse(fireflysaddle.CodeInvalid, "one of the keys of workspace %q belongs to workspace %q", put.GetWorkspace(), other)
+	}
+	d.Revision = current + 1
+	d.TemplateRevision = t.GetRevision()
+	d.Index = index
+	s.deployments[put.GetWorkspace()] = d
+	return s.accept(index, d.GetRevision())
+}
+
+// keyOwner returns another workspace that has one of a deployment's keys.
+func (s *State) keyOwner(d *saddlewire.Deployment) string {
+	hashes := make(map[string]bool, len(d.GetKeyHashes()))
+	for _, h := range d.GetKeyHashes() {
+		hashes[h] = true
+	}
+	for _, other := range s.Deployments() {
+		if other.GetWorkspace() == d.GetWorkspace() {
+			continue
+		}
+		for _, h := range other.GetKeyHashes() {
+			if hashes[h] {
+				return other.GetWorkspace()
+			}
+		}
+	}
+	return ""
+}
+
+func (s *State) putDrain(index uint64, put *saddlewire.PutDrain) *saddlewire.Result {
+	old := s.drains[put.GetTarget()]
+	if put.GetTarget() == "" {
+		return refuse(fireflysaddle.CodeInvalid, "a drain names no target")
+	}
+	if old.GetActive() == put.GetActive() {
+		return s.accept(s.revision, old.GetRevision())
+	}
+	next := &saddlewire.Drain{Target: put.GetTarget(), Revision: old.GetRevision() + 1, Active: put.GetActive(), Index: index}
+	s.drains[put.GetTarget()] = next
+	return s.accept(index, next.GetRevision())
+}
+
+// accept notes that the configuration changed at a log index.
+func (s *State) accept(index, revision uint64) *saddlewire.Result {
+	s.revision = index
+	return &saddlewire.Result{Accepted: true, Revision: revision}
+}
--- /dev/null
+++ b/internal/control/saddlestate/state.go
@@ -0,0 +1,135 @@
+package saddlestate
+
+import (
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// maxResults bounds the results kept for resends; the oldest go first.
+const maxResults = 20000
+
+// claimKey identifies a claim.
+type claimKey struct {
+	workspace string
+	key       string
+}
+
+// State is the replicated state. It is used by one goroutine; the messages
+// that it hands out must not be changed.
+type State struct {
+	revision    uint64 // log index of the last change of configuration
+	templates   map[string]*saddlewire.Template
+	deployments map[string]*saddlewire.Deployment
+	drains      map[string]*saddlewire.Drain
+	claims      map[claimKey]*saddlewire.Claim
+	results     map[string]*saddlewire.Result
+	order       []string // requests in results, oldest first
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		templates:   map[string]*saddlewire.Template{},
+		deployments: map[string]*saddlewire.Deployment{},
+		drains:      map[string]*saddlewire.Drain{},
+		claims:      map[claimKey]*saddlewire.Claim{},
+		results:     map[string]*saddlewire.Result{},
+	}
+}
+
+// Revision returns the log index of the last change of configuration.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Templates returns the templates by name.
+func (s *State) Templates() []*saddlewire.Template { return sorted(s.templates) }
+
+// Deployments returns the deployments by workspace.
+func (s *State) Deployments() []*saddlewire.Deployment { return sorted(s.deployments) }
+
+// Drains returns the drains by target.
+func (s *State) Drains() []*saddlewire.Drain { return sorted(s.drains) }
+
+// Encode returns the whole state as a snapshot's data.
+func (s *State) Encode() ([]byte, error) {
+	out := &saddlewire.State{
+		Revision:    s.revision,
+		Templates:   s.Templates(),
+		Deployments: s.Deployments(),
+		Drains:      s.Drains(),
+	}
+	for _, c := range s.claims {
+		out.Claims = append(out.Claims, c)
+	}
+	for _, request := range s.order {
+		out.Results = append(out.Results, &saddlewire.PastResult{Request: request, Result: s.results[request]})
+	}
+	return proto.Marshal(out)
+}
+
+// Decode returns the state that a snapshot's data holds.
+func Decode(data []byte) (*State, error) {
+	in := &saddlewire.State{}
+	if err := proto.Unmarshal(data, in); err != nil {
+		return nil, err
+	}
+	s := New()
+	s.revision = in.GetRevision()
+	for _, t := range in.GetTemplates() {
+		s.templates[t.GetName()] = t
+	}
+	for _, d := range in.GetDeployments() {
+		s.deployments[d.GetWorkspace()] = d
+	}
+	for _, d := range in.GetDrains() {
+		s.drains[d.GetTarget()] = d
+	}
+	for _, c := range in.GetClaims() {
+		s.claims[claimKey{workspace: c.GetWorkspace(), key: c.GetKey()}] = c
+	}
+	for _, p := range in.GetResults() {
+		s.remember(p.GetRequest(), p.GetResult())
+	}
+	return s, nil
+}
+
+// remember keeps a result for resends of its command.
+func (s *State) remember(request string, result *saddlewire.Result) {
+	if request == "" {
+		return
+	}
+	s.results[request] = result
+	s.order = append(s.order, request)
+	if len(s.order) > maxResults {
+		delete(s.results, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+func sorted[V any](m map[string]V) []V {
+	out := make([]V, 0, len(m))
+	for _, key := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[key])
+	}
+	return out
+}
+
+// Since returns the deployments and drains changed after a revision.
+func (s *State) Since(revision uint64) ([]*saddlewire.Deployment, []*saddlewire.Drain) {
+	var deployments []*saddlewire.Deployment
+	for _, d := range s.deployments {
+		if d.GetIndex() > revision {
+			deployments = append(deployments, d)
+		}
+	}
+	var drains []*saddlewire.Drain
+	for _, d := range s.drains {
+		if d.GetIndex() > revision {
+			drains = append(drains, d)
+		}
+	}
+	return deployments, drains
+}
--- /dev/null
+++ b/internal/control/saddletemplate/deployment.go
@@ -0,0 +1,17 @@
+package saddletemplate
+
+// deployment is the part of a template that is filled in.
+type deployment struct {
+	Keys     []string `toml:"keys"` // hex SHA-256 of bearer keys
+	Weight   uint32   `toml:"weight"`
+	Priority int32    `toml:"priority"`
+	Timeout  string   `toml:"timeout"` // duration with unit
+	Models   []grant  `toml:"models"`
+	Services []grant  `toml:"services"`
+}
+
+// grant names a target group that the workspace may use.
+type grant struct {
+	Name    string `toml:"name"`
+	Version string `toml:"version"`
+}
--- /dev/null
+++ b/internal/control/saddletemplate/render.go
@@ -0,0 +1,161 @@
+package saddletemplate
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+const (
+	defaultWeight  = 1
+	defaultTimeout = 60 * time.Second
+	maxTimeout     = time.Hour
+	keyHashBytes   = 32
+)
+
+// Render fills in a workspace's parameters. It returns the deployment without
+// its revisions. Errors are of type *Error; nothing is filled in by halves.
+func (t *Template) Render(workspace string, given map[string]string) (*saddlewire.Deployment, error) {
+	if !ValidName(workspace) {
+		return nil, &Error{Template: t.Name, Reason: fmt.Sprintf("workspace name %q must be letters, digits, '.', '_' or '-'", workspace)}
+	}
+	values, err := t.values(given)
+	if err != nil {
+		return nil, err
+	}
+	filled, _ := fill(t.body, values).(map[string]any)
+	d, err := t.decodeDeployment(filled)
+	if err != nil {
+		return nil, err
+	}
+	return t.build(workspace, given, d)
+}
+
+// values parses the given parameters and adds the defaults.
+func (t *Template) values(given map[string]string) (map[string]any, error) {
+	for _, name := range slices.Sorted(maps.Keys(given)) {
+		if _, ok := t.parameters[name]; !ok {
+			return nil, &Error{Template: t.Name, Parameter: name, Value: given[name], Reason: "is unknown"}
+		}
+	}
+	values := make(map[string]any, len(t.parameters))
+	for _, name := range slices.Sorted(maps.Keys(t.parameters)) {
+		p := t.parameters[name]
+		text, ok := given[name]
+		switch {
+		case !ok && p.Default != nil:
+			text = *p.Default
+		case !ok && p.Required:
+			return nil, &Error{Template: t.Name, Parameter: name, Reason: "is required"}
+		case !ok:
+			return nil, &Error{Template: t.Name, Parameter: name, Reason: "has no default and was not given"}
+		}
+		value, reason := p.parse(text)
+		if reason != "" {
+			return nil, &Error{Template: t.Name, Parameter: name, Value: text, Reason: reason}
+		}
+		values[name] = value
+	}
+	return values, nil
+}
+
+// fill replaces the placeholders in a value.
+func fill(value any, values map[string]any) any {
+	switch v := value.(type) {
+	case string:
+		return fillString(v, values)
+	case []any:
+		out := make([]any, len(v))
+		for i, item := range v {
+			out[i] = fill(item, values)
+		}
+		return out
+	case []map[string]any:
+		out := make([]any, len(v))
+		for i, item := range v {
+			out[i] = fill(item, values)
+		}
+		return out
+	case map[string]any:
+		out := make(map[string]any, len(v))
+		for key, item := range v {
+			out[key] = fill(item, values)
+		}
+		return out
+	}
+	return value
+}
+
+func fillString(text string, values map[string]any) any {
+	if m := holder.FindStringSubmatch(text); m != nil && m[0] == text {
+		return values[m[1]]
+	}
+	return holder.ReplaceAllStringFunc(text, func(match string) string {
+		name := holder.FindStringSubmatch(match)[1]
+		return fmt.Sprint(values[name])
+	})
+}
+
+// decodeDeployment goes through TOML once more, so that types and unknown keys
+// are checked strictly.
+func (t *Template) decodeDeployment(filled map[string]any) (deployment, error) {
+	var d deployment
+	var buf bytes.Buffer
+	if err := toml.NewEncoder(&buf).Encode(filled); err != nil {
+		return d, &Error{Template: t.Name, Reason: err.Error()}
+	}
+	meta, err := toml.NewDecoder(&buf).Decode(&d)
+	if err != nil {
+		return d, &Error{Template: t.Name, Reason: err.Error()}
+	}
+	if extra := meta.Undecoded(); len(extra) > 0 {
+		return d, &Error{Template: t.Name, Reason: fmt.Sprintf("unknown key %q under deployment", extra[0].String())}
+	}
+	return d, nil
+}
+
+func (t *Template) build(workspace string, given map[string]string, d deployment) (*saddlewire.Deployment, error) {
+	out := &saddlewire.Deployment{
+		Workspace:  workspace,
+		Template:   t.Name,
+		Parameters: given,
+		Weight:     max(d.Weight, defaultWeight),
+		Priority:   d.Priority,
+		TimeoutMs:  defaultTimeout.Milliseconds(),
+	}
+	for _, key := range d.Keys {
+		if b, err := hex.DecodeString(key); err != nil || len(b) != keyHashBytes {
+			return nil, &Error{Template: t.Name, Reason: "each of deployment.keys must be the hex SHA-256 of a key"}
+		}
+		out.KeyHashes = append(out.KeyHashes, strings.ToLower(key))
+	}
+	if d.Timeout != "" {
+		timeout, err := time.ParseDuration(d.Timeout)
+		if err != nil || timeout <= 0 || timeout > maxTimeout {
+			return nil, &Error{Template: t.Name, Reason: fmt.Sprintf("deployment.timeout = %q must be a duration above 0 and at most %s", d.Timeout, maxTimeout)}
+		}
+		out.TimeoutMs = timeout.Milliseconds()
+	}
+	out.Grants = append(grants(d.Models, fireflysaddle.KindEngine), grants(d.Services, fireflysaddle.KindService)...)
+	if len(out.GetGrants()) == 0 {
+		return nil, &Error{Template: t.Name, Reason: "deployment needs models or services"}
+	}
+	return out, nil
+}
+
+func grants(in []grant, kind fireflysaddle.TargetKind) []*saddlewire.Grant {
+	var out []*saddlewire.Grant
+	for _, g := range in {
+		out = append(out, &saddlewire.Grant{Group: g.Name, Kind: string(kind), Version: g.Version})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/saddletemplate/template.go
@@ -0,0 +1,130 @@
+package saddletemplate
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"slices"
+
+	"github.com/BurntSushi/toml"
+)
+
+const (
+	maxNameBytes = 100
+	maxBodyBytes = 256 << 10 // of a template's text
+
+	deploymentKey = "deployment" // the table that is filled in
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]*$`)
+	holder      = regexp.MustCompile(`\$\{([a-zA-Z0-9_]+)\}`)
+	types       = []string{"string", "int", "bool", "list"}
+)
+
+// Template is a parsed template.
+type Template struct {
+	Name       string
+	parameters map[string]Parameter
+	body       map[string]any
+}
+
+// file is the layout of a template's text.
+type file struct {
+	Name       string               `toml:"name"`
+	Parameters map[string]Parameter `toml:"parameters"`
+	Deployment map[string]any       `toml:"deployment"`
+}
+
+// ValidName reports whether a template or workspace may have this name.
+func ValidName(name string) bool {
+	return len(name) <= maxNameBytes && namePattern.MatchString(name)
+}
+
+// Name returns the name that a template's text gives itself.
+func Name(body string) (string, error) {
+	f, err := decode("", body)
+	return f.Name, err
+}
+
+// Parse checks a template's text. Errors are of type *Error.
+func Parse(name, body string) (*Template, error) {
+	if !ValidName(name) {
+		return nil, &Error{Template: name, Reason: "the name must be letters, digits, '.', '_' or '-'"}
+	}
+	f, err := decode(name, body)
+	if err != nil {
+		return nil, err
+	}
+	if f.Name != "" && f.Name != name {
+		return nil, &Error{Template: name, Reason: fmt.Sprintf("the text is named %q", f.Name)}
+	}
+	t := &Template{Name: name, parameters: f.Parameters, body: f.Deployment}
+	if err := t.checkParameters(); err != nil {
+		return nil, err
+	}
+	return t, t.checkHolders(t.body)
+}
+
+func decode(name, body string) (file, error) {
+	var f file
+	if len(body) > maxBodyBytes {
+		return f, &Error{Template: name, Reason: fmt.Sprintf("the text exceeds %d bytes", maxBodyBytes)}
+	}
+	meta, err := toml.NewDecoder(bytes.NewReader([]byte(body))).Decode(&f)
+	if err != nil {
+		return f, &Error{Template: name, Reason: err.Error()}
+	}
+	for _, key := range meta.Undecoded() {
+		if key[0] != deploymentKey { // checked when it is rendered
+			return f, &Error{Template: name, Reason: fmt.Sprintf("unknown key %q", key.String())}
+		}
+	}
+	return f, nil
+}
+
+func (t *Template) checkParameters() error {
+	for name, p := range t.parameters {
+		if !slices.Contains(types, p.Type) {
+			return &Error{Template: t.Name, Parameter: name, Value: p.Type, Reason: fmt.Sprintf("type must be one of %q", types)}
+		}
+		if p.Default == nil {
+			continue
+		}
+		if _, reason := p.parse(*p.Default); reason != "" {
+			return &Error{Template: t.Name, Parameter: name, Value: *p.Default, Reason: "default " + reason}
+		}
+	}
+	return nil
+}
+
+// checkHolders finds placeholders that name no parameter.
+func (t *Template) checkHolders(value any) error {
+	switch v := value.(type) {
+	case string:
+		for _, m := range holder.FindAllStringSubmatch(v, -1) {
+			if _, ok := t.parameters[m[1]]; !ok {
+				return &Error{Template: t.Name, Parameter: m[1], Value: v, Reason: "is used and not declared"}
+			}
+		}
+	case []any:
+		for _, item := range v {
+			if err := t.checkHolders(item); err != nil {
+				return err
+			}
+		}
+	case []map[string]any:
+		for _, item := range v {
+			if err := t.checkHolders(item); err != nil {
+				return err
+			}
+		}
+	case map[string]any:
+		for _, item := range v {
+			if err := t.checkHolders(item); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/saddledaemon/agent.go
@@ -0,0 +1,44 @@
+package saddledaemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/agent/saddleagent"
+	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+)
+
+// RunAgent runs an agent until the context ends and its work in progress has.
+func RunAgent(ctx context.Context, settings saddlesettings.Agent, logs io.Writer) error {
+	p, err := newProcess(time.Now(), settings.Common, fireflysaddle.RoleAgent, logs)
+	if err != nil {
+		return err
+	}
+	s, cleanup, err := saddleagent.New(saddleagent.Config{
+		Node:        fireflysaddle.NodeID(settings.Node),
+		Incarnation: p.incarnation,
+		Centre:      fireflysaddle.DataCentre(settings.Centre),
+		Listen:      settings.Listen,
+		Announce:    settings.Announce,
+		Admin:       settings.Admin,
+		Controls:    settings.Attend.Controls,
+		Beat:        settings.Attend.Beat.Std(),
+		Silence:     settings.Attend.Silence.Std(),
+		Probe:       settings.Probe.Std(),
+		Lost:        settings.Lost.Std(),
+		StepTimeout: settings.StepTimeout.Std(),
+		QueueWait:   settings.QueueWait.Std(),
+		Shutdown:    settings.Shutdown.Std(),
+		Log:         p.log,
+		Timeline:    p.timeline,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = cleanup() }()
+	return p.serve(ctx, s.Ready, func(stop <-chan struct{}) error {
+		return s.Run(context.Background(), stop)
+	})
+}
--- /dev/null
+++ b/internal/daemon/saddledaemon/control.go
@@ -0,0 +1,55 @@
+package saddledaemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlecontrol"
+)
+
+// RunControl runs a control replica until the context ends.
+func RunControl(ctx context.Context, settings saddlesettings.Control, logs io.Writer) error {
+	now := time.Now()
+	p, err := newProcess(now, settings.Common, fireflysaddle.RoleControl, logs)
+	if err != nil {
+		return err
+	}
+	replicas := make(map[string]string, len(settings.Replicas))
+	for _, r := range settings.Replicas {
+		replicas[r.Node] = r.Address
+	}
+	s, cleanup, err := saddlecontrol.New(now, saddlecontrol.Config{
+		Node:          settings.Node,
+		Incarnation:   uint64(p.incarnation),
+		Centre:        settings.Centre,
+		Listen:        settings.Listen,
+		Admin:         settings.Admin,
+		Data:          settings.Data,
+		Replicas:      replicas,
+		Heartbeat:     settings.Heartbeat.Std(),
+		Election:      settings.Election.Std(),
+		Lost:          settings.Lost.Std(),
+		SnapshotEvery: settings.SnapshotEvery,
+		Log:           p.log,
+		Timeline:      p.timeline,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = cleanup() }()
+	return p.serve(ctx, s.Ready, func(stop <-chan struct{}) error {
+		runCtx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() {
+			select {
+			case <-stop:
+				cancel()
+			case <-runCtx.Done():
+			}
+		}()
+		return s.Run(runCtx)
+	})
+}
--- /dev/null
+++ b/internal/daemon/saddledaemon/entry.go
@@ -0,0 +1,44 @@
+package saddledaemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleentry"
+)
+
+// RunEntry runs an entry until the context ends and its work in progress has.
+func RunEntry(ctx context.Context, settings saddlesettings.Entry, logs io.Writer) error {
+	p, err := newProcess(time.Now(), settings.Common, fireflysaddle.RoleEntry, logs)
+	if err != nil {
+		return err
+	}
+	s, cleanup, err := saddleentry.New(saddleentry.Config{
+		Node:        fireflysaddle.NodeID(settings.Node),
+		Incarnation: p.incarnation,
+		Centre:      fireflysaddle.DataCentre(settings.Centre),
+		Listen:      settings.Listen,
+		Admin:       settings.Admin,
+		Controls:    settings.Attend.Controls,
+		Beat:        settings.Attend.Beat.Std(),
+		Silence:     settings.Attend.Silence.Std(),
+		CallSilence: settings.Silence.Std(),
+		BodyLimit:   settings.BodyLimit,
+		MaxTimeout:  settings.MaxTimeout.Std(),
+		LameDuck:    settings.LameDuck.Std(),
+		Shutdown:    settings.Shutdown.Std(),
+		Seed:        uint64(p.incarnation),
+		Log:         p.log,
+		Timeline:    p.timeline,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = cleanup() }()
+	return p.serve(ctx, s.Ready, func(stop <-chan struct{}) error {
+		return s.Run(context.Background(), stop)
+	})
+}
--- /dev/null
+++ b/internal/daemon/saddledaemon/process.go
@@ -0,0 +1,78 @@
+package saddledaemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/admin/saddleadmin"
+	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+)
+
+// process is what every role has.
+type process struct {
+	settings    saddlesettings.Common
+	incarnation fireflysaddle.Incarnation
+	log         zerolog.Logger
+	timeline    *saddletimeline.Ring
+}
+
+func newProcess(now time.Time, settings saddlesettings.Common, role fireflysaddle.Role, logs io.Writer) (*process, error) {
+	log, err := newLogger(settings.Log, logs)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{
+		settings:    settings,
+		incarnation: fireflysaddle.Incarnation(now.UnixNano()),
+		timeline:    saddletimeline.NewRing(settings.Node, settings.Timeline),
+	}
+	p.log = log.With().Str("node", settings.Node).Str("role", string(role)).Uint64("incarnation", uint64(p.incarnation)).Logger()
+	return p, nil
+}
+
+func newLogger(settings saddlesettings.Log, w io.Writer) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(settings.Level)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	if settings.Format == "console" {
+		w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.RFC3339}
+	}
+	return zerolog.New(w).Level(level).With().Timestamp().Logger(), nil
+}
+
+// serve runs the role beside its admin listener until the context ends. Then
+// serveRole is told to stop and is waited for.
+func (p *process) serve(ctx context.Context, ready func() error, serveRole func(stop <-chan struct{}) error) error {
+	admin, closeAdmin, err := saddleadmin.New(p.settings.Admin, ready, p.timeline)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = closeAdmin() }()
+	p.timeline.Add(time.Now(), saddletimeline.Event{Name: "start"})
+	p.log.Info().Msg("started")
+	stop := make(chan struct{})
+	adminCtx, stopAdmin := context.WithCancel(context.Background())
+	var g run.Group
+	g.Add(func() error { return serveRole(stop) }, func(error) {})
+	g.Add(func() error { return admin.Run(adminCtx) }, func(error) { stopAdmin() })
+	stopped := make(chan struct{})
+	g.Add(func() error {
+		select {
+		case <-ctx.Done():
+			close(stop)
+			<-stopped // the role ends when its work in progress has
+		case <-stopped:
+		}
+		return nil
+	}, func(error) { close(stopped) })
+	err = g.Run()
+	p.log.Info().AnErr("error", err).Msg("stopped")
+	return err
+}
--- /dev/null
+++ b/internal/demo/saddledemo/caller.go
@@ -0,0 +1,93 @@
+package saddledemo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// caller sends requests as a workspace does.
+type caller struct {
+	client *http.Client
+	key    string
+}
+
+// chunk is the part of a streamed answer that the caller reads.
+type chunk struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error *struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+// draft asks an entry for a streamed draft and returns its tokens. each is
+// called with the number of tokens so far.
+func (c *caller) draft(ctx context.Context, entry, model, prompt string, n int, each func(int)) ([]string, error) {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, model, prompt, n)
+	resp, err := c.send(ctx, http.MethodPost, "http://"+entry+"/v1/completions", body, "")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return nil, fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
+	}
+	var tokens []string
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok:
+			continue
+		case data == "[DONE]":
+			return tokens, nil
+		}
+		var ch chunk
+		if err := json.Unmarshal([]byte(data), &ch); err != nil {
+			return tokens, err
+		}
+		if ch.Error != nil {
+			return tokens, fmt.Errorf("the stream ended with %s", ch.Error.Code)
+		}
+		if len(ch.Choices) > 0 && ch.Choices[0].Text != "" {
+			tokens = append(tokens, ch.Choices[0].Text)
+			each(len(tokens))
+		}
+	}
+	return tokens, fmt.Errorf("the stream broke off: %w", lines.Err())
+}
+
+// file sends a request that must run once, and returns the answer's body.
+func (c *caller) file(ctx context.Context, entry, key, body string) (string, error) {
+	resp, err := c.send(ctx, http.MethodPost, "http://"+entry+"/services/"+deskGroup+"/results", body, key)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusCreated {
+		err = fmt.Errorf("status %d: %s", resp.StatusCode, text)
+	}
+	return string(text), err
+}
+
+func (c *caller) send(ctx context.Context, method, url, body, key string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	return c.client.Do(req)
+}
--- /dev/null
+++ b/internal/demo/saddledemo/fleet.go
@@ -0,0 +1,261 @@
+package saddledemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclient"
+	"github.com/fireflysaddle/fireflysaddle/internal/daemon/saddledaemon"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlestandin"
+	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleannounce"
+)
+
+const (
+	controls      = 3
+	entries       = 2
+	layers        = 12
+	announceEvery = 200 * time.Millisecond
+	chainModel    = "mastori"
+	wholeModel    = "mastori-small"
+	deskGroup     = "grammateia"
+	lameDuck      = 100 * time.Millisecond
+)
+
+// fleet is the running system.
+type fleet struct {
+	ctx      context.Context
+	stop     func()
+	wg       sync.WaitGroup
+	logs     io.Writer
+	dir      string
+	replicas []saddlesettings.Replica
+
+	entries []string // callers' addresses
+	client  *saddleclient.Client
+	closing []func()
+
+	journal *saddlestandin.Journal
+	engines map[string]*saddlestandin.Engine
+	desks   []*saddlestandin.Service
+
+	mu   sync.Mutex
+	errs []error
+}
+
+// newFleet starts everything. The clean-up stops it and removes its data.
+func newFleet(ctx context.Context, logs io.Writer) (*fleet, func(), error) {
+	ctx, stop := context.WithCancel(ctx)
+	dir, err := os.MkdirTemp("", "fireflysaddle-demo-")
+	if err != nil {
+		stop()
+		return nil, nil, err
+	}
+	f := &fleet{
+		ctx:     ctx,
+		stop:    stop,
+		logs:    logs,
+		dir:     dir,
+		journal: &saddlestandin.Journal{},
+		engines: map[string]*saddlestandin.Engine{},
+	}
+	for _, start := range []func() error{f.startControls, f.startEntries, f.startEngines, f.startDesks} {
+		if err := start(); err != nil {
+			f.close()
+			return nil, nil, err
+		}
+	}
+	return f, f.close, nil
+}
+
+func (f *fleet) close() {
+	f.stop()
+	f.wg.Wait()
+	for _, c := range f.closing {
+		c()
+	}
+	_ = os.RemoveAll(f.dir)
+}
+
+// daemon runs a role in a goroutine.
+func (f *fleet) daemon(run func(ctx context.Context, logs io.Writer) error) {
+	f.wg.Go(func() {
+		if err := run(f.ctx, f.logs); err != nil {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.errs = append(f.errs, err)
+		}
+	})
+}
+
+// failures returns the errors of the daemons that ended.
+func (f *fleet) failures() []error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]error(nil), f.errs...)
+}
+
+func addresses(n int) ([]string, error) {
+	out := make([]string, 0, n)
+	for range n {
+		a, err := saddlestandin.FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+func (f *fleet) startControls() error {
+	listens, err := addresses(controls)
+	if err != nil {
+		return err
+	}
+	for i, a := range listens {
+		f.replicas = append(f.replicas, saddlesettings.Replica{Node: fmt.Sprintf("control-%d", i+1), Address: a})
+	}
+	for i, r := range f.replicas {
+		s := saddlesettings.DefaultControl()
+		s.Node = r.Node
+		s.Centre = fmt.Sprintf("centre-%d", i+1)
+		s.Listen = r.Address
+		s.Replicas = f.replicas
+		s.Data = filepath.Join(f.dir, r.Node)
+		if err := f.common(&s.Common); err != nil {
+			return err
+		}
+		f.daemon(func(ctx context.Context, logs io.Writer) error { return saddledaemon.RunControl(ctx, s, logs) })
+	}
+	client, cleanup := saddleclient.New(f.controlAddresses(), nil)
+	f.client = client
+	f.closing = append(f.closing, func() { _ = cleanup() })
+	return nil
+}
+
+func (f *fleet) controlAddresses() []string {
+	out := make([]string, 0, len(f.replicas))
+	for _, r := range f.replicas {
+		out = append(out, r.Address)
+	}
+	return out
+}
+
+// common fills in what every role has.
+func (f *fleet) common(s *saddlesettings.Common) error {
+	admin, err := saddlestandin.FreeAddress()
+	s.Admin = admin
+	s.LameDuck = saddlesettings.Duration(lameDuck)
+	s.Log.Level = "warn"
+	return err
+}
+
+func (f *fleet) startEntries() error {
+	listens, err := addresses(entries)
+	if err != nil {
+		return err
+	}
+	f.entries = listens
+	for i, a := range listens {
+		s := saddlesettings.DefaultEntry()
+		s.Node = fmt.Sprintf("entry-%d", i+1)
+		s.Centre = fmt.Sprintf("centre-%d", i+1)
+		s.Listen = a
+		s.Attend.Controls = f.controlAddresses()
+		if err := f.common(&s.Common); err != nil {
+			return err
+		}
+		f.daemon(func(ctx context.Context, logs io.Writer) error { return saddledaemon.RunEntry(ctx, s, logs) })
+	}
+	return nil
+}
+
+// startAgent runs an agent beside a target and lets the target announce itself.
+func (f *fleet) startAgent(a saddleannounce.Announcement) error {
+	listens, err := addresses(2)
+	if err != nil {
+		return err
+	}
+	s := saddlesettings.DefaultAgent()
+	s.Node = "agent-" + a.ID
+	s.Centre = "centre-1"
+	s.Listen = listens[0]
+	s.Announce = listens[1]
+	s.Attend.Controls = f.controlAddresses()
+	if err := f.common(&s.Common); err != nil {
+		return err
+	}
+	f.daemon(func(ctx context.Context, logs io.Writer) error { return saddledaemon.RunAgent(ctx, s, logs) })
+	f.wg.Go(func() { saddlestandin.Announce(f.ctx, s.Announce, a, announceEvery) })
+	return nil
+}
+
+// startEngines starts one engine with the whole model, and two of each of
+// three stages of the chained model.
+func (f *fleet) startEngines() error {
+	if err := f.startEngine("small-1", wholeModel, 0, layers); err != nil {
+		return err
+	}
+	for stage := range uint32(3) {
+		for _, copyName := range []string{"a", "b"} {
+			id := fmt.Sprintf("stage-%d%s", stage+1, copyName)
+			from := stage * layers / 3
+			if err := f.startEngine(id, chainModel, from, from+layers/3); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *fleet) startEngine(id, model string, from, to uint32) error {
+	e, cleanup, err := saddlestandin.NewEngine(saddlestandin.EngineConfig{
+		Address:     "127.0.0.1:0",
+		ID:          id,
+		Model:       model,
+		Version:     "1",
+		From:        from,
+		To:          to,
+		Of:          layers,
+		Slots:       4,
+		TokenTime:   5 * time.Millisecond,
+		PrefillTime: 100 * time.Microsecond,
+		CacheLimit:  4096,
+		Fenced:      true,
+		Incarnation: 1,
+		Journal:     f.journal,
+	})
+	if err != nil {
+		return err
+	}
+	f.closing = append(f.closing, cleanup)
+	f.engines[id] = e
+	return f.startAgent(e.Announcement())
+}
+
+func (f *fleet) startDesks() error {
+	for i := range 2 {
+		s, cleanup, err := saddlestandin.NewService(saddlestandin.ServiceConfig{
+			Address:     "127.0.0.1:0",
+			ID:          fmt.Sprintf("desk-%d", i+1),
+			Group:       deskGroup,
+			Version:     "1",
+			Slots:       4,
+			Incarnation: 1,
+		})
+		if err != nil {
+			return err
+		}
+		f.closing = append(f.closing, cleanup)
+		f.desks = append(f.desks, s)
+		if err := f.startAgent(s.Announcement()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/saddleentry/attempt.go
@@ -0,0 +1,160 @@
+package saddleentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/pipeline/saddlechain"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// attempt is one try of a draft.
+type attempt struct {
+	number uint32
+	chain  saddlechain.Chain
+	given  []string // tokens that the caller has
+}
+
+// callerGoneError says that the caller takes no more of its answer.
+type callerGoneError struct {
+	err error
+}
+
+func (e *callerGoneError) Error() string { return "the caller is gone: " + e.err.Error() }
+
+func (e *callerGoneError) Unwrap() error { return e.err }
+
+// strayError says that an event does not belong to the attempt it came for.
+type strayError struct {
+	request string
+	attempt uint32
+}
+
+func (e *strayError) Error() string {
+	return fmt.Sprintf("an event of request %q, attempt %d, came on another's stream", e.request, e.attempt)
+}
+
+// tryDraft runs one attempt. A target found at fault is added to avoid.
+func (s *Server) tryDraft(ctx context.Context, d draft, a attempt, avoid map[fireflysaddle.TargetID]bool, take func(string) error) error {
+	countAttempts.Add(1)
+	head := a.chain.Head()
+	s.note(time.Now(), "draft_attempt", d.caller, a.number, head.Target)
+	load, err := s.streamDraft(ctx, d, a, take)
+	atFault := culprit(ctx, err, head.Target)
+	if atFault != "" {
+		avoid[atFault] = true
+	}
+	now := time.Now()
+	for _, stage := range a.chain.Stages() {
+		report := load
+		if stage.Target != head.Target {
+			report = nil
+		}
+		s.router.Done(now, stage, stage.Target == atFault && !isRefusal(err), report)
+	}
+	return err
+}
+
+// culprit returns the target to avoid after an error, if any.
+func culprit(ctx context.Context, err error, head fireflysaddle.TargetID) fireflysaddle.TargetID {
+	var gone *callerGoneError
+	if err == nil || errors.As(err, &gone) || ctx.Err() != nil {
+		return ""
+	}
+	var refused *fireflysaddle.RefusedError
+	if errors.As(err, &refused) && refused.Code == fireflysaddle.CodeStale {
+		return ""
+	}
+	var target *fireflysaddle.TargetError
+	if errors.As(err, &target) && target.Target != "" {
+		return target.Target
+	}
+	return head
+}
+
+func isRefusal(err error) bool {
+	var refused *fireflysaddle.RefusedError
+	return errors.As(err, &refused)
+}
+
+// streamDraft sends an attempt to its head's agent and takes in the events.
+func (s *Server) streamDraft(ctx context.Context, d draft, a attempt, take func(string) error) (*saddlewire.Load, error) {
+	watch, done := newWatch(ctx, s.cfg.CallSilence)
+	defer done()
+	head := a.chain.Head()
+	conn := s.pool.Conn(ctx, head.Address)
+	defer func() { _ = conn.Close() }()
+	in := &saddlewire.DraftRequest{
+		Ticket:    s.ticket(time.Now(), d.caller, a.number, head.Incarnation),
+		Model:     d.model,
+		Chain:     wireChain(a.chain),
+		Prompt:    d.prompt,
+		Given:     a.given,
+		MaxTokens: d.maxTokens - uint32(len(a.given)),
+	}
+	stream, err := saddlewire.NewDRPCAgentClient(conn).Draft(watch.ctx, in)
+	if err != nil {
+		return nil, watch.cause(err)
+	}
+	for position := uint32(0); ; {
+		e, err := stream.Recv()
+		if err != nil {
+			return nil, watch.cause(err)
+		}
+		watch.heard()
+		s.cfg.Timeline.Observe(time.Now(), e.GetStamp())
+		if e.GetRequest() != d.request || e.GetAttempt() != a.number || e.GetIncarnation() != uint64(head.Incarnation) {
+			countStrays.Add(1)
+			return nil, &strayError{request: e.GetRequest(), attempt: e.GetAttempt()}
+		}
+		switch event := e.GetEvent().(type) {
+		case *saddlewire.DraftEvent_Token:
+			if event.Token.GetPosition() != position {
+				return nil, &fireflysaddle.PositionError{
+					Request: fireflysaddle.RequestID(d.request),
+					Want:    fireflysaddle.Position(position),
+					Got:     fireflysaddle.Position(event.Token.GetPosition()),
+				}
+			}
+			position++
+			if err := take(event.Token.GetText()); err != nil {
+				return nil, err
+			}
+		case *saddlewire.DraftEvent_Refusal:
+			return e.GetLoad(), refusedBy(event.Refusal)
+		case *saddlewire.DraftEvent_Fault:
+			return e.GetLoad(), faultBy(event.Fault)
+		case *saddlewire.DraftEvent_Done:
+			return e.GetLoad(), nil
+		}
+	}
+}
+
+func refusedBy(r *saddlewire.Refusal) error {
+	return &fireflysaddle.RefusedError{
+		Code:       fireflysaddle.Code(r.GetCode()),
+		Message:    r.GetMessage(),
+		RetryAfter: time.Duration(r.GetRetryMs()) * time.Millisecond,
+		Revision:   fireflysaddle.Revision(r.GetRevision()),
+	}
+}
+
+func faultBy(f *saddlewire.Fault) error {
+	return &fireflysaddle.TargetError{Target: fireflysaddle.TargetID(f.GetTarget()), Err: errors.New(f.GetMessage())}
+}
+
+func wireChain(chain saddlechain.Chain) []*saddlewire.Stage {
+	out := make([]*saddlewire.Stage, 0, chain.Len())
+	for _, s := range chain.Stages() {
+		out = append(out, &saddlewire.Stage{
+			Target:      string(s.Target),
+			Address:     s.Address,
+			Incarnation: uint64(s.Incarnation),
+			Layers:      &saddlewire.Layers{From: uint32(s.Layers.From), To: uint32(s.Layers.To), Of: uint32(s.Layers.Of)},
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/saddleentry/failure.go
@@ -0,0 +1,111 @@
+package saddleentry
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/fireflysaddle/fireflysaddle"
+)
+
+// failure is the final answer to a request that gets no other.
+type failure struct {
+	Code       fireflysaddle.Code
+	Message    string
+	Ran        fireflysaddle.Ran
+	RetryAfter time.Duration // 0: waiting does not help
+}
+
+// Error returns the code and the message.
+func (f *failure) Error() string {
+	return string(f.Code) + ": " + f.Message
+}
+
+// failureBody is a failure as callers see it.
+type failureBody struct {
+	Error failureDetail `json:"error"`
+}
+
+type failureDetail struct {
+	Code         string `json:"code"`
+	Message      string `json:"message"`
+	Ran          string `json:"ran"` // "no", "yes", "unknown"
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+}
+
+func (f *failure) body() failureBody {
+	return failureBody{Error: failureDetail{
+		Code:         string(f.Code),
+		Message:      f.Message,
+		Ran:          string(f.Ran),
+		RetryAfterMs: f.RetryAfter.Milliseconds(),
+	}}
+}
+
+// notRun returns a failure that says that the request was not run.
+func notRun(code fireflysaddle.Code, message string, retry time.Duration) *failure {
+	return &failure{Code: code, Message: message, Ran: fireflysaddle.RanNo, RetryAfter: retry}
+}
+
+// notRunBy turns a refusal into the caller's answer.
+func notRunBy(err *fireflysaddle.RefusedError) *failure {
+	return notRun(err.Code, err.Message, err.RetryAfter)
+}
+
+// status returns the HTTP status of a failure.
+func (f *failure) status() int {
+	switch f.Code {
+	case fireflysaddle.CodeBadRequest:
+		return http.StatusBadRequest
+	case fireflysaddle.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case fireflysaddle.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case fireflysaddle.CodeNotGranted:
+		return http.StatusForbidden
+	case fireflysaddle.CodeNotFound:
+		return http.StatusNotFound
+	case fireflysaddle.CodeKeyReused:
+		return http.StatusUnprocessableEntity
+	case fireflysaddle.CodeInProgress:
+		return http.StatusConflict
+	case fireflysaddle.CodeOverloaded:
+		return http.StatusTooManyRequests
+	case fireflysaddle.CodeDeadline, fireflysaddle.CodeUnknown:
+		return http.StatusGatewayTimeout
+	case fireflysaddle.CodeTargetFailed:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// write answers the caller with the failure.
+func (f *failure) write(c echo.Context) error {
+	if f.Ran == fireflysaddle.RanUnknown {
+		countUnknown.Add(1)
+	} else {
+		countRefused.Add(1)
+	}
+	if f.RetryAfter > 0 {
+		seconds := int64((f.RetryAfter + time.Second - 1) / time.Second)
+		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	return c.JSON(f.status(), f.body())
+}
+
+// asFailure returns the failure in an error; any other error is one whose
+// outcome is unknown.
+func asFailure(err error) *failure {
+	var f *failure
+	if errors.As(err, &f) {
+		return f
+	}
+	var refused *fireflysaddle.RefusedError
+	if errors.As(err, &refused) {
+		return notRunBy(refused)
+	}
+	return &failure{Code: fireflysaddle.CodeUnknown, Message: err.Error(), Ran: fireflysaddle.RanUnknown}
+}
--- /dev/null
+++ b/internal/entry/saddleentry/rundraft.go
@@ -0,0 +1,172 @@
+package saddleentry
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
+	"github.com/fireflysaddle/fireflysaddle/internal/pipeline/saddlechain"
+	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+)
+
+const (
+	maxAttempts   = 8
+	patience      = 5 * time.Second       // wait for a target after an attempt failed
+	pollTarget    = 20 * time.Millisecond // between looks for a target
+	noTargetRetry = 2 * time.Second       // when to come back where there is no target
+)
+
+// draft is a request for generated text.
+type draft struct {
+	caller
+	model     string
+	version   string
+	prompt    string
+	maxTokens uint32
+}
+
+// runDraft runs a request to its end over as many attempts as it takes. emit
+// is called once for each token in order, whatever attempt it comes from. An
+// error is a *failure.
+func (s *Server) runDraft(ctx context.Context, d draft, emit func(string) error) error {
+	s.countFirst()
+	need := saddleroute.Need{
+		Group:   d.model,
+		Version: d.version,
+		Kind:    fireflysaddle.KindEngine,
+		Work:    fireflysaddle.Work{PromptTokens: len(strings.Fields(d.prompt)), MaxTokens: int(d.maxTokens)},
+		Avoid:   map[fireflysaddle.TargetID]bool{},
+	}
+	var given []string
+	take := func(text string) error {
+		given = append(given, text)
+		countTokens.Add(1)
+		if err := emit(text); err != nil {
+			return &callerGoneError{err: err}
+		}
+		return nil
+	}
+	var last error
+	for n := uint32(1); n <= maxAttempts; n++ {
+		chain, err := s.awaitChain(ctx, need, last)
+		if err != nil {
+			return draftFailure(err, len(given))
+		}
+		last = s.tryDraft(ctx, d, attempt{number: n, chain: chain, given: given}, need.Avoid, take)
+		if last == nil {
+			return nil
+		}
+		if final := s.finalDraft(ctx, last, len(given)); final != nil {
+			return final
+		}
+		countRetries.Add(1)
+	}
+	return draftFailure(last, len(given))
+}
+
+// awaitChain picks a chain. A first attempt is refused at once where there is
+// none; one that failed waits a while for the lost target to be replaced.
+func (s *Server) awaitChain(ctx context.Context, need saddleroute.Need, last error) (saddlechain.Chain, error) {
+	until := time.Now()
+	if last != nil {
+		until = until.Add(patience)
+	}
+	for {
+		now := time.Now()
+		if chain, ok := s.router.Chain(now, s.attendant.View(), need); ok {
+			return chain, nil
+		}
+		if !now.Before(until) {
+			return saddlechain.Chain{}, noTarget(need, last)
+		}
+		clear(need.Avoid) // rather a target that failed before than none
+		select {
+		case <-ctx.Done():
+			return saddlechain.Chain{}, ctx.Err()
+		case <-time.After(pollTarget):
+		}
+	}
+}
+
+// noTarget returns why there is no target: the refusal of the last attempt
+// where there was one.
+func noTarget(need saddleroute.Need, last error) error {
+	var refused *fireflysaddle.RefusedError
+	if errors.As(last, &refused) {
+		return refused
+	}
+	return &fireflysaddle.RefusedError{
+		Code:       fireflysaddle.CodeNoTarget,
+		Message:    "no target of " + need.Group + " can take the request",
+		RetryAfter: noTargetRetry,
+	}
+}
+
+// finalDraft returns the final answer after a failed attempt, or nil where
+// another attempt is due.
+func (s *Server) finalDraft(ctx context.Context, err error, given int) error {
+	var gone *callerGoneError
+	if errors.As(err, &gone) || ctx.Err() != nil {
+		return draftFailure(err, given)
+	}
+	var refused *fireflysaddle.RefusedError
+	if errors.As(err, &refused) && refused.Code == fireflysaddle.CodeStale {
+		s.awaitRevision(ctx)
+		return nil
+	}
+	if s.takeRetry() {
+		return nil
+	}
+	return draftFailure(err, given)
+}
+
+// awaitRevision gives the newer configuration a moment to arrive.
+func (s *Server) awaitRevision(ctx context.Context) {
+	s.attendant.Wake()
+	select {
+	case <-ctx.Done():
+	case <-time.After(pollTarget):
+	}
+}
+
+// draftFailure turns the last error of a draft into the caller's answer.
+func draftFailure(err error, given int) error {
+	var f *failure
+	if errors.As(err, &f) {
+		return f
+	}
+	ran := fireflysaddle.RanUnknown
+	if given > 0 {
+		ran = fireflysaddle.RanYes
+	}
+	var refused *fireflysaddle.RefusedError
+	switch {
+	case errors.As(err, &refused) && given == 0:
+		return notRunBy(refused)
+	case errors.As(err, &refused):
+		return &failure{Code: refused.Code, Message: refused.Message, Ran: ran, RetryAfter: refused.RetryAfter}
+	case errors.Is(err, context.DeadlineExceeded):
+		return &failure{Code: fireflysaddle.CodeDeadline, Message: "the deadline passed", Ran: ran}
+	}
+	return &failure{Code: fireflysaddle.CodeTargetFailed, Message: err.Error(), Ran: ran, RetryAfter: noTargetRetry}
+}
+
+func (s *Server) countFirst() {
+	s.budgetMu.Lock()
+	defer s.budgetMu.Unlock()
+	s.budget.First()
+}
+
+func (s *Server) takeRetry() bool {
+	s.budgetMu.Lock()
+	defer s.budgetMu.Unlock()
+	return s.budget.Retry()
+}
+
+// note records an attempt on the time line.
+func (s *Server) note(now time.Time, name string, who caller, number uint32, target fireflysaddle.TargetID) {
+	s.cfg.Timeline.Add(now, saddletimeline.Event{Name: name, Request: who.request, Attempt: number, Target: string(target)})
+}
--- /dev/null
+++ b/internal/entry/saddleentry/trycall.go
@@ -0,0 +1,89 @@
+package saddleentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
+	"github.com/fireflysaddle/fireflysaddle/internal/pipeline/saddlechain"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// awaitService picks the target of a call. A first attempt is refused at once
+// where there is none; one that failed waits a while.
+func (s *Server) awaitService(ctx context.Context, need saddleroute.Need, last error) (saddlechain.Stage, error) {
+	until := time.Now()
+	if last != nil {
+		until = until.Add(patience)
+	}
+	for {
+		now := time.Now()
+		if stage, ok := s.router.Service(now, s.attendant.View(), need); ok {
+			return stage, nil
+		}
+		if !now.Before(until) {
+			return saddlechain.Stage{}, noTarget(need, last)
+		}
+		clear(need.Avoid)
+		select {
+		case <-ctx.Done():
+			return saddlechain.Stage{}, noTarget(need, last)
+		case <-time.After(pollTarget):
+		}
+	}
+}
+
+// tryCall sends one attempt of a call. An error is a *RefusedError or a
+// *NotSentError where the attempt was not run.
+func (s *Server) tryCall(ctx context.Context, c call, number uint32, stage saddlechain.Stage, avoid map[fireflysaddle.TargetID]bool) (*saddlewire.Answer, error) {
+	countAttempts.Add(1)
+	s.note(time.Now(), "call_attempt", c.caller, number, stage.Target)
+	answer, load, err := s.streamCall(ctx, c, number, stage)
+	atFault := culprit(ctx, err, stage.Target)
+	if atFault != "" {
+		avoid[atFault] = true
+	}
+	s.router.Done(time.Now(), stage, atFault == stage.Target && !isRefusal(err), load)
+	return answer, err
+}
+
+// streamCall sends an attempt to the target's agent and waits for its outcome.
+func (s *Server) streamCall(ctx context.Context, c call, number uint32, stage saddlechain.Stage) (*saddlewire.Answer, *saddlewire.Load, error) {
+	watch, done := newWatch(ctx, s.cfg.CallSilence)
+	defer done()
+	conn := s.pool.Conn(ctx, stage.Address)
+	defer func() { _ = conn.Close() }()
+	stream, err := saddlewire.NewDRPCAgentClient(conn).Call(watch.ctx, &saddlewire.CallRequest{
+		Ticket:      s.ticket(time.Now(), c.caller, number, stage.Incarnation),
+		Group:       c.group,
+		Method:      c.method,
+		Path:        c.path,
+		ContentType: c.contentType,
+		Body:        c.body,
+		Key:         c.key,
+	})
+	if err != nil {
+		return nil, nil, watch.cause(err)
+	}
+	for {
+		e, err := stream.Recv()
+		if err != nil {
+			return nil, nil, watch.cause(err)
+		}
+		watch.heard()
+		s.cfg.Timeline.Observe(time.Now(), e.GetStamp())
+		if e.GetRequest() != c.request || e.GetAttempt() != number || e.GetIncarnation() != uint64(stage.Incarnation) {
+			countStrays.Add(1)
+			return nil, nil, &strayError{request: e.GetRequest(), attempt: e.GetAttempt()}
+		}
+		switch event := e.GetEvent().(type) {
+		case *saddlewire.CallEvent_Answer:
+			return event.Answer, e.GetLoad(), nil
+		case *saddlewire.CallEvent_Refusal:
+			return nil, e.GetLoad(), refusedBy(event.Refusal)
+		case *saddlewire.CallEvent_Fault:
+			return nil, e.GetLoad(), faultBy(event.Fault)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/saddleentry/writer.go
@@ -0,0 +1,118 @@
+package saddleentry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// writer gives the caller its tokens, as server-sent events or as one answer.
+type writer struct {
+	c       echo.Context
+	created time.Time
+	id      string
+	model   string
+	stream  bool
+	chat    bool
+	begun   bool
+	tokens  int
+	text    strings.Builder
+}
+
+func newWriter(c echo.Context, now time.Time, id string, body completionRequest, chat bool) *writer {
+	return &writer{c: c, created: now, id: id, model: body.Model, stream: body.Stream, chat: chat}
+}
+
+// token takes in the next token.
+func (w *writer) token(text string) error {
+	w.tokens++
+	if !w.stream {
+		w.text.WriteString(text)
+		return nil
+	}
+	w.begin()
+	return w.event(w.chunk(w.delta(text), nil))
+}
+
+// end ends the answer.
+func (w *writer) end() error {
+	stop := "stop"
+	if w.stream {
+		w.begin()
+		if err := w.event(w.chunk(w.delta(""), &stop)); err != nil {
+			return err
+		}
+		return w.line("[DONE]")
+	}
+	ch := choice{Text: w.text.String(), FinishReason: &stop}
+	if w.chat {
+		ch = choice{Message: &message{Role: "assistant", Content: w.text.String()}, FinishReason: &stop}
+	}
+	out := w.whole(ch)
+	out.Usage = &usage{CompletionTokens: w.tokens}
+	return w.c.JSON(http.StatusOK, out)
+}
+
+// fail ends the answer with a failure. A stream that has begun gets it as its
+// last event, and no end mark.
+func (w *writer) fail(f *failure) error {
+	if !w.begun {
+		return f.write(w.c)
+	}
+	countRefused.Add(1)
+	return w.event(f.body())
+}
+
+func (w *writer) begin() {
+	if w.begun {
+		return
+	}
+	w.begun = true
+	h := w.c.Response().Header()
+	h.Set(echo.HeaderContentType, "text/event-stream")
+	h.Set(echo.HeaderCacheControl, "no-cache")
+	w.c.Response().WriteHeader(http.StatusOK)
+}
+
+func (w *writer) delta(text string) choice {
+	if w.chat {
+		return choice{Delta: &message{Role: "assistant", Content: text}}
+	}
+	return choice{Text: text}
+}
+
+func (w *writer) chunk(ch choice, finish *string) completion {
+	ch.FinishReason = finish
+	out := w.whole(ch)
+	if w.chat {
+		out.Object = "chat.completion.chunk"
+	}
+	return out
+}
+
+func (w *writer) whole(ch choice) completion {
+	object := "text_completion"
+	if w.chat {
+		object = "chat.completion"
+	}
+	return completion{ID: w.id, Object: object, Created: w.created.Unix(), Model: w.model, Choices: []choice{ch}}
+}
+
+func (w *writer) event(body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return w.line(string(data))
+}
+
+func (w *writer) line(data string) error {
+	if _, err := w.c.Response().Write([]byte("data: " + data + "\n\n")); err != nil {
+		return err
+	}
+	w.c.Response().Flush()
+	return nil
+}
--- /dev/null
+++ b/internal/entry/saddleretry/budget.go
@@ -0,0 +1,35 @@
+package saddleretry
+
+// Budget lets retries be at most a share of the first attempts, with a reserve
+// for times of little traffic. It is used under one lock.
+type Budget struct {
+	share   float64
+	reserve float64
+	tokens  float64
+}
+
+const (
+	// DefaultShare is the number of retries per first attempt.
+	DefaultShare = 0.1
+	// DefaultReserve is the number of retries that can be saved up.
+	DefaultReserve = 50
+)
+
+// NewBudget returns a budget with a full reserve.
+func NewBudget(share, reserve float64) *Budget {
+	return &Budget{share: share, reserve: reserve, tokens: reserve}
+}
+
+// First notes a first attempt.
+func (b *Budget) First() {
+	b.tokens = min(b.tokens+b.share, b.reserve)
+}
+
+// Retry takes one retry; it reports false when the budget is spent.
+func (b *Budget) Retry() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/entry/saddleretry/doc.go
@@ -0,0 +1,3 @@
+// Package saddleretry decides when an attempt may be followed by another. It
+// is pure.
+package saddleretry
--- /dev/null
+++ b/internal/link/saddlelink/doc.go
@@ -0,0 +1,3 @@
+// Package saddlelink opens and serves the drpc connections between the
+// system's own processes.
+package saddlelink
--- /dev/null
+++ b/internal/link/saddlelink/pool.go
@@ -0,0 +1,44 @@
+package saddlelink
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+)
+
+const (
+	poolExpiration  = time.Minute // idle time after which a connection is closed
+	poolCapacity    = 4096        // idle connections in all
+	poolKeyCapacity = 64          // idle connections to one address
+)
+
+// Pool keeps idle connections. A drpc connection carries one stream at a time,
+// so each call in progress has a connection of its own. It is safe for
+// concurrent use.
+type Pool struct {
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewPool returns an empty pool and its clean-up, which closes the idle
+// connections.
+func NewPool() (*Pool, func() error) {
+	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		Expiration:  poolExpiration,
+		Capacity:    poolCapacity,
+		KeyCapacity: poolKeyCapacity,
+	})
+	return &Pool{pool: pool}, pool.Close
+}
+
+// Conn returns a connection to an address, dialled when first used. Closing it
+// hands the connection back.
+func (p *Pool) Conn(ctx context.Context, address string) drpc.Conn {
+	return p.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
+		return Dial(ctx, address)
+	})
+}
+
+var _ drpcpool.Conn = (*drpcconn.Conn)(nil)
--- /dev/null
+++ b/internal/node/saddleattend/attendant.go
@@ -0,0 +1,169 @@
+package saddleattend
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleview"
+	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// updateQueue bounds the updates waiting to be merged.
+const updateQueue = 64
+
+// Attendant publishes the node's view. View and Wake are safe for concurrent
+// use.
+type Attendant struct {
+	cfg    Config
+	view   atomic.Pointer[saddleview.View]
+	events chan event
+	wakes  []chan struct{}
+	notify func(*saddleview.View)
+}
+
+// event is an update of a replica, or its loss when update is nil.
+type event struct {
+	replica string
+	update  *saddlewire.Update
+}
+
+// New returns an attendant. notify, if not nil, is called with each new view
+// from the goroutine that owns it.
+func New(cfg Config, notify func(*saddleview.View)) *Attendant {
+	a := &Attendant{cfg: cfg, events: make(chan event, updateQueue), notify: notify}
+	for range cfg.Controls {
+		a.wakes = append(a.wakes, make(chan struct{}, 1))
+	}
+	a.view.Store(saddleview.NewBuilder().Build())
+	return a
+}
+
+// View returns the latest view.
+func (a *Attendant) View() *saddleview.View { return a.view.Load() }
+
+// Wake sends the next heartbeats at once, for a change that must not wait.
+func (a *Attendant) Wake() {
+	for _, w := range a.wakes {
+		select {
+		case w <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run keeps in touch until the context ends.
+func (a *Attendant) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	for i, address := range a.cfg.Controls {
+		wg.Go(func() { a.follow(ctx, address, a.wakes[i]) })
+	}
+	a.merge(ctx)
+	wg.Wait()
+	return nil
+}
+
+// merge owns the builder.
+func (a *Attendant) merge(ctx context.Context) {
+	b := saddleview.NewBuilder()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-a.events:
+			take(b, e)
+		}
+		for range len(a.events) {
+			take(b, <-a.events)
+		}
+		a.publish(b.Build())
+	}
+}
+
+func take(b *saddleview.Builder, e event) {
+	if e.update == nil {
+		b.Lost(e.replica)
+		return
+	}
+	b.Update(e.replica, e.update)
+}
+
+func (a *Attendant) publish(v *saddleview.View) {
+	old := a.view.Swap(v)
+	if v.Revision != old.Revision {
+		a.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "in_force", Revision: v.Revision})
+	}
+	if a.notify != nil {
+		a.notify(v)
+	}
+}
+
+// follow dials one replica again and again.
+func (a *Attendant) follow(ctx context.Context, address string, wake <-chan struct{}) {
+	for ctx.Err() == nil {
+		a.attend(ctx, address, wake)
+		a.post(ctx, event{replica: address})
+		select {
+		case <-ctx.Done():
+		case <-time.After(a.cfg.Beat):
+		}
+	}
+}
+
+func (a *Attendant) post(ctx context.Context, e event) {
+	select {
+	case <-ctx.Done():
+	case a.events <- e:
+	}
+}
+
+// attend holds one connection until it fails or falls silent.
+func (a *Attendant) attend(ctx context.Context, address string, wake <-chan struct{}) {
+	conn, err := saddlelink.Dial(ctx, address)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(a.cfg.Silence, func() {
+		cancel()
+		_ = conn.Close()
+	})
+	defer silence.Stop()
+	defer func() { _ = conn.Close() }()
+	stream, err := saddlewire.NewDRPCControlClient(conn).Attend(ctx)
+	if err != nil {
+		return
+	}
+	go a.beat(ctx, cancel, stream, wake)
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		silence.Reset(a.cfg.Silence)
+		a.cfg.Timeline.Observe(time.Now(), u.GetStamp())
+		a.post(ctx, event{replica: address, update: u})
+	}
+}
+
+func (a *Attendant) beat(ctx context.Context, cancel func(), stream saddlewire.DRPCControl_AttendClient, wake <-chan struct{}) {
+	defer cancel()
+	tick := time.NewTicker(a.cfg.Beat)
+	defer tick.Stop()
+	for {
+		b := &saddlewire.Beat{Member: a.cfg.Member(), Stamp: a.cfg.Timeline.Stamp(time.Now())}
+		if err := stream.Send(b); err != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-wake:
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/saddleattend/config.go
@@ -0,0 +1,17 @@
+package saddleattend
+
+import (
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// Config holds the settings of an attendant.
+type Config struct {
+	Controls []string      // drpc addresses of the control replicas
+	Beat     time.Duration // time between heartbeats
+	Silence  time.Duration // a replica silent for longer is dialled anew
+	Member   func() *saddlewire.Member
+	Timeline *saddletimeline.Ring
+}
--- /dev/null
+++ b/internal/node/saddleview/builder.go
@@ -0,0 +1,167 @@
+package saddleview
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// Builder gathers the updates of each replica. It is used by one goroutine.
+//
+// The configuration is that of the replica with the highest revision, so it
+// never goes back when a replica that is behind is heard. Members are those
+// that any connected replica knows; with none connected the last set stays, so
+// that a node goes on serving without control.
+type Builder struct {
+	sources map[string]*source
+	last    *View
+}
+
+// source is what one replica said.
+type source struct {
+	connected   bool
+	confirmed   bool
+	revision    uint64
+	deployments map[string]*saddlewire.Deployment
+	drains      map[string]*saddlewire.Drain
+	members     map[string]*saddlewire.Member
+}
+
+func newSource() *source {
+	return &source{
+		deployments: map[string]*saddlewire.Deployment{},
+		drains:      map[string]*saddlewire.Drain{},
+		members:     map[string]*saddlewire.Member{},
+	}
+}
+
+// NewBuilder returns a builder that has heard nothing.
+func NewBuilder() *Builder {
+	return &Builder{sources: map[string]*source{}, last: &View{}}
+}
+
+// Update takes in what a replica sent. An update below the revision that the
+// replica sent before replaces only its members.
+func (b *Builder) Update(replica string, u *saddlewire.Update) {
+	s, ok := b.sources[replica]
+	if !ok {
+		s = newSource()
+		b.sources[replica] = s
+	}
+	s.connected = true
+	s.confirmed = u.GetConfirmed()
+	if u.GetSnapshot() {
+		s.members = map[string]*saddlewire.Member{}
+	}
+	s.applyConfiguration(u)
+	for _, m := range u.GetMembers() {
+		s.members[m.GetNode()] = m
+	}
+	for _, node := range u.GetGone() {
+		delete(s.members, node)
+	}
+}
+
+func (s *source) applyConfiguration(u *saddlewire.Update) {
+	if u.GetRevision() < s.revision {
+		return
+	}
+	if u.GetSnapshot() {
+		s.deployments = map[string]*saddlewire.Deployment{}
+		s.drains = map[string]*saddlewire.Drain{}
+	}
+	s.revision = u.GetRevision()
+	for _, d := range u.GetDeployments() {
+		s.deployments[d.GetWorkspace()] = d
+	}
+	for _, d := range u.GetDrains() {
+		s.drains[d.GetTarget()] = d
+	}
+}
+
+// Lost notes that a replica is no longer heard.
+func (b *Builder) Lost(replica string) {
+	if s, ok := b.sources[replica]; ok {
+		s.connected = false
+		s.confirmed = false
+	}
+}
+
+// Build returns the merged view.
+func (b *Builder) Build() *View {
+	v := &View{Drains: map[string]*saddlewire.Drain{}}
+	if best := b.best(); best != nil {
+		v.Ready = true
+		v.Revision = best.revision
+		v.Deployments = cloneMap(best.deployments)
+		v.Drains = cloneMap(best.drains)
+	}
+	b.mergeMembers(v)
+	v.Keys = keys(v.Deployments)
+	v.Groups = groups(v.Members)
+	b.last = v
+	return v
+}
+
+func (b *Builder) best() *source {
+	var best *source
+	for _, s := range b.sources {
+		if best == nil || s.revision > best.revision {
+			best = s
+		}
+	}
+	return best
+}
+
+func (b *Builder) mergeMembers(v *View) {
+	v.Members = map[string]*saddlewire.Member{}
+	for _, s := range b.sources {
+		if !s.connected {
+			continue
+		}
+		v.Connected++
+		v.Confirmed = v.Confirmed || (s.confirmed && s.revision == v.Revision)
+		for node, m := range s.members {
+			if m.GetIncarnation() >= v.Members[node].GetIncarnation() {
+				v.Members[node] = m
+			}
+		}
+	}
+	if v.Connected == 0 {
+		v.Members = b.last.Members
+	}
+}
+
+func keys(deployments map[string]*saddlewire.Deployment) map[string]*saddlewire.Deployment {
+	out := make(map[string]*saddlewire.Deployment, len(deployments))
+	for _, d := range deployments {
+		for _, h := range d.GetKeyHashes() {
+			out[h] = d
+		}
+	}
+	return out
+}
+
+func groups(members map[string]*saddlewire.Member) map[string][]*saddlewire.Member {
+	out := map[string][]*saddlewire.Member{}
+	for _, m := range members {
+		if t := m.GetTarget(); t != nil {
+			out[t.GetGroup()] = append(out[t.GetGroup()], m)
+		}
+	}
+	for _, list := range out {
+		slices.SortFunc(list, func(a, b *saddlewire.Member) int {
+			return strings.Compare(a.GetNode(), b.GetNode())
+		})
+	}
+	return out
+}
+
+func cloneMap[V any](m map[string]V) map[string]V {
+	out := make(map[string]V, len(m))
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/saddleview/view.go
@@ -0,0 +1,23 @@
+package saddleview
+
+import (
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// View is what a node knows at a moment. It must not be changed.
+type View struct {
+	Revision    uint64 // highest configuration revision known
+	Confirmed   bool   // a majority confirmed it a short while ago
+	Ready       bool   // there is a configuration to serve by
+	Deployments map[string]*saddlewire.Deployment
+	Keys        map[string]*saddlewire.Deployment // by hex SHA-256 of the key
+	Drains      map[string]*saddlewire.Drain
+	Members     map[string]*saddlewire.Member // by node
+	Groups      map[string][]*saddlewire.Member
+	Connected   int // replicas heard
+}
+
+// Drained reports whether an operator ordered a target to take no new work.
+func (v *View) Drained(target string) bool {
+	return v.Drains[target].GetActive()
+}
--- /dev/null
+++ b/internal/standin/saddlestandin/engine.go
@@ -0,0 +1,255 @@
+package saddlestandin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleengine"
+)
+
+// Engine is a stand-in for a model engine.
+type Engine struct {
+	*host
+	cfg   EngineConfig
+	slots *slots
+	cache *prefixCache
+	loads *loadHistory
+
+	mu       sync.Mutex
+	attempts map[attemptKey]*attemptState
+	orders   []saddleengine.OrderBody
+	fence    fireflysaddle.Fence
+	running  int
+	steps    int
+	beforeFn func(position uint32)
+}
+
+type attemptKey struct {
+	request string
+	attempt uint32
+}
+
+// attemptState is the engine's KV cache of one attempt.
+type attemptState struct {
+	Next   uint32       `json:"next"`
+	Layers []layerState `json:"layers"`
+}
+
+// NewEngine starts an engine and returns its clean-up.
+func NewEngine(cfg EngineConfig) (*Engine, func(), error) {
+	if cfg.Journal == nil {
+		cfg.Journal = &Journal{}
+	}
+	e := &Engine{
+		cfg:      cfg,
+		slots:    newSlots(cfg.Slots),
+		cache:    newPrefixCache(cfg.CacheLimit, cfg.LoseEvents),
+		loads:    &loadHistory{lag: cfg.LoadLag},
+		attempts: map[attemptKey]*attemptState{},
+	}
+	h, err := newHost(cfg.Address, e.routes())
+	if err != nil {
+		return nil, nil, err
+	}
+	e.host = h
+	go func() { _ = h.serve() }()
+	return e, h.Kill, nil
+}
+
+// BeforePosition has a function called before each position is run, for tests
+// that fail an engine at a chosen moment.
+func (e *Engine) BeforePosition(fn func(position uint32)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.beforeFn = fn
+}
+
+// Orders returns the accepted orders.
+func (e *Engine) Orders() []saddleengine.OrderBody {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]saddleengine.OrderBody(nil), e.orders...)
+}
+
+// Held returns the number of attempts whose cache the engine holds.
+func (e *Engine) Held() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.attempts)
+}
+
+func (e *Engine) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+saddleengine.PathGenerate, e.generate)
+	mux.HandleFunc("POST "+saddleengine.PathStep, e.step)
+	mux.HandleFunc("POST "+saddleengine.PathCancel, e.cancel)
+	mux.HandleFunc("POST "+saddleengine.PathExport, e.export)
+	mux.HandleFunc("POST "+saddleengine.PathImport, e.importCache)
+	mux.HandleFunc("POST "+saddleengine.PathOrders, e.order)
+	mux.HandleFunc("GET "+saddleengine.PathAlive, func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /v1/load", e.load)
+	mux.HandleFunc("GET /v1/events", e.events)
+	return mux
+}
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var in saddleengine.GenerateBody
+	if !decodeBody(w, r, &in) {
+		return
+	}
+	if !e.slots.enter(r.Context(), in.Priority) {
+		return
+	}
+	defer e.slots.leave()
+	e.count(1)
+	defer e.count(-1)
+	k := attemptKey{request: in.Request, attempt: in.Attempt}
+	defer e.drop(k)
+	prompt := append(tokenize(in.Prompt), in.Given...)
+	hit := e.cache.touch(prompt)
+	if !e.pause(r.Context(), time.Duration(len(prompt)-hit)*e.cfg.PrefillTime) {
+		return
+	}
+	out := json.NewEncoder(w)
+	input := embedAll(prompt)
+	for range in.MaxTokens {
+		activations, ok := e.runLayers(k, e.next(k), input)
+		if !ok || !e.pause(r.Context(), e.cfg.TokenTime) {
+			return
+		}
+		token := sample(activations[len(activations)-1])
+		if err := out.Encode(saddleengine.GenerateLine{Text: token}); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		input = embedAll([]string{token})
+	}
+	_ = out.Encode(saddleengine.GenerateLine{Done: true})
+}
+
+func (e *Engine) step(w http.ResponseWriter, r *http.Request) {
+	var in saddleengine.StepBody
+	if !decodeBody(w, r, &in) {
+		return
+	}
+	if !e.slots.enter(r.Context(), in.Priority) {
+		return
+	}
+	defer e.slots.leave()
+	e.count(1)
+	defer e.count(-1)
+	k := attemptKey{request: in.Request, attempt: in.Attempt}
+	activations := e.stepInput(in)
+	cost := e.cfg.TokenTime
+	if in.Position == 0 {
+		cost = time.Duration(len(activations)) * e.cfg.PrefillTime
+	}
+	if !e.pause(r.Context(), cost) {
+		return
+	}
+	out, ok := e.runLayers(k, in.Position, activations)
+	if !ok {
+		http.Error(w, "position out of order", http.StatusConflict)
+		return
+	}
+	answer := saddleengine.StepAnswer{Count: uint32(len(out))}
+	if e.cfg.To == e.cfg.Of {
+		answer.Token = sample(out[len(out)-1])
+	} else {
+		answer.Activation = encodeActivations(out)
+	}
+	encodeBody(w, answer)
+}
+
+func (e *Engine) stepInput(in saddleengine.StepBody) []uint64 {
+	switch {
+	case e.cfg.From > 0:
+		return decodeActivations(in.Activation)
+	case in.Position == 0:
+		return embedAll(append(tokenize(in.Prompt), in.Given...))
+	}
+	return embedAll([]string{in.Token})
+}
+
+// runLayers takes positions through the engine's layers; false: the first one
+// is not the one that is due.
+func (e *Engine) runLayers(k attemptKey, position uint32, in []uint64) ([]uint64, bool) {
+	e.mu.Lock()
+	before := e.beforeFn
+	e.mu.Unlock()
+	if before != nil {
+		before(position)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state, ok := e.attempts[k]
+	if !ok {
+		state = &attemptState{Layers: make([]layerState, e.cfg.To-e.cfg.From)}
+		e.attempts[k] = state
+	}
+	if state.Next != position {
+		return nil, false
+	}
+	out := make([]uint64, 0, len(in))
+	for _, activation := range in {
+		for i := range state.Layers {
+			activation = state.Layers[i].run(e.cfg.From+uint32(i), state.Next, activation)
+		}
+		e.cfg.Journal.Add(Execution{
+			Engine: e.cfg.ID, Request: k.request, Attempt: k.attempt,
+			Position: state.Next, From: e.cfg.From, To: e.cfg.To,
+		})
+		state.Next++
+		e.steps++
+		out = append(out, activation)
+	}
+	return out, true
+}
+
+func (e *Engine) next(k attemptKey) uint32 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s, ok := e.attempts[k]; ok {
+		return s.Next
+	}
+	return 0
+}
+
+func (e *Engine) drop(k attemptKey) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.attempts, k)
+}
+
+// count changes the number of running requests.
+func (e *Engine) count(by int) {
+	e.mu.Lock()
+	e.running += by
+	running := e.running
+	e.mu.Unlock()
+	e.loads.add(time.Now(), running, e.slots.queued())
+}
+
+// pause passes the time that work takes, and waits while the host is frozen.
+func (e *Engine) pause(ctx context.Context, d time.Duration) bool {
+	if d > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(d):
+		}
+	}
+	return e.wait(ctx)
+}
+
+func embedAll(tokens []string) []uint64 {
+	out := make([]uint64, 0, len(tokens))
+	for _, token := range tokens {
+		out = append(out, embed(token))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/target/saddleannounce/announcement.go
@@ -0,0 +1,100 @@
+package saddleannounce
+
+import (
+	"fmt"
+	"net"
+	"regexp"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// Announcement is what a target says of itself.
+type Announcement struct {
+	ID          string  `json:"id"`
+	Kind        string  `json:"kind"`  // "engine" or "service"
+	Group       string  `json:"group"` // model or service name
+	Version     string  `json:"version"`
+	From        uint32  `json:"layer_from"` // engines: layers [from, to) of n
+	To          uint32  `json:"layer_to"`
+	Of          uint32  `json:"layers"`
+	Slots       uint32  `json:"slots"`
+	Fenced      bool    `json:"checks_fences"`
+	Address     string  `json:"address"`     // IP:port of its HTTP interface
+	Incarnation uint64  `json:"incarnation"` // rises at each start
+	Accelerator string  `json:"accelerator"`
+	Rate        float64 `json:"rate"`    // tokens a second in one slot
+	LinkMs      float64 `json:"link_ms"` // one-way latency, milliseconds
+}
+
+// Leave is a target's word that it wants no new work.
+type Leave struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Reply answers an announcement.
+type Reply struct {
+	Accepted bool   `json:"accepted"`
+	Reason   string `json:"reason,omitempty"`
+}
+
+const maxSlots = 1 << 16
+
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,99}$`)
+
+// Check returns an error that names the field at fault.
+func (a Announcement) Check() error {
+	switch {
+	case !namePattern.MatchString(a.ID):
+		return fmt.Errorf("id = %q must be letters, digits, '.', '_' or '-'", a.ID)
+	case !namePattern.MatchString(a.Group):
+		return fmt.Errorf("group = %q must be letters, digits, '.', '_' or '-'", a.Group)
+	case a.Incarnation == 0:
+		return fmt.Errorf("incarnation = 0 must be above 0")
+	case a.Slots == 0 || a.Slots > maxSlots:
+		return fmt.Errorf("slots = %d must be from 1 to %d", a.Slots, maxSlots)
+	case a.Rate < 0 || a.LinkMs < 0:
+		return fmt.Errorf("rate = %g and link_ms = %g must not be negative", a.Rate, a.LinkMs)
+	}
+	if host, _, err := net.SplitHostPort(a.Address); err != nil || net.ParseIP(host) == nil {
+		return fmt.Errorf("address = %q must be IP:port", a.Address)
+	}
+	return a.checkKind()
+}
+
+func (a Announcement) checkKind() error {
+	switch fireflysaddle.TargetKind(a.Kind) {
+	case fireflysaddle.KindEngine:
+		return a.layers().Check()
+	case fireflysaddle.KindService:
+		return nil
+	}
+	return fmt.Errorf("kind = %q must be \"engine\" or \"service\"", a.Kind)
+}
+
+func (a Announcement) layers() fireflysaddle.LayerRange {
+	return fireflysaddle.LayerRange{
+		From: fireflysaddle.Layer(a.From),
+		To:   fireflysaddle.Layer(a.To),
+		Of:   fireflysaddle.Layer(a.Of),
+	}
+}
+
+// Target returns the announcement as the system's own processes send it.
+func (a Announcement) Target() *saddlewire.Target {
+	return &saddlewire.Target{
+		Id:          a.ID,
+		Kind:        a.Kind,
+		Group:       a.Group,
+		Version:     a.Version,
+		Layers:      &saddlewire.Layers{From: a.From, To: a.To, Of: a.Of},
+		Slots:       a.Slots,
+		Fenced:      a.Fenced,
+		Address:     a.Address,
+		Incarnation: a.Incarnation,
+		Accelerator: a.Accelerator,
+		Rate:        a.Rate,
+		LinkMs:      a.LinkMs,
+	}
+}
--- /dev/null
+++ b/internal/target/saddleannounce/client.go
@@ -0,0 +1,47 @@
+package saddleannounce
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+)
+
+// The paths of the interface.
+const (
+	PathAnnounce = "/v1/announce"
+	PathLeave    = "/v1/leave"
+)
+
+// Send announces a target to the process at an address.
+func Send(ctx context.Context, client *http.Client, address string, a Announcement) (Reply, error) {
+	return post(ctx, client, "http://"+address+PathAnnounce, a)
+}
+
+// SendLeave tells the process at an address that a target wants no new work.
+func SendLeave(ctx context.Context, client *http.Client, address string, l Leave) (Reply, error) {
+	return post(ctx, client, "http://"+address+PathLeave, l)
+}
+
+func post(ctx context.Context, client *http.Client, url string, body any) (Reply, error) {
+	var reply Reply
+	data, err := json.Marshal(body)
+	if err != nil {
+		return reply, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return reply, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+		return reply, fmt.Errorf("reply of %s with status %d: %w", url, resp.StatusCode, err)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/target/saddleengine/engine.go
@@ -0,0 +1,171 @@
+package saddleengine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/fireflysaddle/fireflysaddle"
+)
+
+const maxAnswerBytes = 64 << 20
+
+// Engine implements fireflysaddle.Engine.
+type Engine struct {
+	target  fireflysaddle.TargetID
+	address string
+	client  *http.Client
+}
+
+// New returns an adapter to the engine at an address, and its clean-up.
+func New(target fireflysaddle.TargetID, address string) (*Engine, func()) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	e := &Engine{target: target, address: address, client: &http.Client{Transport: transport}}
+	return e, transport.CloseIdleConnections
+}
+
+// Generate runs a request on an engine that holds every layer.
+func (e *Engine) Generate(ctx context.Context, g fireflysaddle.Generation, emit func(text string) error) error {
+	body := GenerateBody{
+		Request:   string(g.Request),
+		Attempt:   uint32(g.Attempt),
+		Priority:  int32(g.Priority),
+		Prompt:    g.Prompt,
+		Given:     g.Given,
+		MaxTokens: g.MaxTokens,
+	}
+	resp, err := e.post(ctx, PathGenerate, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := json.NewDecoder(resp.Body)
+	for {
+		var line GenerateLine
+		if err := lines.Decode(&line); err != nil {
+			return e.fail(fmt.Errorf("token stream broke off: %w", err))
+		}
+		if line.Done {
+			return nil
+		}
+		if err := emit(line.Text); err != nil {
+			return err
+		}
+	}
+}
+
+// Step runs the engine's layers for one step of a request.
+func (e *Engine) Step(ctx context.Context, s fireflysaddle.Step) (fireflysaddle.StepResult, error) {
+	body := StepBody{
+		Request:    string(s.Request),
+		Attempt:    uint32(s.Attempt),
+		Priority:   int32(s.Priority),
+		Position:   uint32(s.Position),
+		Prompt:     s.Prompt,
+		Given:      s.Given,
+		Token:      s.Token,
+		Activation: s.Activation,
+		Count:      s.Count,
+	}
+	var answer StepAnswer
+	err := e.call(ctx, PathStep, body, &answer)
+	return fireflysaddle.StepResult{Activation: answer.Activation, Count: answer.Count, Token: answer.Token}, err
+}
+
+// Cancel drops the state that the engine holds for an attempt.
+func (e *Engine) Cancel(ctx context.Context, id fireflysaddle.RequestID, attempt fireflysaddle.Attempt) error {
+	return e.call(ctx, PathCancel, AttemptBody{Request: string(id), Attempt: uint32(attempt)}, nil)
+}
+
+// Export returns the KV cache of an attempt.
+func (e *Engine) Export(ctx context.Context, id fireflysaddle.RequestID, attempt fireflysaddle.Attempt) (fireflysaddle.KVCache, error) {
+	var answer CacheBody
+	err := e.call(ctx, PathExport, AttemptBody{Request: string(id), Attempt: uint32(attempt)}, &answer)
+	return fireflysaddle.KVCache{Positions: fireflysaddle.Position(answer.Positions), Data: answer.Data}, err
+}
+
+// Import gives the engine the KV cache of an attempt.
+func (e *Engine) Import(ctx context.Context, id fireflysaddle.RequestID, attempt fireflysaddle.Attempt, kv fireflysaddle.KVCache) error {
+	body := CacheBody{Request: string(id), Attempt: uint32(attempt), Positions: uint32(kv.Positions), Data: kv.Data}
+	return e.call(ctx, PathImport, body, nil)
+}
+
+// Order gives the engine a fenced order.
+func (e *Engine) Order(ctx context.Context, o fireflysaddle.Order) error {
+	body := OrderBody{Term: uint64(o.Fence.Term), Sequence: uint64(o.Fence.Sequence), Action: o.Action, Subject: o.Subject}
+	return e.call(ctx, PathOrders, body, nil)
+}
+
+// Alive returns nil when the engine answers.
+func (e *Engine) Alive(ctx context.Context) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.address+PathAlive, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return e.fail(err)
+	}
+	return resp.Body.Close()
+}
+
+func (e *Engine) call(ctx context.Context, path string, body, answer any) error {
+	resp, err := e.post(ctx, path, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if answer == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes))
+	} else {
+		err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(answer)
+	}
+	if err != nil {
+		return e.fail(err)
+	}
+	return nil
+}
+
+// post sends a request once. The body cannot be read again, so that the HTTP
+// client never repeats it by itself.
+func (e *Engine) post(ctx context.Context, path string, body any) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.address+path, io.NopCloser(bytes.NewReader(data)))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.ContentLength = int64(len(data))
+	resp, err := e.client.Do(req)
+	switch {
+	case err != nil && !connected.Load():
+		return nil, &fireflysaddle.NotSentError{Address: e.address, Err: err}
+	case err != nil:
+		return nil, e.fail(err)
+	case resp.StatusCode != http.StatusOK:
+		defer func() { _ = resp.Body.Close() }()
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+		return nil, e.fail(fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text)))
+	}
+	return resp, nil
+}
+
+func (e *Engine) fail(err error) error {
+	var target *fireflysaddle.TargetError
+	if errors.As(err, &target) {
+		return err
+	}
+	return &fireflysaddle.TargetError{Target: e.target, Err: err}
+}
--- /dev/null
+++ b/internal/target/saddleengine/wire.go
@@ -0,0 +1,71 @@
+package saddleengine
+
+// The paths of an engine's interface.
+const (
+	PathGenerate = "/v1/generate"
+	PathStep     = "/v1/step"
+	PathCancel   = "/v1/cancel"
+	PathExport   = "/v1/kv/export"
+	PathImport   = "/v1/kv/import"
+	PathOrders   = "/v1/orders"
+	PathAlive    = "/v1/alive"
+)
+
+// GenerateBody is the request of PathGenerate; the answer is a stream of
+// GenerateLine, one JSON object a line.
+type GenerateBody struct {
+	Request   string   `json:"request"`
+	Attempt   uint32   `json:"attempt"`
+	Priority  int32    `json:"priority"`
+	Prompt    string   `json:"prompt"`
+	Given     []string `json:"given,omitempty"`
+	MaxTokens uint32   `json:"max_tokens"`
+}
+
+// GenerateLine is one token, or the end.
+type GenerateLine struct {
+	Text string `json:"text,omitempty"`
+	Done bool   `json:"done,omitempty"`
+}
+
+// StepBody is the request of PathStep.
+type StepBody struct {
+	Request    string   `json:"request"`
+	Attempt    uint32   `json:"attempt"`
+	Priority   int32    `json:"priority"`
+	Position   uint32   `json:"position"`
+	Prompt     string   `json:"prompt,omitempty"`
+	Given      []string `json:"given,omitempty"`
+	Token      string   `json:"token,omitempty"`
+	Activation []byte   `json:"activation,omitempty"`
+	Count      uint32   `json:"count,omitempty"`
+}
+
+// StepAnswer answers StepBody.
+type StepAnswer struct {
+	Activation []byte `json:"activation,omitempty"`
+	Count      uint32 `json:"count"`
+	Token      string `json:"token,omitempty"`
+}
+
+// AttemptBody names an attempt; it is the request of PathCancel and PathExport.
+type AttemptBody struct {
+	Request string `json:"request"`
+	Attempt uint32 `json:"attempt"`
+}
+
+// CacheBody is the request of PathImport and the answer of PathExport.
+type CacheBody struct {
+	Request   string `json:"request"`
+	Attempt   uint32 `json:"attempt"`
+	Positions uint32 `json:"positions"`
+	Data      []byte `json:"data"`
+}
+
+// OrderBody is the request of PathOrders.
+type OrderBody struct {
+	Term     uint64 `json:"term"`
+	Sequence uint64 `json:"sequence"`
+	Action   string `json:"action"`
+	Subject  string `json:"subject"`
+}
--- /dev/null
+++ b/internal/target/saddleservice/doc.go
@@ -0,0 +1,2 @@
+// Package saddleservice is the adapter to a plain HTTP service.
+package saddleservice
--- /dev/null
+++ b/internal/target/saddleservice/service.go
@@ -0,0 +1,86 @@
+package saddleservice
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+)
+
+const (
+	maxAnswerBytes = 16 << 20
+	// RequestHeader carries the request id to the service.
+	RequestHeader = "X-Request-Id"
+)
+
+// Service implements fireflysaddle.Service.
+type Service struct {
+	target  fireflysaddle.TargetID
+	address string
+	client  *http.Client
+}
+
+// New returns an adapter to the service at an address, and its clean-up.
+// Connections are not used again: a request on a connection that the service
+// is just closing could not be told from one that it ran.
+func New(target fireflysaddle.TargetID, address string) (*Service, func()) {
+	transport := &http.Transport{DisableKeepAlives: true}
+	client := &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &Service{target: target, address: address, client: client}, transport.CloseIdleConnections
+}
+
+// Call sends a request once. The body cannot be read again, so that the HTTP
+// client never repeats it by itself.
+func (s *Service) Call(ctx context.Context, c fireflysaddle.Call) (fireflysaddle.Answer, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+s.address+c.Path, io.NopCloser(bytes.NewReader(c.Body)))
+	if err != nil {
+		return fireflysaddle.Answer{}, &fireflysaddle.NotSentError{Address: s.address, Err: err}
+	}
+	req.ContentLength = int64(len(c.Body))
+	if len(c.Body) == 0 {
+		req.Body = nil // without keep-alive and Idempotency-Key it is sent once all the same
+	}
+	req.Header.Set(RequestHeader, string(c.Request))
+	if c.ContentType != "" {
+		req.Header.Set("Content-Type", c.ContentType)
+	}
+	resp, err := s.client.Do(req)
+	if err != nil && !connected.Load() {
+		return fireflysaddle.Answer{}, &fireflysaddle.NotSentError{Address: s.address, Err: err}
+	}
+	if err != nil {
+		return fireflysaddle.Answer{}, s.fail(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return fireflysaddle.Answer{}, s.fail(err)
+	}
+	return fireflysaddle.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// Alive returns nil when the service accepts connections.
+func (s *Service) Alive(ctx context.Context) error {
+	d := net.Dialer{Timeout: time.Second}
+	conn, err := d.DialContext(ctx, "tcp", s.address)
+	if err != nil {
+		return s.fail(err)
+	}
+	return conn.Close()
+}
+
+func (s *Service) fail(err error) error {
+	return &fireflysaddle.TargetError{Target: s.target, Err: err}
+}
--- /dev/null
+++ b/internal/trace/saddletimeline/event.go
@@ -0,0 +1,28 @@
+package saddletimeline
+
+// Event is one thing that a process did. Fields that do not apply are empty.
+// No event holds prompt text, keys or bodies.
+type Event struct {
+	WallNs   int64  `json:"wall_ns"` // hybrid logical time, Unix nanoseconds
+	Count    uint32 `json:"count"`   // order within one nanosecond
+	Node     string `json:"node"`
+	Name     string `json:"name"`
+	Request  string `json:"request,omitempty"`
+	Attempt  uint32 `json:"attempt,omitempty"`
+	Target   string `json:"target,omitempty"`
+	Subject  string `json:"subject,omitempty"` // workspace, template or replica
+	Revision uint64 `json:"revision,omitempty"`
+	Term     uint64 `json:"term,omitempty"`
+	Detail   string `json:"detail,omitempty"`
+}
+
+// Less orders events by hybrid logical time, then by node.
+func (e Event) Less(other Event) bool {
+	if e.WallNs != other.WallNs {
+		return e.WallNs < other.WallNs
+	}
+	if e.Count != other.Count {
+		return e.Count < other.Count
+	}
+	return e.Node < other.Node
+}
--- /dev/null
+++ b/internal/trace/saddletimeline/ring.go
@@ -0,0 +1,74 @@
+package saddletimeline
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// Ring keeps the latest events of one process. It is safe for concurrent use;
+// a nil Ring records nothing.
+type Ring struct {
+	node  string
+	clock Clock
+
+	mu     sync.Mutex
+	events []Event
+	next   int
+	full   bool
+}
+
+// NewRing returns a ring for a node that keeps size events.
+func NewRing(node string, size int) *Ring {
+	return &Ring{node: node, events: make([]Event, size)}
+}
+
+// Add records an event at the present time.
+func (r *Ring) Add(now time.Time, e Event) {
+	if r == nil {
+		return
+	}
+	stamp := r.clock.Now(now)
+	e.Node = r.node
+	e.WallNs = stamp.GetWallNs()
+	e.Count = stamp.GetCount()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events[r.next] = e
+	r.next++
+	if r.next == len(r.events) {
+		r.next = 0
+		r.full = true
+	}
+}
+
+// Stamp returns a stamp to send on a message.
+func (r *Ring) Stamp(now time.Time) *saddlewire.Stamp {
+	if r == nil {
+		return nil
+	}
+	return r.clock.Now(now)
+}
+
+// Observe takes in the stamp of a received message.
+func (r *Ring) Observe(now time.Time, s *saddlewire.Stamp) {
+	if r == nil || s == nil {
+		return
+	}
+	r.clock.Observe(now, s)
+}
+
+// Events returns the kept events, oldest first.
+func (r *Ring) Events() []Event {
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Event
+	if r.full {
+		out = append(out, r.events[r.next:]...)
+	}
+	return append(out, r.events[:r.next]...)
+}
--- /dev/null
+++ b/layers.go
@@ -0,0 +1,28 @@
+package fireflysaddle
+
+import "fmt"
+
+// LayerRange is the half-open range [From, To) of a model of Of layers.
+type LayerRange struct {
+	From Layer
+	To   Layer
+	Of   Layer
+}
+
+// Whole reports whether the range covers the model.
+func (r LayerRange) Whole() bool {
+	return r.From == 0 && r.To == r.Of
+}
+
+// Check returns a *LayerRangeError when the range is empty or exceeds the model.
+func (r LayerRange) Check() error {
+	if r.From >= r.To || r.To > r.Of {
+		return &LayerRangeError{Range: r}
+	}
+	return nil
+}
+
+// String formats the range as "[from,to) of n".
+func (r LayerRange) String() string {
+	return fmt.Sprintf("[%d,%d) of %d", r.From, r.To, r.Of)
+}
