--- a/internal/config/saddlesettings/control.go
+++ b/internal/config/saddlesettings/control.go
@@ -10,14 +10,20 @@
 	Common
 	Listen string `toml:"listen"` // drpc, for all other processes
 	Data   string `toml:"data"`   // data folder
-	// Replicas are the voters; this one's node must be among them.
+	// Replicas are those of a new group; this one's node must be among them.
+	// Once the group has started, its log says who they are.
 	Replicas []Replica `toml:"replicas"`
+	// Join lets a new replica wait for the leader of a group that has started;
+	// see saddlectl control-replace.
+	Join bool `toml:"join"`
 	// Heartbeat is the time between a leader's heartbeats.
 	Heartbeat Duration `toml:"heartbeat"`
 	// Election is the silence after which a new leader is sought.
 	Election Duration `toml:"election"`
 	// Lost is how long a node may stay silent before it is taken for lost.
 	Lost Duration `toml:"lost"`
+	// Silence is how long the connection of a silent node is kept.
+	Silence Duration `toml:"silence"`
 	// SnapshotEvery is the number of log entries between snapshots.
 	SnapshotEvery int `toml:"snapshot_every"`
 }
@@ -32,6 +38,7 @@
 	defaultHeartbeat     = 100 * time.Millisecond
 	defaultElection      = 600 * time.Millisecond
 	defaultNodeLost      = 2 * time.Second
+	defaultNodeSilence   = 30 * time.Second // three times the longest time between beats
 	defaultSnapshotEvery = 4096
 	minHeartbeat         = 5 * time.Millisecond
 	maxElection          = time.Minute
@@ -46,6 +53,7 @@
 		Heartbeat:     Duration(defaultHeartbeat),
 		Election:      Duration(defaultElection),
 		Lost:          Duration(defaultNodeLost),
+		Silence:       Duration(defaultNodeSilence),
 		SnapshotEvery: defaultSnapshotEvery,
 	}
 }
@@ -59,6 +67,7 @@
 	c.duration("heartbeat", s.Heartbeat, minHeartbeat, time.Second)
 	c.duration("election", s.Election, 3*s.Heartbeat.Std(), maxElection)
 	c.duration("lost", s.Lost, minCallSilence, time.Minute)
+	c.duration("silence", s.Silence, s.Lost.Std(), maxSilence)
 	c.count("snapshot_every", s.SnapshotEvery, maxSnapshotEvery)
 	c.count("replicas (count)", len(s.Replicas), maxReplicas)
 	for i, r := range s.Replicas {
--- /dev/null
+++ b/internal/control/saddlecontrol/attend.go
@@ -0,0 +1,94 @@
+package saddlecontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcctx"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// pullEvery is how often a node that attends hears from the replica at least.
+const pullEvery = 500 * time.Millisecond
+
+// Attend takes in a node's heartbeats and sends it updates. A node that sends
+// none for the silence time is cut off: its connection is closed, because a
+// write to a frozen node would wait for ever.
+func (s *Server) Attend(stream saddlewire.DRPCControl_AttendStream) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	silence := time.AfterFunc(s.cfg.Silence, func() {
+		countSilent.Add(1)
+		cancel()
+		if transport, ok := drpcctx.Transport(stream.Context()); ok {
+			_ = transport.Close()
+		}
+	})
+	defer silence.Stop()
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if err := s.takeBeat(ctx, first); err != nil {
+		return err
+	}
+	silence.Reset(s.cfg.Silence)
+	a := newAttendee(fireflysaddle.Role(first.GetMember().GetRole()))
+	if err := s.post(ctx, joinEvent{who: a}); err != nil {
+		return err
+	}
+	defer func() { _ = s.post(context.WithoutCancel(ctx), leaveEvent{who: a}) }()
+	go func() {
+		defer cancel()
+		s.takeBeats(ctx, stream, silence)
+	}()
+	return s.sendUpdates(ctx, stream, a)
+}
+
+func (s *Server) takeBeats(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, silence *time.Timer) {
+	for {
+		b, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		if err := s.takeBeat(ctx, b); err != nil {
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		silence.Reset(s.cfg.Silence)
+	}
+}
+
+func (s *Server) takeBeat(ctx context.Context, b *saddlewire.Beat) error {
+	if b.GetMember().GetNode() == "" {
+		return eris.New("a heartbeat names no node")
+	}
+	s.cfg.Timeline.Observe(time.Now(), b.GetStamp())
+	return s.post(ctx, beatEvent{member: b.GetMember()})
+}
+
+func (s *Server) sendUpdates(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, a *attendee) error {
+	tick := time.NewTicker(pullEvery)
+	defer tick.Stop()
+	reply := make(chan *saddlewire.Update, 1)
+	for {
+		u, err := ask(ctx, s, pullEvent{who: a, reply: reply}, reply)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(u); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.notify:
+		case <-tick.C:
+		}
+	}
+}
--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -1,10 +1,15 @@
 package saddlecontrol
 
 import (
+	"errors"
+	"net"
+	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlereplica"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestate"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
@@ -18,7 +23,7 @@
 		e.reply <- &saddlewire.SubmitResponse{Refused: true, Leader: c.leaderAddress()}
 		return
 	}
-	e.command.NowNs = now.UnixNano()
+	e.command.NowNs = e.at.UnixNano()
 	data, err := proto.Marshal(e.command)
 	if err != nil {
 		e.reply <- &saddlewire.SubmitResponse{Refused: true}
@@ -34,10 +39,12 @@
 }
 
 // applyAll applies what was committed and answers those who wait for it.
-func (c *core) applyAll(now time.Time, rd saddlereplica.Ready) {
+func (c *core) applyAll(now time.Time, rd saddlereplica.Ready) error {
 	before := c.state.Revision()
 	if rd.Snapshot != nil {
-		c.applySnapshot(rd.Snapshot)
+		if err := c.applySnapshot(rd.Snapshot); err != nil {
+			return err
+		}
 	}
 	for _, e := range rd.Committed {
 		c.applyEntry(now, e)
@@ -46,17 +53,18 @@
 		c.cfg.Timeline.Add(now, saddletimeline.Event{Name: "configuration", Revision: c.state.Revision(), Term: c.replica.Term()})
 		c.wakeAttendees()
 	}
+	return nil
 }
 
-func (c *core) applySnapshot(s *saddlewire.Snapshot) {
+func (c *core) applySnapshot(s *saddlewire.Snapshot) error {
 	state, err := saddlestate.Decode(s.GetData())
 	if err != nil {
-		c.cfg.Log.Error().Err(err).Uint64("index", s.GetIndex()).Msg("snapshot cannot be decoded")
-		return
+		return eris.Wrapf(err, "decode the leader's snapshot at index %d", s.GetIndex())
 	}
 	c.state = state
 	c.applied = s.GetIndex()
 	c.lastSnapshot = s.GetIndex()
+	return nil
 }
 
 func (c *core) applyEntry(now time.Time, e *saddlewire.LogEntry) {
@@ -74,6 +82,10 @@
 }
 
 func (c *core) applyCommand(e *saddlewire.LogEntry) *saddlewire.Result {
+	if e.GetMembership() != nil {
+		c.cfg.Log.Info().Uint64("index", e.GetIndex()).Str("replicas", names(e.GetMembership())).Msg("control replicas changed")
+		return &saddlewire.Result{Accepted: true, Index: e.GetIndex()}
+	}
 	if len(e.GetData()) == 0 {
 		return nil
 	}
@@ -95,7 +107,10 @@
 	if err != nil {
 		return err
 	}
-	s := &saddlewire.Snapshot{Index: c.applied, Term: c.replica.TermAt(c.applied), Data: data}
+	s := c.replica.SnapshotOf(data)
+	if s == nil {
+		return nil
+	}
 	if err := c.store.SetSnapshot(s); err != nil {
 		return err
 	}
@@ -105,6 +120,48 @@
 	return nil
 }
 
+// change proposes a change of the replicas.
+func (c *core) change(now time.Time, e changeEvent) {
+	index, err := c.proposeChange(now, e.change)
+	var notLeader *fireflysaddle.NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		e.reply <- &saddlewire.SubmitResponse{Refused: true, Leader: c.leaderAddress()}
+	case err != nil:
+		e.reply <- &saddlewire.SubmitResponse{Result: &saddlewire.Result{Code: string(fireflysaddle.CodeInvalid), Message: err.Error()}}
+	case index == 0:
+		e.reply <- &saddlewire.SubmitResponse{Result: &saddlewire.Result{Accepted: true}}
+	default:
+		c.pending[index] = pendingCommand{term: c.replica.Term(), reply: e.reply}
+	}
+}
+
+func (c *core) proposeChange(now time.Time, change *saddlewire.ReplicaChange) (uint64, error) {
+	switch {
+	case change.GetAdd() != "":
+		if _, _, err := net.SplitHostPort(change.GetAddress()); err != nil {
+			return 0, &saddlereplica.MembershipError{ID: change.GetAdd(), Reason: "needs an address IP:port"}
+		}
+		return c.replica.AddReplica(now, change.GetAdd(), change.GetAddress(), change.GetRemove())
+	case change.GetRemove() != "":
+		return c.replica.RemoveReplica(now, change.GetRemove())
+	}
+	return 0, &saddlereplica.MembershipError{Reason: "must be named, to add or to remove"}
+}
+
+// names lists the replicas of a membership.
+func names(m *saddlewire.Membership) string {
+	var out []string
+	for _, p := range m.GetReplicas() {
+		name := p.GetId()
+		if !p.GetVoter() {
+			name += " (no vote)"
+		}
+		out = append(out, name)
+	}
+	return strings.Join(out, ", ")
+}
+
 // read returns the state if this replica can vouch that it is current.
 func (c *core) read(now time.Time) *saddlewire.ReadResponse {
 	r := &saddlewire.ReadResponse{
@@ -117,13 +174,13 @@
 		Members:     c.members.all(),
 		Term:        c.replica.Term(),
 	}
-	for id, address := range c.cfg.Replicas {
+	for _, p := range c.replica.Members() {
 		r.Replicas = append(r.Replicas, &saddlewire.Replica{
-			Id:      id,
-			Address: address,
-			Leader:  id == c.replica.LeaderID(),
-			Match:   c.replica.Match(id),
-			Voter:   true,
+			Id:      p.GetId(),
+			Address: p.GetAddress(),
+			Leader:  p.GetId() == c.replica.LeaderID(),
+			Match:   c.replica.Match(p.GetId()),
+			Voter:   p.GetVoter(),
 		})
 	}
 	return r
--- a/internal/control/saddlecontrol/config.go
+++ b/internal/control/saddlecontrol/config.go
@@ -16,7 +16,9 @@
 	Listen        string
 	Admin         string
 	Data          string
-	Replicas      map[string]string // drpc address by node
+	Replicas      map[string]string // drpc addresses of a new group, by id
+	Join          bool              // this replica is not one of a new group
+	Silence       time.Duration     // a node that sends no heartbeat for longer is cut off
 	Heartbeat     time.Duration
 	Election      time.Duration
 	Lost          time.Duration // silence after which a node is taken for lost
--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -30,11 +32,13 @@
 
 	attendees map[*attendee]struct{}
 	pending   map[uint64]pendingCommand // by log index
-	peers     map[string]*peer
+	peers     *peerSet
+	clock     *clock
 
 	applied      uint64
 	lastSnapshot uint64
 	wasRole      saddlereplica.Role
+	wasTerm      uint64
 
 	confirmed atomic.Bool // read by the admin listener
 }
@@ -53,13 +57,10 @@
 			return nil, err
 		}
 	}
-	voters := make([]string, 0, len(cfg.Replicas))
-	for id := range cfg.Replicas {
-		voters = append(voters, id)
-	}
-	replica := saddlereplica.New(now, saddlereplica.Config{
+	clock := newClock(now)
+	replica := saddlereplica.New(clock.read(now), saddlereplica.Config{
 		ID:        cfg.Node,
-		Voters:    voters,
+		Members:   firstMembers(cfg),
 		Heartbeat: cfg.Heartbeat,
 		Election:  cfg.Election,
 		Rand:      rand.New(rand.NewPCG(cfg.Incarnation, uint64(len(cfg.Node)))),
@@ -72,14 +73,32 @@
 		members:      newMemberTable(),
 		attendees:    map[*attendee]struct{}{},
 		pending:      map[uint64]pendingCommand{},
-		peers:        map[string]*peer{},
+		peers:        newPeerSet(cfg.Node, cfg.Election),
+		clock:        clock,
 		applied:      loaded.Snapshot.GetIndex(),
 		lastSnapshot: loaded.Snapshot.GetIndex(),
 	}, nil
 }
 
+// firstMembers returns the replicas of a new group; one that joins an old group
+// learns of its replicas from the leader.
+func firstMembers(cfg Config) *saddlewire.Membership {
+	m := &saddlewire.Membership{}
+	if cfg.Join {
+		return m
+	}
+	for _, id := range slices.Sorted(maps.Keys(cfg.Replicas)) {
+		m.Replicas = append(m.Replicas, &saddlewire.Peer{Id: id, Address: cfg.Replicas[id], Voter: true})
+	}
+	return m
+}
+
+// now returns the core's time, by which leases and silences are judged.
+func (c *core) now() time.Time { return c.clock.read(time.Now()) }
+
 // run takes in events until the context ends or the store fails.
 func (c *core) run(ctx context.Context, events <-chan event) error {
+	defer c.stop()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -88,39 +107,64 @@
 			return nil
 		case <-timer.C:
 		case e := <-events:
-			e.handle(time.Now(), c)
+			e.handle(c.now(), c)
 			c.drainQueue(events)
 		}
-		now := time.Now()
+		now := c.now()
 		c.replica.Tick(now)
+		c.peers.follow(ctx, c.neighbours())
 		if err := c.settle(now); err != nil {
 			return err
 		}
 		c.sweep(now)
 		c.confirmed.Store(c.replica.Confirmed(now))
-		timer.Reset(min(maxIdle, time.Until(c.replica.Next())))
+		timer.Reset(min(maxIdle, c.replica.Next().Sub(c.now())))
 	}
 }
 
+// neighbours returns the replicas to send to: those of the log, and while it
+// holds none those of the settings, so that a joining one can answer.
+func (c *core) neighbours() []*saddlewire.Peer {
+	out := slices.Clone(c.replica.Members())
+	for id, address := range c.cfg.Replicas {
+		known := slices.ContainsFunc(out, func(p *saddlewire.Peer) bool { return p.GetId() == id || p.GetAddress() == address })
+		if !known {
+			out = append(out, &saddlewire.Peer{Id: id, Address: address})
+		}
+	}
+	return out
+}
+
+// stop answers those who wait for a command; its outcome is open.
+func (c *core) stop() {
+	c.confirmed.Store(false)
+	c.dropPending()
+}
+
 // drainQueue takes more events, so that one sync serves them all.
 func (c *core) drainQueue(events <-chan event) {
 	for range min(len(events), maxEventBatch) {
 		e := <-events
-		e.handle(time.Now(), c)
+		e.handle(c.now(), c)
 	}
 }
 
 // settle does what the replica asks for, until it asks for nothing.
 func (c *core) settle(now time.Time) error {
 	for {
+		if err := c.replica.Err(); err != nil {
+			return err
+		}
 		rd := c.replica.Ready()
 		if err := c.persist(rd); err != nil {
 			return err
 		}
 		for _, m := range rd.Messages {
-			c.sendMessage(m)
+			c.peers.send(m)
+		}
+		if err := c.applyAll(now, rd); err != nil {
+			return err
 		}
-		c.applyAll(now, rd)
 		c.noteRole(now)
 		if err := c.snapshot(); err != nil {
 			return err
@@ -153,17 +197,12 @@
 	return c.store.Sync()
 }
 
-func (c *core) sendMessage(m *saddlewire.Message) {
-	if p, ok := c.peers[m.GetTo()]; ok {
-		p.send(m)
-	}
-}
-
 // noteRole answers the commands that this replica can no longer decide when it
 // stops leading.
 func (c *core) noteRole(now time.Time) {
 	role := c.replica.Role()
-	if role == c.wasRole {
+	term := c.replica.Term()
+	if role == c.wasRole && (term == c.wasTerm || role != saddlereplica.Leader) {
 		return
 	}
 	if role == saddlereplica.Leader || c.wasRole == saddlereplica.Leader {
@@ -175,6 +214,7 @@
 		c.dropPending()
 	}
 	c.wasRole = role
+	c.wasTerm = term
 }
 
 // dropPending answers that the outcome is open; a resend under the same
@@ -187,7 +227,12 @@
 }
 
 func (c *core) leaderAddress() string {
-	return c.cfg.Replicas[c.replica.LeaderID()]
+	for _, p := range c.neighbours() {
+		if p.GetId() == c.replica.LeaderID() {
+			return p.GetAddress()
+		}
+	}
+	return ""
 }
 
 func (c *core) sweep(now time.Time) {
--- a/internal/control/saddlecontrol/counters.go
+++ b/internal/control/saddlecontrol/counters.go
@@ -10,5 +10,6 @@
 	countBeats     = expvar.NewInt("control_beats_total")
 	countUpdates   = expvar.NewInt("control_updates_total")
 	countSnapshots = expvar.NewInt("control_snapshots_total")
+	countSilent    = expvar.NewInt("control_nodes_cut_off_total")
 	countDropped   = expvar.NewInt("control_messages_dropped_total")
 )
--- a/internal/control/saddlecontrol/event.go
+++ b/internal/control/saddlecontrol/event.go
@@ -24,12 +24,21 @@
 
 // submitEvent brings a command.
 type submitEvent struct {
+	at      time.Time // wall clock
 	command *saddlewire.Command
 	reply   chan *saddlewire.SubmitResponse // of capacity 1
 }
 
 func (e submitEvent) handle(now time.Time, c *core) { c.submit(now, e) }
 
+// changeEvent brings a change of the replicas.
+type changeEvent struct {
+	change *saddlewire.ReplicaChange
+	reply  chan *saddlewire.SubmitResponse // of capacity 1
+}
+
+func (e changeEvent) handle(now time.Time, c *core) { c.change(now, e) }
+
 // readEvent asks for the state.
 type readEvent struct {
 	reply chan *saddlewire.ReadResponse // of capacity 1
--- a/internal/control/saddlecontrol/peer.go
+++ b/internal/control/saddlecontrol/peer.go
@@ -4,13 +4,17 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-const peerQueue = 512 // messages waiting for one peer
+const (
+	peerQueue  = 512     // messages waiting for one peer
+	batchBytes = 1 << 20 // of messages after which no more are added to a batch
+)
 
 // peer sends messages to one other replica. Messages may be lost: the replicas
 // repeat what matters.
@@ -42,10 +46,7 @@
 		case <-ctx.Done():
 			return
 		case m := <-p.queue:
-			batch := &saddlewire.MessageBatch{Messages: []*saddlewire.Message{m}}
-			for range len(p.queue) {
-				batch.Messages = append(batch.Messages, <-p.queue)
-			}
+			batch := p.batch(m)
 			if err := p.exchange(ctx, batch); err != nil {
 				countDropped.Add(int64(len(batch.GetMessages())))
 				p.close()
@@ -54,6 +55,22 @@
 	}
 }
 
+// batch adds the messages that wait to a first one, within a bound of bytes.
+func (p *peer) batch(first *saddlewire.Message) *saddlewire.MessageBatch {
+	batch := &saddlewire.MessageBatch{Messages: []*saddlewire.Message{first}}
+	size := proto.Size(first)
+	for size < batchBytes {
+		select {
+		case m := <-p.queue:
+			batch.Messages = append(batch.Messages, m)
+			size += proto.Size(m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
 func (p *peer) exchange(ctx context.Context, batch *saddlewire.MessageBatch) error {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
--- a/internal/control/saddlecontrol/server.go
+++ b/internal/control/saddlecontrol/server.go
@@ -9,15 +9,11 @@
 	"github.com/rotisserie/eris"
 	"storj.io/drpc"
 
-	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestore"
 	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-// pullEvery is how often a node that attends hears from the replica at least.
-const pullEvery = 500 * time.Millisecond
-
 // Server is a control replica. Run serves it.
 type Server struct {
 	cfg    Config
@@ -35,17 +31,14 @@
 	}
 	c, err := newCore(now, cfg, store, loaded)
 	if err != nil {
+		_ = closeStore()
 		return nil, nil, eris.Wrap(err, "decode snapshot")
 	}
 	lis, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
+		_ = closeStore()
 		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Listen)
 	}
-	for id, address := range cfg.Replicas {
-		if id != cfg.Node {
-			c.peers[id] = newPeer(address, cfg.Election)
-		}
-	}
 	s := &Server{cfg: cfg, core: c, events: make(chan event, eventQueue), lis: lis, done: make(chan struct{})}
 	cleanup := func() error {
 		_ = lis.Close()
@@ -61,9 +54,6 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for _, p := range s.core.peers {
-		wg.Go(func() { p.run(ctx) })
-	}
 	wg.Go(func() {
 		_ = saddlelink.Serve(ctx, s.lis, func(mux drpc.Mux) error {
 			return saddlewire.DRPCRegisterControl(mux, s)
@@ -72,6 +62,7 @@
 	err := s.core.run(ctx, s.events)
 	close(s.done)
 	cancel()
+	s.core.peers.wait()
 	return err
 }
 
@@ -105,9 +96,20 @@
 
 // Submit proposes a command and returns its result once it is committed.
 func (s *Server) Submit(ctx context.Context, in *saddlewire.SubmitRequest) (*saddlewire.SubmitResponse, error) {
-	s.cfg.Timeline.Observe(time.Now(), in.GetStamp())
+	now := time.Now()
+	s.cfg.Timeline.Observe(now, in.GetStamp())
+	if in.GetCommand() == nil {
+		return nil, eris.New("the request holds no command")
+	}
 	reply := make(chan *saddlewire.SubmitResponse, 1)
-	return ask(ctx, s, submitEvent{command: in.GetCommand(), reply: reply}, reply)
+	return ask(ctx, s, submitEvent{at: now, command: in.GetCommand(), reply: reply}, reply)
+}
+
+// Change adds, removes or replaces a replica. The result is that of the first
+// step; a replacement goes on until Read shows it done.
+func (s *Server) Change(ctx context.Context, in *saddlewire.ReplicaChange) (*saddlewire.SubmitResponse, error) {
+	reply := make(chan *saddlewire.SubmitResponse, 1)
+	return ask(ctx, s, changeEvent{change: in, reply: reply}, reply)
 }
 
 // Read returns the state.
@@ -121,67 +123,6 @@
 	return &saddlewire.Empty{}, s.post(ctx, messageEvent{messages: in.GetMessages()})
 }
 
-// Attend takes in a node's heartbeats and sends it updates.
-func (s *Server) Attend(stream saddlewire.DRPCControl_AttendStream) error {
-	ctx, cancel := context.WithCancel(stream.Context())
-	defer cancel()
-	first, err := stream.Recv()
-	if err != nil {
-		return err
-	}
-	if err := s.takeBeat(ctx, first); err != nil {
-		return err
-	}
-	a := newAttendee(fireflysaddle.Role(first.GetMember().GetRole()))
-	if err := s.post(ctx, joinEvent{who: a}); err != nil {
-		return err
-	}
-	defer func() { _ = s.post(context.WithoutCancel(ctx), leaveEvent{who: a}) }()
-	go func() {
-		defer cancel()
-		s.takeBeats(ctx, stream)
-	}()
-	return s.sendUpdates(ctx, stream, a)
-}
-
-func (s *Server) takeBeats(ctx context.Context, stream saddlewire.DRPCControl_AttendStream) {
-	for {
-		b, err := stream.Recv()
-		if err != nil {
-			return
-		}
-		if err := s.takeBeat(ctx, b); err != nil {
-			return
-		}
-	}
-}
-
-func (s *Server) takeBeat(ctx context.Context, b *saddlewire.Beat) error {
-	s.cfg.Timeline.Observe(time.Now(), b.GetStamp())
-	return s.post(ctx, beatEvent{member: b.GetMember()})
-}
-
-func (s *Server) sendUpdates(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, a *attendee) error {
-	tick := time.NewTicker(pullEvery)
-	defer tick.Stop()
-	reply := make(chan *saddlewire.Update, 1)
-	for {
-		u, err := ask(ctx, s, pullEvent{who: a, reply: reply}, reply)
-		if err != nil {
-			return err
-		}
-		if err := stream.Send(u); err != nil {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-a.notify:
-		case <-tick.C:
-		}
-	}
-}
-
 // Ready returns nil when the replica knows a leader and is up to date with it.
 func (s *Server) Ready() error {
 	if !s.core.confirmed.Load() {
--- a/internal/control/saddlereplica/config.go
+++ b/internal/control/saddlereplica/config.go
@@ -3,16 +3,31 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
 // Config holds the settings of a replica.
 type Config struct {
-	ID        string
-	Voters    []string
-	Heartbeat time.Duration // time between a leader's heartbeats
-	Election  time.Duration // silence after which a follower asks for votes
-	Rand      *rand.Rand    // spreads the election timeouts
+	ID string
+	// Members are the replicas of a new group. They count until the log holds
+	// a membership. A replica that is not among them waits without a vote for
+	// a leader that knows it.
+	Members      *saddlewire.Membership
+	Heartbeat    time.Duration // time between a leader's heartbeats
+	Election     time.Duration // silence after which a follower asks for votes
+	MessageBytes int           // of the entries or snapshot data in one message; 0: the default
+	Rand         *rand.Rand    // spreads the election timeouts
 }
 
-// maxBatch bounds the entries of one append message.
-const maxBatch = 256
+const (
+	maxBatch            = 256     // entries of one append message
+	defaultMessageBytes = 1 << 20 // drpc takes messages up to 4 MiB
+)
+
+func (c *Config) messageBytes() int {
+	if c.MessageBytes > 0 {
+		return c.MessageBytes
+	}
+	return defaultMessageBytes
+}
--- a/internal/control/saddlereplica/election.go
+++ b/internal/control/saddlereplica/election.go
@@ -1,7 +1,6 @@
 package saddlereplica
 
 import (
-	"slices"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
@@ -9,13 +8,13 @@
 
 // preCampaign asks whether the others would vote, without raising the term.
 func (r *Replica) preCampaign(now time.Time) {
-	if !slices.Contains(r.cfg.Voters, r.cfg.ID) {
+	if !r.isVoter(r.cfg.ID) {
 		r.resetElection(now)
 		return
 	}
 	r.become(now, PreCandidate, r.term, "")
 	r.votes = map[string]bool{r.cfg.ID: true}
-	if len(r.votes) >= r.quorum() {
+	if r.elected() {
 		r.campaign(now)
 		return
 	}
@@ -27,34 +26,49 @@
 	r.vote = r.cfg.ID
 	r.saveHard()
 	r.votes = map[string]bool{r.cfg.ID: true}
-	if len(r.votes) >= r.quorum() {
+	if r.elected() {
 		r.lead(now)
 		return
 	}
 	r.askVotes(saddlewire.Message_VOTE, r.term)
 }
 
+// elected reports whether the votes suffice: those of a majority, or of all
+// while the log is empty. A new group thus starts with all its replicas, and
+// replicas that lost their disks cannot start another one.
+func (r *Replica) elected() bool {
+	if r.log.last() == 0 {
+		return len(r.votes) == r.voters()
+	}
+	return len(r.votes) >= r.quorum()
+}
+
 func (r *Replica) askVotes(kind saddlewire.Message_Type, term uint64) {
 	last := r.log.last()
 	lastTerm, _ := r.log.term(last)
-	for _, id := range r.cfg.Voters {
-		if id == r.cfg.ID {
+	for _, p := range r.Members() {
+		if p.GetId() == r.cfg.ID || !p.GetVoter() {
 			continue
 		}
-		r.send(&saddlewire.Message{Type: kind, To: id, Term: term, Index: last, LogTerm: lastTerm})
+		r.send(&saddlewire.Message{Type: kind, To: p.GetId(), Term: term, Index: last, LogTerm: lastTerm})
 	}
 }
 
-// lead starts the term with an empty entry, so that entries of earlier terms
-// can be committed.
+// lead starts the term with an entry, so that entries of earlier terms can be
+// committed. The first of all records the membership.
 func (r *Replica) lead(now time.Time) {
 	r.become(now, Leader, r.term, r.cfg.ID)
-	r.heardFrom = now
-	r.progress = make(map[string]*progress, len(r.cfg.Voters))
-	for _, id := range r.cfg.Voters {
-		r.progress[id] = &progress{next: r.log.last() + 1}
+	r.ledSince = now
+	r.progress = make(map[string]*progress, len(r.Members()))
+	for _, p := range r.Members() {
+		r.progress[p.GetId()] = &progress{next: r.log.last() + 1}
 	}
-	r.append(nil)
+	first := &saddlewire.LogEntry{}
+	if r.log.last() == 0 {
+		first.Membership = r.cloneMembers()
+	}
+	r.append(first)
+	r.followMembers()
 	r.broadcast(now)
 	r.deadline = now.Add(r.cfg.Heartbeat)
 }
@@ -70,9 +84,11 @@
 }
 
 func (r *Replica) onPreVote(now time.Time, m *saddlewire.Message) {
-	leaderHeard := r.role == Leader || (r.leader != "" && now.Sub(r.heardFrom) < r.cfg.Election)
-	grant := m.GetTerm() > r.term && !leaderHeard && r.logAtLeast(m.GetIndex(), m.GetLogTerm())
-	reply := &saddlewire.Message{Type: saddlewire.Message_PRE_VOTE_REPLY, To: m.GetFrom(), Term: m.GetTerm(), Reject: !grant}
+	grant := m.GetTerm() > r.term && r.role != Leader && !r.withholdsVotes(now) &&
+		r.logAtLeast(m.GetIndex(), m.GetLogTerm())
+	reply := &saddlewire.Message{
+		Type: saddlewire.Message_PRE_VOTE_REPLY, To: m.GetFrom(), Term: m.GetTerm(), Index: r.log.last(), Reject: !grant,
+	}
 	if !grant {
 		reply.Term = r.term
 	}
@@ -80,18 +96,18 @@
 }
 
 func (r *Replica) onPreVoteReply(now time.Time, m *saddlewire.Message) {
-	if r.role != PreCandidate || m.GetReject() || m.GetTerm() != r.term+1 {
+	if r.role != PreCandidate || m.GetReject() || m.GetTerm() != r.term+1 || !r.isVoter(m.GetFrom()) {
 		return
 	}
 	r.votes[m.GetFrom()] = true
-	if len(r.votes) >= r.quorum() {
+	if r.elected() {
 		r.campaign(now)
 	}
 }
 
 func (r *Replica) onVote(now time.Time, m *saddlewire.Message) {
 	free := r.vote == "" || r.vote == m.GetFrom()
-	grant := free && r.leader == "" && r.logAtLeast(m.GetIndex(), m.GetLogTerm())
+	grant := free && r.leader == "" && !r.withholdsVotes(now) && r.logAtLeast(m.GetIndex(), m.GetLogTerm())
 	if grant {
 		r.vote = m.GetFrom()
 		r.saveHard()
@@ -101,11 +117,11 @@
 }
 
 func (r *Replica) onVoteReply(now time.Time, m *saddlewire.Message) {
-	if r.role != Candidate || m.GetReject() {
+	if r.role != Candidate || m.GetReject() || !r.isVoter(m.GetFrom()) {
 		return
 	}
 	r.votes[m.GetFrom()] = true
-	if len(r.votes) >= r.quorum() {
+	if r.elected() {
 		r.lead(now)
 	}
 }
--- a/internal/control/saddlereplica/log.go
+++ b/internal/control/saddlereplica/log.go
@@ -49,3 +49,17 @@
 	l.base = index
 	l.baseTerm = term
 }
+
+// kept returns those of the entries that the log still holds.
+func (l *entryLog) kept(entries []*saddlewire.LogEntry) []*saddlewire.LogEntry {
+	var out []*saddlewire.LogEntry
+	for _, e := range entries {
+		if e.GetIndex() <= l.base {
+			continue
+		}
+		if term, ok := l.term(e.GetIndex()); ok && term == e.GetTerm() {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- a/internal/control/saddlereplica/replica.go
+++ b/internal/control/saddlereplica/replica.go
@@ -12,6 +12,7 @@
 type Replica struct {
 	cfg  Config
 	role Role
+	err  error
 
 	term   uint64
 	vote   string
@@ -21,22 +22,31 @@
 	commit  uint64
 	applied uint64
 
+	members      *saddlewire.Membership
+	membersIndex uint64
+
 	votes    map[string]bool
 	progress map[string]*progress
 
-	deadline  time.Time // next election or heartbeat
-	heardFrom time.Time // last message of a leader of this term
+	deadline       time.Time // next election or heartbeat
+	guard          time.Time // last message of any leader, or the start
+	ledSince       time.Time
+	confirmedAt    time.Time // last word of a leader with a lease
+	confirmedIndex uint64    // what it had committed
 
 	snapshot *saddlewire.Snapshot // latest, sent to replicas far behind
+	incoming *saddlewire.Snapshot // received in part
 	ready    Ready
 }
 
-// New returns a follower with the state that its store held.
+// New returns a follower with the state that its store held. It grants no vote
+// for an election timeout, because it may have heard a leader before.
 func New(now time.Time, cfg Config, hard *saddlewire.HardState, snapshot *saddlewire.Snapshot, entries []*saddlewire.LogEntry) *Replica {
 	r := &Replica{
-		cfg:  cfg,
-		term: hard.GetTerm(),
-		vote: hard.GetVote(),
+		cfg:   cfg,
+		term:  hard.GetTerm(),
+		vote:  hard.GetVote(),
+		guard: now,
 	}
 	r.log.base = snapshot.GetIndex()
 	r.log.baseTerm = snapshot.GetTerm()
@@ -44,6 +54,7 @@
 	r.commit = snapshot.GetIndex()
 	r.applied = snapshot.GetIndex()
 	r.snapshot = snapshot
+	r.useMembership()
 	r.resetElection(now)
 	return r
 }
@@ -60,6 +71,10 @@
 // Commit returns the highest index known to be committed.
 func (r *Replica) Commit() uint64 { return r.commit }
 
+// Err returns a *DiskLostError once the replica must not go on. It then asks
+// for nothing and sends nothing.
+func (r *Replica) Err() error { return r.err }
+
 // Match returns the highest index known to be stored at a replica.
 func (r *Replica) Match(id string) uint64 {
 	if id == r.cfg.ID {
@@ -76,17 +91,18 @@
 
 // Tick lets time pass: it starts elections and sends heartbeats.
 func (r *Replica) Tick(now time.Time) {
-	if now.Before(r.deadline) {
+	if now.Before(r.deadline) || r.err != nil {
 		return
 	}
 	if r.role != Leader {
 		r.preCampaign(now)
 		return
 	}
-	if !r.LeaseValid(now) && now.Sub(r.heardFrom) > r.cfg.Election {
+	if r.lostMajority(now) {
 		r.become(now, Follower, r.term, "")
 		return
 	}
+	r.repair(now)
 	r.broadcast(now)
 	r.deadline = now.Add(r.cfg.Heartbeat)
 }
@@ -96,13 +112,16 @@
 	if r.role != Leader {
 		return 0, &fireflysaddle.NotLeaderError{Leader: r.leader}
 	}
-	index := r.append(data)
-	r.broadcast(now)
+	index := r.append(&saddlewire.LogEntry{Data: data})
+	r.replicate(now)
 	return index, nil
 }
 
 // Ready returns what is to be done and forgets it.
 func (r *Replica) Ready() Ready {
+	if r.err != nil {
+		return Ready{}
+	}
 	rd := r.ready
 	if r.commit > r.applied {
 		rd.Committed = slices.Clone(r.log.slice(r.applied, r.commit))
@@ -124,58 +143,30 @@
 	r.advanceCommit(now)
 }
 
-// Compact replaces the applied entries up to a snapshot.
+// SnapshotOf returns a snapshot of the applied state, whose encoding is data,
+// or nil when nothing was applied since the last one.
+func (r *Replica) SnapshotOf(data []byte) *saddlewire.Snapshot {
+	if r.applied <= r.log.base {
+		return nil
+	}
+	term, _ := r.log.term(r.applied)
+	members, _ := r.membershipAt(r.applied)
+	return &saddlewire.Snapshot{Index: r.applied, Term: term, Data: data, Membership: members}
+}
+
+// Compact replaces the applied entries up to a snapshot, once it is stored.
 func (r *Replica) Compact(snapshot *saddlewire.Snapshot) {
 	if snapshot.GetIndex() <= r.log.base || snapshot.GetIndex() > r.applied {
 		return
 	}
 	r.log.compact(snapshot.GetIndex(), snapshot.GetTerm())
 	r.snapshot = snapshot
+	r.useMembership()
 }
 
-// TermAt returns the term of an entry that the log still holds.
-func (r *Replica) TermAt(index uint64) uint64 {
-	term, _ := r.log.term(index)
-	return term
-}
-
-// LeaseValid reports whether no other replica can lead at this time: a
-// majority answered messages sent less than an election timeout ago, and a
-// replica that heard from a leader grants no vote for that long.
-func (r *Replica) LeaseValid(now time.Time) bool {
-	if r.role != Leader {
-		return false
-	}
-	fresh := 0
-	for id, p := range r.progress {
-		if id == r.cfg.ID || now.Sub(p.acked) < r.leaseLength() {
-			fresh++
-		}
-	}
-	committed, _ := r.log.term(r.commit)
-	return fresh >= r.quorum() && committed == r.term
-}
-
-// Confirmed reports whether the applied state was confirmed by a majority a
-// short while ago: at the leader by its lease, elsewhere by the leader's word.
-func (r *Replica) Confirmed(now time.Time) bool {
-	if r.role == Leader {
-		return r.LeaseValid(now)
-	}
-	return r.leader != "" && now.Sub(r.heardFrom) < r.cfg.Election
-}
-
-// leaseLength leaves a tenth of the election timeout for clock drift.
-func (r *Replica) leaseLength() time.Duration {
-	return r.cfg.Election * 9 / 10
-}
-
-func (r *Replica) quorum() int {
-	return len(r.cfg.Voters)/2 + 1
-}
-
-func (r *Replica) append(data []byte) uint64 {
-	e := &saddlewire.LogEntry{Term: r.term, Index: r.log.last() + 1, Data: data}
+func (r *Replica) append(e *saddlewire.LogEntry) uint64 {
+	e.Term = r.term
+	e.Index = r.log.last() + 1
 	r.log.entries = append(r.log.entries, e)
 	r.ready.Entries = append(r.ready.Entries, e)
 	return e.GetIndex()
@@ -209,5 +200,6 @@
 	r.leader = leader
 	r.votes = nil
 	r.progress = nil
+	r.incoming = nil
 	r.resetElection(now)
 }
--- a/internal/control/saddlestate/apply.go
+++ b/internal/control/saddlestate/apply.go
@@ -1,6 +1,7 @@
 package saddlestate
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -9,15 +10,20 @@
 
 // Apply carries out a committed command at a log index and returns its result.
 // A command with a request id seen before changes nothing and returns the
-// first result.
+// first result, or is refused when it asks for another change.
 func (s *State) Apply(index uint64, c *saddlewire.Command) *saddlewire.Result {
-	if past, ok := s.results[c.GetRequest()]; ok && c.GetRequest() != "" {
-		return past
+	sum := digest(c)
+	window := s.window(sum != nil)
+	if past, ok := window.find(c.GetRequest()); ok {
+		if !bytes.Equal(past.GetDigest(), sum) {
+			return refuse(fireflysaddle.CodeInvalid, "request id %q was used for another change", c.GetRequest())
+		}
+		return past.GetResult()
 	}
 	result := s.change(index, c)
 	result.Index = index
 	result.NowNs = c.GetNowNs()
-	s.remember(c.GetRequest(), result)
+	window.add(&saddlewire.PastResult{Request: c.GetRequest(), Result: result, Digest: sum})
 	return result
 }
 
--- a/internal/control/saddlestate/configuration.go
+++ b/internal/control/saddlestate/configuration.go
@@ -1,6 +1,8 @@
 package saddlestate
 
 import (
+	"maps"
+
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddletemplate"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
@@ -32,6 +34,9 @@
 		d.Index = index
 		rendered = append(rendered, d)
 	}
+	if first, second := s.sharedKey(rendered); first != "" {
+		return refuse(fireflysaddle.CodeInvalid, "workspaces %q and %q would have a key in common", first, second)
+	}
 	s.templates[put.GetName()] = next
 	for _, d := range rendered {
 		s.deployments[d.GetWorkspace()] = d
@@ -56,8 +61,8 @@
 	if err != nil {
 		return refuse(fireflysaddle.CodeInvalid, "%v", err)
 	}
-	if other := s.keyOwner(d); other != "" {
-		return refuse(fireflysaddle.CodeInvalid, "one of the keys of workspace %q belongs to workspace %q", put.GetWorkspace(), other)
+	if first, second := s.sharedKey([]*saddlewire.Deployment{d}); first != "" {
+		return refuse(fireflysaddle.CodeInvalid, "workspaces %q and %q would have a key in common", first, second)
 	}
 	d.Revision = current + 1
 	d.TemplateRevision = t.GetRevision()
@@ -66,23 +71,25 @@
 	return s.accept(index, d.GetRevision())
 }
 
-// keyOwner returns another workspace that has one of a deployment's keys.
-func (s *State) keyOwner(d *saddlewire.Deployment) string {
-	hashes := make(map[string]bool, len(d.GetKeyHashes()))
-	for _, h := range d.GetKeyHashes() {
-		hashes[h] = true
+// sharedKey returns two workspaces that would have a key in common if the
+// given deployments replaced their earlier revisions; empty: none.
+func (s *State) sharedKey(changed []*saddlewire.Deployment) (first, second string) {
+	next := make(map[string]*saddlewire.Deployment, len(s.deployments)+len(changed))
+	maps.Copy(next, s.deployments)
+	for _, d := range changed {
+		next[d.GetWorkspace()] = d
 	}
-	for _, other := range s.Deployments() {
-		if other.GetWorkspace() == d.GetWorkspace() {
-			continue
-		}
-		for _, h := range other.GetKeyHashes() {
-			if hashes[h] {
-				return other.GetWorkspace()
+	owners := map[string]string{}
+	for _, d := range sorted(next) {
+		for _, hash := range d.GetKeyHashes() {
+			owner, ok := owners[hash]
+			if ok && owner != d.GetWorkspace() {
+				return owner, d.GetWorkspace()
 			}
+			owners[hash] = d.GetWorkspace()
 		}
 	}
-	return ""
+	return "", ""
 }
 
 func (s *State) putDrain(index uint64, put *saddlewire.PutDrain) *saddlewire.Result {
--- /dev/null
+++ b/internal/control/saddlestate/digest.go
@@ -0,0 +1,56 @@
+package saddlestate
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+	"maps"
+	"slices"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// digest returns a hash of a change of configuration, the same on all replicas
+// and versions, or nil for any other command.
+func digest(c *saddlewire.Command) []byte {
+	d := digester{hash: sha256.New()}
+	switch change := c.GetChange().(type) {
+	case *saddlewire.Command_PutTemplate:
+		put := change.PutTemplate
+		d.text("template", put.GetName(), put.GetBody())
+		d.number(put.GetBase())
+	case *saddlewire.Command_PutDeployment:
+		put := change.PutDeployment
+		d.text("deployment", put.GetWorkspace(), put.GetTemplate())
+		d.number(put.GetBase())
+		for _, name := range slices.Sorted(maps.Keys(put.GetParameters())) {
+			d.text(name, put.GetParameters()[name])
+		}
+	case *saddlewire.Command_PutDrain:
+		put := change.PutDrain
+		d.text("drain", put.GetTarget())
+		if put.GetActive() {
+			d.number(1)
+		}
+	default:
+		return nil
+	}
+	return d.hash.Sum(nil)
+}
+
+// digester hashes values with their lengths, so that no two lists of values
+// look the same.
+type digester struct {
+	hash hash.Hash
+}
+
+func (d digester) text(values ...string) {
+	for _, v := range values {
+		d.number(uint64(len(v)))
+		_, _ = d.hash.Write([]byte(v))
+	}
+}
+
+func (d digester) number(n uint64) {
+	_, _ = d.hash.Write(binary.BigEndian.AppendUint64(nil, n))
+}
--- a/internal/control/saddlestate/state.go
+++ b/internal/control/saddlestate/state.go
@@ -9,9 +9,6 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-// maxResults bounds the results kept for resends; the oldest go first.
-const maxResults = 20000
-
 // claimKey identifies a claim.
 type claimKey struct {
 	workspace string
@@ -26,8 +23,8 @@
 	deployments map[string]*saddlewire.Deployment
 	drains      map[string]*saddlewire.Drain
 	claims      map[claimKey]*saddlewire.Claim
-	results     map[string]*saddlewire.Result
-	order       []string // requests in results, oldest first
+	changes     results // of commands that change the configuration
+	settled     results // of commands on claims
 }
 
 // New returns an empty state.
@@ -37,7 +34,8 @@
 		deployments: map[string]*saddlewire.Deployment{},
 		drains:      map[string]*saddlewire.Drain{},
 		claims:      map[claimKey]*saddlewire.Claim{},
-		results:     map[string]*saddlewire.Result{},
+		changes:     newResults(maxChanges),
+		settled:     newResults(maxSettled),
 	}
 }
 
@@ -64,9 +62,7 @@
 	for _, c := range s.claims {
 		out.Claims = append(out.Claims, c)
 	}
-	for _, request := range s.order {
-		out.Results = append(out.Results, &saddlewire.PastResult{Request: request, Result: s.results[request]})
-	}
+	out.Results = append(s.changes.all(), s.settled.all()...)
 	return proto.Marshal(out)
 }
 
@@ -91,22 +87,18 @@
 		s.claims[claimKey{workspace: c.GetWorkspace(), key: c.GetKey()}] = c
 	}
 	for _, p := range in.GetResults() {
-		s.remember(p.GetRequest(), p.GetResult())
+		s.window(len(p.GetDigest()) > 0).add(p)
 	}
 	return s, nil
 }
 
-// remember keeps a result for resends of its command.
-func (s *State) remember(request string, result *saddlewire.Result) {
-	if request == "" {
-		return
-	}
-	s.results[request] = result
-	s.order = append(s.order, request)
-	if len(s.order) > maxResults {
-		delete(s.results, s.order[0])
-		s.order = s.order[1:]
+// window returns the results kept for commands of a sort. Claims come with the
+// traffic, so they must not push out what operators may still resend.
+func (s *State) window(configuration bool) *results {
+	if configuration {
+		return &s.changes
 	}
+	return &s.settled
 }
 
 func sorted[V any](m map[string]V) []V {
--- /dev/null
+++ b/internal/control/saddlestore/fs.go
@@ -0,0 +1,92 @@
+package saddlestore
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+)
+
+// FS is what a store needs of a file system. All names are within one folder.
+type FS interface {
+	// List returns the names of the files.
+	List() ([]string, error)
+	// Read returns a file's content.
+	Read(name string) ([]byte, error)
+	// Create creates an empty file, replacing one that exists.
+	Create(name string) (File, error)
+	// Open opens a file for writing at its end, cut to a size in bytes.
+	Open(name string, size int64) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncFolder makes the names of files durable.
+	SyncFolder() error
+}
+
+// File is a file open for writing.
+type File interface {
+	io.WriteCloser
+	// Sync makes the content durable.
+	Sync() error
+}
+
+// folder is a folder of the operating system.
+type folder struct {
+	dir string
+}
+
+func (f folder) List() ([]string, error) {
+	entries, err := os.ReadDir(f.dir)
+	if err != nil {
+		return nil, eris.Wrapf(err, "list %s", f.dir)
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+func (f folder) Read(name string) ([]byte, error) {
+	return os.ReadFile(filepath.Join(f.dir, name))
+}
+
+func (f folder) Create(name string) (File, error) {
+	return os.OpenFile(filepath.Join(f.dir, name), os.O_CREATE|os.O_WRONLY|os.O_TRUNC, filePerm)
+}
+
+func (f folder) Open(name string, size int64) (File, error) {
+	file, err := os.OpenFile(filepath.Join(f.dir, name), os.O_WRONLY|os.O_APPEND, filePerm)
+	if err != nil {
+		return nil, err
+	}
+	if err := file.Truncate(size); err != nil {
+		_ = file.Close()
+		return nil, err
+	}
+	return file, nil
+}
+
+func (f folder) Rename(from, to string) error {
+	return os.Rename(filepath.Join(f.dir, from), filepath.Join(f.dir, to))
+}
+
+func (f folder) Remove(name string) error {
+	return os.Remove(filepath.Join(f.dir, name))
+}
+
+func (f folder) SyncFolder() error { return syncDir(f.dir) }
+
+// syncDir makes renames and new files in a folder durable.
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return eris.Wrapf(err, "open %s", dir)
+	}
+	defer func() { _ = d.Close() }()
+	if err := d.Sync(); err != nil {
+		return eris.Wrapf(err, "sync %s", dir)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/saddlestore/lock.go
@@ -0,0 +1,36 @@
+package saddlestore
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+)
+
+const lockName = "lock"
+
+// InUseError says that another process has the data folder open.
+type InUseError struct {
+	Dir string
+}
+
+// Error names the folder.
+func (e *InUseError) Error() string {
+	return fmt.Sprintf("data folder %s is in use by another process", e.Dir)
+}
+
+// lockDir holds a data folder for this process until the file is closed.
+func lockDir(dir string) (*os.File, error) {
+	name := filepath.Join(dir, lockName)
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, filePerm)
+	if err != nil {
+		return nil, eris.Wrapf(err, "open %s", name)
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = file.Close()
+		return nil, &InUseError{Dir: dir}
+	}
+	return file, nil
+}
--- /dev/null
+++ b/internal/control/saddlestore/names.go
@@ -0,0 +1,34 @@
+package saddlestore
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+const (
+	segmentPrefix = "log-"
+	snapshotName  = "snapshot"
+	newSuffix     = ".new" // of a file that is renamed once it is whole
+)
+
+func segmentName(n uint64) string {
+	return fmt.Sprintf("%s%d", segmentPrefix, n)
+}
+
+// segments returns the numbers of the segments among files, rising.
+func segments(files []string) []uint64 {
+	var out []uint64
+	for _, name := range files {
+		digits, ok := strings.CutPrefix(name, segmentPrefix)
+		if !ok {
+			continue
+		}
+		if n, err := strconv.ParseUint(digits, 10, 64); err == nil {
+			out = append(out, n)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/control/saddlestore/store.go
+++ b/internal/control/saddlestore/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"path/filepath"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -11,22 +10,26 @@
 )
 
 const (
-	logName      = "log"
-	snapshotName = "snapshot"
 	filePerm     = 0o600
 	dirPerm      = 0o700
+	segmentBytes = 8 << 20 // a segment that is longer is followed by a new one
 )
 
 // Store is a replica's files. It is used by one goroutine and implements
 // fireflysaddle.LogStore.
 type Store struct {
-	dir  string
-	file *os.File
-	err  error // first write error; the store takes no writes after it
+	fs      FS
+	limit   int64 // of a segment, bytes
+	err     error // first write error; the store takes no writes after it
+	segment uint64
+	file    File
+	size    int64 // of the segment, bytes
+	synced  int64 // bytes of it known to be durable
 
-	hard    *saddlewire.HardState
-	entries []*saddlewire.LogEntry
-	base    uint64
+	hard     *saddlewire.HardState
+	base     uint64 // index of the snapshot
+	baseTerm uint64
+	entries  []*saddlewire.LogEntry // after the snapshot
 }
 
 // Loaded is what a store held when it was opened.
@@ -37,22 +40,39 @@
 }
 
 // Open reads the data folder, creating it where needed. The returned clean-up
-// closes the files. Damage is a *DamageError.
+// closes the files. Damage is a *DamageError, a folder that another process
+// uses an *InUseError.
 func Open(dir string) (*Store, Loaded, func() error, error) {
 	if err := os.MkdirAll(dir, dirPerm); err != nil {
 		return nil, Loaded{}, nil, eris.Wrapf(err, "create data folder %s", dir)
 	}
-	s := &Store{dir: dir}
-	snapshot, err := s.readSnapshot()
+	lock, err := lockDir(dir)
 	if err != nil {
 		return nil, Loaded{}, nil, err
 	}
-	s.base = snapshot.GetIndex()
-	if err := s.readLog(); err != nil {
+	s, loaded, closeFile, err := OpenFS(folder{dir: dir}, segmentBytes)
+	if err != nil {
+		_ = lock.Close()
+		return nil, Loaded{}, nil, eris.Wrapf(err, "open data folder %s", dir)
+	}
+	cleanup := func() error {
+		err := closeFile()
+		_ = lock.Close()
+		return err
+	}
+	return s, loaded, cleanup, nil
+}
+
+// OpenFS reads the files of a file system that no other store uses. A segment
+// longer than limit bytes is followed by a new one.
+func OpenFS(fs FS, limit int64) (*Store, Loaded, func() error, error) {
+	s := &Store{fs: fs, limit: limit}
+	snapshot, err := s.load()
+	if err != nil {
 		return nil, Loaded{}, nil, err
 	}
 	loaded := Loaded{Hard: s.hard, Snapshot: snapshot, Entries: append([]*saddlewire.LogEntry(nil), s.entries...)}
-	return s, loaded, s.file.Close, nil
+	return s, loaded, func() error { return s.file.Close() }, nil
 }
 
 // Append adds entries, replacing those at and after the first one's index.
@@ -78,15 +98,19 @@
 	if s.err != nil {
 		return s.err
 	}
+	return s.fail(s.setSnapshot(snapshot))
+}
+
+func (s *Store) setSnapshot(snapshot *saddlewire.Snapshot) error {
 	data, err := proto.Marshal(snapshot)
 	if err != nil {
 		return eris.Wrap(err, "encode snapshot")
 	}
-	if err := s.replaceFile(snapshotName, encodeRecord(data)); err != nil {
-		s.err = err
+	if err := s.writeWhole(snapshotName, [][]byte{data}); err != nil {
 		return err
 	}
-	return s.rewriteLog(snapshot)
+	s.rebase(snapshot)
+	return s.startCheckpoint()
 }
 
 // Sync makes all that came before durable.
@@ -95,19 +119,30 @@
 		return s.err
 	}
 	if err := s.file.Sync(); err != nil {
-		s.err = eris.Wrapf(err, "sync %s", s.file.Name())
-		return s.err
+		return s.fail(eris.Wrapf(err, "sync %s", segmentName(s.segment)))
 	}
-	return nil
+	s.synced = s.size
+	if s.size < s.limit {
+		return nil
+	}
+	return s.fail(s.startSegment())
+}
+
+// fail notes the first error, after which nothing is written.
+func (s *Store) fail(err error) error {
+	if err != nil && s.err == nil {
+		s.err = err
+	}
+	return err
 }
 
-// keep mirrors an entry in memory, for the next rewrite of the log.
+// keep mirrors an entry in memory, for the next checkpoint.
 func (s *Store) keep(e *saddlewire.LogEntry) {
 	if e.GetIndex() <= s.base {
 		return
 	}
 	if at := e.GetIndex() - s.base - 1; at < uint64(len(s.entries)) {
-		s.entries = s.entries[:at]
+		s.entries = s.entries[:at:at]
 	}
 	s.entries = append(s.entries, e)
 }
@@ -118,166 +153,30 @@
 	}
 	payload, err := proto.Marshal(rec)
 	if err != nil {
-		return eris.Wrap(err, "encode log record")
-	}
-	if _, err := s.file.Write(encodeRecord(payload)); err != nil {
-		s.err = eris.Wrapf(err, "write %s", s.file.Name())
-		return s.err
-	}
-	return nil
-}
-
-func (s *Store) readSnapshot() (*saddlewire.Snapshot, error) {
-	name := filepath.Join(s.dir, snapshotName)
-	data, err := os.ReadFile(name)
-	if os.IsNotExist(err) {
-		return &saddlewire.Snapshot{}, nil
-	}
-	if err != nil {
-		return nil, eris.Wrapf(err, "read %s", name)
-	}
-	payloads, _, err := decodeRecords(name, data)
-	if err != nil {
-		return nil, err
-	}
-	if len(payloads) != 1 {
-		return nil, &DamageError{File: name, Reason: "no whole snapshot"}
-	}
-	snapshot := &saddlewire.Snapshot{}
-	if err := proto.Unmarshal(payloads[0], snapshot); err != nil {
-		return nil, &DamageError{File: name, Reason: err.Error()}
-	}
-	return snapshot, nil
-}
-
-func (s *Store) readLog() error {
-	name := filepath.Join(s.dir, logName)
-	file, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, filePerm)
-	if err != nil {
-		return eris.Wrapf(err, "open %s", name)
-	}
-	data, err := os.ReadFile(name)
-	if err != nil {
-		return eris.Wrapf(err, "read %s", name)
-	}
-	payloads, sound, err := decodeRecords(name, data)
-	if err != nil {
-		return err
-	}
-	for _, p := range payloads {
-		if err := s.replay(name, p); err != nil {
-			return err
-		}
-	}
-	if err := file.Truncate(sound); err != nil {
-		return eris.Wrapf(err, "cut %s", name)
-	}
-	if _, err := file.Seek(sound, 0); err != nil {
-		return eris.Wrapf(err, "seek in %s", name)
-	}
-	s.file = file
-	return syncDir(s.dir)
-}
-
-func (s *Store) replay(name string, payload []byte) error {
-	rec := &saddlewire.StoreRecord{}
-	if err := proto.Unmarshal(payload, rec); err != nil {
-		return &DamageError{File: name, Reason: err.Error()}
+		return s.fail(eris.Wrap(err, "encode log record"))
 	}
-	if hard := rec.GetHard(); hard != nil {
-		s.hard = hard
+	record := encodeRecord(payload, s.synced)
+	if _, err := s.file.Write(record); err != nil {
+		return s.fail(eris.Wrapf(err, "write %s", segmentName(s.segment)))
 	}
-	e := rec.GetEntry()
-	if e == nil {
-		return nil
-	}
-	if e.GetIndex() > s.base+uint64(len(s.entries))+1 {
-		return &DamageError{File: name, Reason: "entries are missing"}
-	}
-	s.keep(e)
+	s.size += int64(len(record))
 	return nil
 }
 
-// rewriteLog drops the entries that a snapshot covers. Those after it stay
-// only when the log agrees with the snapshot.
-func (s *Store) rewriteLog(snapshot *saddlewire.Snapshot) error {
-	s.entries = s.entriesAfter(snapshot)
-	s.base = snapshot.GetIndex()
-	var buf []byte
-	records := []*saddlewire.StoreRecord{{Record: &saddlewire.StoreRecord_Hard{Hard: s.hard}}}
-	for _, e := range s.entries {
-		records = append(records, &saddlewire.StoreRecord{Record: &saddlewire.StoreRecord_Entry{Entry: e}})
-	}
-	for _, rec := range records {
-		payload, err := proto.Marshal(rec)
-		if err != nil {
-			return eris.Wrap(err, "encode log record")
-		}
-		buf = append(buf, encodeRecord(payload)...)
-	}
-	if err := s.replaceFile(logName, buf); err != nil {
-		s.err = err
-		return err
-	}
-	return s.reopen()
-}
-
-func (s *Store) entriesAfter(snapshot *saddlewire.Snapshot) []*saddlewire.LogEntry {
+// rebase drops the entries that a snapshot covers. Those after it stay only
+// when the log agrees with the snapshot.
+func (s *Store) rebase(snapshot *saddlewire.Snapshot) {
 	index := snapshot.GetIndex()
-	if index <= s.base || index > s.base+uint64(len(s.entries)) {
-		return nil
-	}
-	if s.entries[index-s.base-1].GetTerm() != snapshot.GetTerm() {
-		return nil
-	}
-	return append([]*saddlewire.LogEntry(nil), s.entries[index-s.base:]...)
-}
-
-func (s *Store) reopen() error {
-	if err := s.file.Close(); err != nil {
-		return eris.Wrap(err, "close old log")
-	}
-	name := filepath.Join(s.dir, logName)
-	file, err := os.OpenFile(name, os.O_RDWR|os.O_APPEND, filePerm)
-	if err != nil {
-		s.err = eris.Wrapf(err, "open %s", name)
-		return s.err
-	}
-	s.file = file
-	return nil
-}
-
-// replaceFile writes a new file, syncs it and renames it over the old one.
-func (s *Store) replaceFile(name string, data []byte) error {
-	path := filepath.Join(s.dir, name)
-	tmp := path + ".new"
-	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, filePerm)
-	if err != nil {
-		return eris.Wrapf(err, "create %s", tmp)
-	}
-	if _, err := f.Write(data); err != nil {
-		return eris.Wrapf(err, "write %s", tmp)
-	}
-	if err := f.Sync(); err != nil {
-		return eris.Wrapf(err, "sync %s", tmp)
-	}
-	if err := f.Close(); err != nil {
-		return eris.Wrapf(err, "close %s", tmp)
-	}
-	if err := os.Rename(tmp, path); err != nil {
-		return eris.Wrapf(err, "rename %s", tmp)
-	}
-	return syncDir(s.dir)
-}
-
-// syncDir makes renames and new files in a folder durable.
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return eris.Wrapf(err, "open %s", dir)
-	}
-	if err := d.Sync(); err != nil {
-		return eris.Wrapf(err, "sync %s", dir)
+	var kept []*saddlewire.LogEntry
+	switch {
+	case index == s.base && snapshot.GetTerm() == s.baseTerm:
+		kept = s.entries
+	case index > s.base && index <= s.base+uint64(len(s.entries)):
+		if s.entries[index-s.base-1].GetTerm() == snapshot.GetTerm() {
+			kept = append(kept, s.entries[index-s.base:]...)
+		}
 	}
-	return d.Close()
+	s.entries = kept
+	s.base = index
+	s.baseTerm = snapshot.GetTerm()
 }
--- a/internal/control/saddletemplate/template.go
+++ b/internal/control/saddletemplate/template.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strings"
 
 	"github.com/BurntSushi/toml"
 )
@@ -14,12 +15,16 @@
 	maxBodyBytes = 256 << 10 // of a template's text
 
 	deploymentKey = "deployment" // the table that is filled in
+	holderStart   = "${"
 )
 
 var (
 	namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]*$`)
 	holder      = regexp.MustCompile(`\$\{([a-zA-Z0-9_]+)\}`)
 	types       = []string{"string", "int", "bool", "list"}
+
+	deploymentKeys = []string{"keys", "weight", "priority", "timeout", "models", "services"}
+	grantKeys      = []string{"name", "version"}
 )
 
 // Template is a parsed template.
@@ -63,7 +68,10 @@
 	if err := t.checkParameters(); err != nil {
 		return nil, err
 	}
-	return t, t.checkHolders(t.body)
+	if err := t.checkHolders(t.body); err != nil {
+		return nil, err
+	}
+	return t, t.checkKeys()
 }
 
 func decode(name, body string) (file, error) {
@@ -98,15 +106,64 @@
 	return nil
 }
 
+// checkText finds placeholders in a string that name no parameter or are not
+// well formed.
+func (t *Template) checkText(text string) error {
+	for _, m := range holder.FindAllStringSubmatch(text, -1) {
+		if _, ok := t.parameters[m[1]]; !ok {
+			return &Error{Template: t.Name, Parameter: m[1], Value: text, Reason: "is used and not declared"}
+		}
+	}
+	if strings.Contains(holder.ReplaceAllString(text, ""), holderStart) {
+		return &Error{Template: t.Name, Reason: fmt.Sprintf("%q holds a placeholder that is not ${name}", text)}
+	}
+	return nil
+}
+
+// checkKeys finds keys under deployment that mean nothing, and a template that
+// deploys nothing.
+func (t *Template) checkKeys() error {
+	if len(t.body) == 0 {
+		return &Error{Template: t.Name, Reason: "the table deployment is missing or empty"}
+	}
+	for key, value := range t.body {
+		if !slices.Contains(deploymentKeys, key) {
+			return &Error{Template: t.Name, Reason: fmt.Sprintf("unknown key %q under deployment", key)}
+		}
+		if err := t.checkGrantKeys(key, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Template) checkGrantKeys(key string, value any) error {
+	var tables []map[string]any
+	switch v := value.(type) {
+	case []map[string]any:
+		tables = v
+	case []any:
+		for _, item := range v {
+			if table, ok := item.(map[string]any); ok {
+				tables = append(tables, table)
+			}
+		}
+	}
+	for _, table := range tables {
+		for name := range table {
+			if !slices.Contains(grantKeys, name) {
+				return &Error{Template: t.Name, Reason: fmt.Sprintf("unknown key %q under deployment.%s", name, key)}
+			}
+		}
+	}
+	return nil
+}
+
 // checkHolders finds placeholders that name no parameter.
 func (t *Template) checkHolders(value any) error {
 	switch v := value.(type) {
 	case string:
-		for _, m := range holder.FindAllStringSubmatch(v, -1) {
-			if _, ok := t.parameters[m[1]]; !ok {
-				return &Error{Template: t.Name, Parameter: m[1], Value: v, Reason: "is used and not declared"}
-			}
-		}
+		return t.checkText(v)
 	case []any:
 		for _, item := range v {
 			if err := t.checkHolders(item); err != nil {
--- /dev/null
+++ b/internal/control/saddletemplate/template_test.go
@@ -0,0 +1,84 @@
+package saddletemplate_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddletemplate"
+)
+
+// Faults of a template's text are found when it is submitted, not when the
+// first deployment is made from it.
+func TestFaultyTemplateIsRefused(t *testing.T) {
+	for name, c := range map[string]struct{ body, names string }{
+		"unknown key":              {"[deployment]\nmodles = []\n", "modles"},
+		"unknown key of a grant":   {"[deployment]\nmodels = [{nmae = \"m\"}]\n", "nmae"},
+		"unfinished placeholder":   {"[deployment]\nmodels = [{name = \"${model\"}]\n", "${model"},
+		"placeholder with a dash":  {"[deployment]\nmodels = [{name = \"${the-model}\"}]\n", "${the-model}"},
+		"undeclared parameter":     {"[deployment]\nmodels = [{name = \"${model}\"}]\n", "model"},
+		"unknown parameter type":   {"[parameters.n]\ntype = \"float\"\n[deployment]\nmodels = []\n", "float"},
+		"default outside of range": {"[parameters.n]\ntype = \"int\"\nmin = 2\ndefault = \"1\"\n[deployment]\nmodels = []\n", "at least 2"},
+		"not TOML":                 {"[deployment\n", "line"},
+		"nothing to deploy":        {"name = \"forms\"\n", "deployment"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := saddletemplate.Parse("forms", c.body)
+			var bad *saddletemplate.Error
+			is.True(errors.As(err, &bad))
+			is.True(strings.Contains(err.Error(), c.names)) // the error names what is wrong
+		})
+	}
+}
+
+const withParameters = `
+[parameters.model]
+type = "string"
+required = true
+[parameters.weight]
+type = "int"
+min = 1
+max = 9
+default = "2"
+[parameters.keys]
+type = "list"
+default = ""
+[deployment]
+weight = "${weight}"
+keys = "${keys}"
+models = [{name = "${model}-x"}]
+`
+
+func TestParametersFillInTheirTypes(t *testing.T) {
+	is := is.New(t)
+	template, err := saddletemplate.Parse("forms", withParameters)
+	is.NoErr(err)
+	d, err := template.Render("kgotla", map[string]string{"model": "${weight}"})
+	is.NoErr(err)
+	is.Equal(d.GetWeight(), uint32(2))
+	is.Equal(d.GetGrants()[0].GetGroup(), "${weight}-x") // a value is not filled in again
+}
+
+func TestBadParametersAreNamed(t *testing.T) {
+	for name, c := range map[string]struct {
+		given map[string]string
+		names string
+	}{
+		"missing":      {map[string]string{}, "model"},
+		"unknown":      {map[string]string{"model": "m", "modle": "m"}, "modle"},
+		"out of range": {map[string]string{"model": "m", "weight": "10"}, "weight"},
+		"wrong type":   {map[string]string{"model": "m", "weight": "two"}, "weight"},
+		"bad key":      {map[string]string{"model": "m", "keys": "abc"}, "keys"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			template, err := saddletemplate.Parse("forms", withParameters)
+			is.NoErr(err)
+			_, err = template.Render("kgotla", c.given)
+			is.True(err != nil && strings.Contains(err.Error(), c.names))
+		})
+	}
+}
--- a/internal/daemon/saddledaemon/control.go
+++ b/internal/daemon/saddledaemon/control.go
@@ -29,6 +29,8 @@
 		Admin:         settings.Admin,
 		Data:          settings.Data,
 		Replicas:      replicas,
+		Join:          settings.Join,
+		Silence:       settings.Silence.Std(),
 		Heartbeat:     settings.Heartbeat.Std(),
 		Election:      settings.Election.Std(),
 		Lost:          settings.Lost.Std(),
