--- a/internal/control/saddlereplica/faults_test.go
+++ b/internal/control/saddlereplica/faults_test.go
@@ -222,3 +222,20 @@
 	}
 	return m
 }
+
+// A heartbeat that waited while the process stood still confirms only what was
+// so before.
+func TestLateHeartbeatConfirmsNothingNewer(t *testing.T) {
+	is := is.New(t)
+	r := newReplica("b", three, hard(1), entries(1, 1))
+	beat := &saddlewire.Message{
+		Type: saddlewire.Message_APPEND, From: "a", To: "b", Term: 1, Index: 1, LogTerm: 1, Commit: 1,
+		Confirmed: true, EchoNs: start.UnixNano(),
+	}
+	r.Step(start.Add(heartbeat), beat)
+	r.Ready()
+	is.True(r.Confirmed(start.Add(heartbeat)))
+	thawed := start.Add(10 * election)
+	r.Step(thawed, beat)
+	is.True(!r.Confirmed(thawed))
+}
--- a/internal/control/saddlereplica/lease.go
+++ b/internal/control/saddlereplica/lease.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
 // LeaseValid reports whether this leader may vouch for its applied state: a
@@ -78,3 +80,16 @@
 	}
 	return !r.confirmedAt.IsZero() && now.Sub(r.confirmedAt) < r.cfg.Election && r.applied >= r.confirmedIndex
 }
+
+// noteConfirmed notes that a leader with a lease vouched for what it had
+// committed. The time that counts is when this replica sent the answer that the
+// leader had received by then, so that a message that was long under way, or
+// waited while this process stood still, confirms nothing newer.
+func (r *Replica) noteConfirmed(now time.Time, m *saddlewire.Message) {
+	at := time.Unix(0, m.GetEchoNs())
+	if !m.GetConfirmed() || m.GetEchoNs() == 0 || at.After(now) || at.Before(r.confirmedAt) {
+		return
+	}
+	r.confirmedAt = at
+	r.confirmedIndex = max(r.confirmedIndex, m.GetCommit())
+}
--- a/internal/control/saddlereplica/progress.go
+++ b/internal/control/saddlereplica/progress.go
@@ -13,6 +13,7 @@
 	next     uint64               // index to send next
 	acked    time.Time            // when the leader sent the last message that was answered
 	sent     time.Time            // when the message under way was sent; zero: none is
+	echoNs   int64                // its clock when it last answered
 	snapshot *saddlewire.Snapshot // being sent, nil: none
 	offset   uint64               // bytes of it stored there
 }
--- a/internal/control/saddlereplica/replicate.go
+++ b/internal/control/saddlereplica/replicate.go
@@ -119,6 +119,7 @@
 		Entries:   entries,
 		SentNs:    now.UnixNano(),
 		Confirmed: r.LeaseValid(now),
+		EchoNs:    r.progress[id].echoNs,
 		Learner:   !r.isVoter(id),
 	})
 }
@@ -147,11 +148,10 @@
 
 func (r *Replica) onAppend(now time.Time, m *saddlewire.Message) {
 	r.followLeader(now, m.GetFrom())
-	if m.GetConfirmed() && m.GetCommit() >= r.confirmedIndex {
-		r.confirmedIndex = m.GetCommit()
-		r.confirmedAt = now
+	r.noteConfirmed(now, m)
+	reply := &saddlewire.Message{
+		Type: saddlewire.Message_APPEND_REPLY, To: m.GetFrom(), SentNs: m.GetSentNs(), EchoNs: now.UnixNano(),
 	}
-	reply := &saddlewire.Message{Type: saddlewire.Message_APPEND_REPLY, To: m.GetFrom(), SentNs: m.GetSentNs()}
 	if m.GetIndex() < r.commit {
 		reply.Index = r.commit // all up to the commit index is known to agree
 		r.send(reply)
@@ -207,6 +207,7 @@
 		return
 	}
 	p.noteAck(m.GetSentNs())
+	p.echoNs = m.GetEchoNs()
 	if m.GetReject() {
 		r.onReject(now, m, p)
 		return
--- a/internal/control/saddlestore/store_test.go
+++ b/internal/control/saddlestore/store_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestore"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddledisk"
 )
 
 const (
@@ -54,7 +55,7 @@
 			for _, keepNames := range []bool{false, true} {
 				for failAt := 1; ; failAt++ {
 					done, fs, finished := crash(t, failAt, torn)
-					got := holds(t, fs.reboot(keepData, keepNames))
+					got := holds(t, fs.Reboot(keepData, keepNames))
 					runs++
 					if want := allowed(done); !slices.Contains(want, got) {
 						t.Fatalf("crash at operation %d (torn %t, data kept %t, names kept %t) after %d changes:\ngot  %s\nwant one of %q",
@@ -72,11 +73,10 @@
 
 // crash runs the history until an operation fails and returns how many changes
 // were stored.
-func crash(t *testing.T, failAt int, torn bool) (done int, fs *memory, finished bool) {
+func crash(t *testing.T, failAt int, torn bool) (done int, fs *saddledisk.Memory, finished bool) {
 	t.Helper()
-	fs = newMemory()
-	fs.failAt = failAt
-	fs.torn = torn
+	fs = saddledisk.New()
+	fs.FailAt(failAt, saddledisk.ErrCrash, torn)
 	s, _, _, err := saddlestore.OpenFS(fs, smallSegment)
 	if err != nil {
 		return 0, fs, false
@@ -94,12 +94,12 @@
 	for failAt := 1; ; failAt++ {
 		done, fs, finished := crash(t, failAt, true)
 		for again := 1; again < 12; again++ {
-			second := fs.reboot(true, true)
-			second.failAt = again
+			second := fs.Reboot(true, true)
+			second.FailAt(again, saddledisk.ErrCrash, false)
 			if _, _, _, err := saddlestore.OpenFS(second, smallSegment); err == nil {
 				break
 			}
-			if got := holds(t, second.reboot(true, false)); !slices.Contains(allowed(done), got) {
+			if got := holds(t, second.Reboot(true, false)); !slices.Contains(allowed(done), got) {
 				t.Fatalf("crash at %d, again at %d: got %s, want one of %q", failAt, again, got, allowed(done))
 			}
 		}
@@ -123,16 +123,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			fs := newMemory()
+			fs := saddledisk.New()
 			s, _, _, err := saddlestore.OpenFS(fs, largeSegment)
 			is.NoErr(err)
 			is.NoErr(put(1, 1).apply(s))
-			fs.fault = syscall.ENOSPC
-			fs.failAt = fs.operations + c.at
+			fs.FailAt(fs.Operations()+c.at, syscall.ENOSPC, false)
 			err = c.what.apply(s)
 			is.True(errors.Is(err, syscall.ENOSPC))
 			is.True(strings.Contains(err.Error(), c.file)) // names the file
-			fs.failAt = 0
+			fs.FailAt(0, nil, false)
 			is.True(put(1, 2).apply(s) != nil)
 			is.True(vote(9, "b").apply(s) != nil)
 			is.True(snap(1, 1).apply(s) != nil)
--- a/internal/control/saddletemplate/template_test.go
+++ b/internal/control/saddletemplate/template_test.go
@@ -15,7 +15,7 @@
 func TestFaultyTemplateIsRefused(t *testing.T) {
 	for name, c := range map[string]struct{ body, names string }{
 		"unknown key":              {"[deployment]\nmodles = []\n", "modles"},
-		"unknown key of a grant":   {"[deployment]\nmodels = [{nmae = \"m\"}]\n", "nmae"},
+		"unknown key of a grant":   {"[deployment]\nmodels = [{nam = \"m\"}]\n", "nam"},
 		"unfinished placeholder":   {"[deployment]\nmodels = [{name = \"${model\"}]\n", "${model"},
 		"placeholder with a dash":  {"[deployment]\nmodels = [{name = \"${the-model}\"}]\n", "${the-model}"},
 		"undeclared parameter":     {"[deployment]\nmodels = [{name = \"${model}\"}]\n", "model"},
@@ -68,7 +68,7 @@
 		names string
 	}{
 		"missing":      {map[string]string{}, "model"},
-		"unknown":      {map[string]string{"model": "m", "modle": "m"}, "modle"},
+		"unknown":      {map[string]string{"model": "m", "mod": "m"}, "mod"},
 		"out of range": {map[string]string{"model": "m", "weight": "10"}, "weight"},
 		"wrong type":   {map[string]string{"model": "m", "weight": "two"}, "weight"},
 		"bad key":      {map[string]string{"model": "m", "keys": "abc"}, "keys"},
--- a/internal/control/saddlestore/memory_test.go
+++ b/internal/standin/saddledisk/memory.go
@@ -1,4 +1,4 @@
-package saddlestore_test
+package saddledisk
 
 import (
 	"errors"
@@ -9,11 +9,12 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestore"
 )
 
-var errCrash = errors.New("crashed")
+// ErrCrash is the fault of a disk that Crash stopped.
+var ErrCrash = errors.New("crashed")
 
-// memory is a file system that can crash at any operation. What was not synced
-// is then lost or kept, as the test says.
-type memory struct {
+// Memory is a file system that can fail at any operation. It is used by one
+// goroutine.
+type Memory struct {
 	live    map[string]*content
 	durable map[string]*content // names as of the last SyncFolder
 
@@ -28,17 +29,19 @@
 	synced []byte
 }
 
-func newMemory() *memory {
-	return &memory{live: map[string]*content{}, durable: map[string]*content{}, fault: errCrash}
+// New returns an empty disk.
+func New() *Memory {
+	return &Memory{live: map[string]*content{}, durable: map[string]*content{}, fault: ErrCrash}
 }
 
-// reboot returns the file system after a crash.
-func (m *memory) reboot(keepData, keepNames bool) *memory {
+// Reboot returns the disk after a crash: what was not synced is kept or lost,
+// content and names each.
+func (m *Memory) Reboot(keepData, keepNames bool) *Memory {
 	names := m.durable
 	if keepNames {
 		names = m.live
 	}
-	out := newMemory()
+	out := New()
 	for name, c := range names {
 		data := slices.Clone(c.synced)
 		if keepData {
@@ -50,7 +53,28 @@
 	return out
 }
 
-func (m *memory) step() error {
+// Operations returns how many operations were asked for.
+func (m *Memory) Operations() int { return m.operations }
+
+// FailAt lets an operation, counted from the disk's first, and all after it
+// fail with a fault. A torn write leaves its first half. 0 lets none fail.
+func (m *Memory) FailAt(operation int, fault error, torn bool) {
+	m.failAt = operation
+	m.fault = fault
+	m.torn = torn
+}
+
+// Content returns a file's content, which the caller may change with
+// SetContent.
+func (m *Memory) Content(name string) []byte { return slices.Clone(m.live[name].data) }
+
+// SetContent replaces a file's content, as damage does.
+func (m *Memory) SetContent(name string, data []byte) { m.live[name].data = data }
+
+// Lose removes a file, as damage does.
+func (m *Memory) Lose(name string) { delete(m.live, name) }
+
+func (m *Memory) step() error {
 	m.operations++
 	if m.failAt > 0 && m.operations >= m.failAt {
 		return m.fault
@@ -58,11 +82,13 @@
 	return nil
 }
 
-func (m *memory) List() ([]string, error) {
+// List lists the files.
+func (m *Memory) List() ([]string, error) {
 	return slices.Sorted(maps.Keys(m.live)), nil
 }
 
-func (m *memory) Read(name string) ([]byte, error) {
+// Read returns a file's content.
+func (m *Memory) Read(name string) ([]byte, error) {
 	c, ok := m.live[name]
 	if !ok {
 		return nil, fs.ErrNotExist
@@ -70,7 +96,8 @@
 	return slices.Clone(c.data), nil
 }
 
-func (m *memory) Create(name string) (saddlestore.File, error) {
+// Create creates or empties a file.
+func (m *Memory) Create(name string) (saddlestore.File, error) {
 	if err := m.step(); err != nil {
 		return nil, err
 	}
@@ -79,7 +106,8 @@
 	return &handle{fs: m, content: c}, nil
 }
 
-func (m *memory) Open(name string, size int64) (saddlestore.File, error) {
+// Open opens a file cut to a size.
+func (m *Memory) Open(name string, size int64) (saddlestore.File, error) {
 	if err := m.step(); err != nil {
 		return nil, err
 	}
@@ -88,7 +116,8 @@
 	return &handle{fs: m, content: c}, nil
 }
 
-func (m *memory) Rename(from, to string) error {
+// Rename renames a file.
+func (m *Memory) Rename(from, to string) error {
 	if err := m.step(); err != nil {
 		return err
 	}
@@ -97,7 +126,8 @@
 	return nil
 }
 
-func (m *memory) Remove(name string) error {
+// Remove removes a file.
+func (m *Memory) Remove(name string) error {
 	if err := m.step(); err != nil {
 		return err
 	}
@@ -105,7 +135,8 @@
 	return nil
 }
 
-func (m *memory) SyncFolder() error {
+// SyncFolder makes the names durable.
+func (m *Memory) SyncFolder() error {
 	if err := m.step(); err != nil {
 		return err
 	}
@@ -114,7 +145,7 @@
 }
 
 type handle struct {
-	fs      *memory
+	fs      *Memory
 	content *content
 }
 
