control-replace, cases of the log as tables

Ruled out: a request id for a change of replicas, since asking again for what was done changes nothing. Conclusion: go test ./internal/control/... passes.

--- a/internal/command/saddlectl/command.go
+++ b/internal/command/saddlectl/command.go
@@ -37,6 +37,7 @@
 		{"drain", "TARGET", "give a target no new work", "saddlectl drain mastori-07", runDrain},
 		{"undrain", "TARGET", "give a target work again", "saddlectl undrain mastori-07", runUndrain},
 		{"timeline", "", "merge the time lines of all processes", "saddlectl timeline -request 6f0c", runTimeline},
+		{"control-replace", "OLD NEW ADDRESS", "replace a control replica whose disk or VM is lost (- for none)", "saddlectl control-replace control-2 control-2b 10.1.2.11:7100 -wait", runControlReplace},
 		{"control", "", "list the control replicas", "saddlectl control", runControl},
 	}
 }
--- /dev/null
+++ b/internal/command/saddlectl/replace.go
@@ -0,0 +1,94 @@
+package saddlectl
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// replacePoll is the time between looks at a replacement under way.
+const replacePoll = 200 * time.Millisecond
+
+// runControlReplace adds, removes or replaces a control replica. An empty old
+// or new one is written "-".
+func runControlReplace(ctx context.Context, s *session, args []string) error {
+	change, err := replaceArguments(args)
+	if err != nil {
+		return err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	result, err := s.client.Change(callCtx, change)
+	if err != nil {
+		return err
+	}
+	if !result.GetAccepted() {
+		return &rejectedError{code: fireflysaddle.Code(result.GetCode()), message: result.GetMessage()}
+	}
+	s.progress("accepted; the new replica votes once it is caught up, and the old one goes after that")
+	if !s.wait {
+		return nil
+	}
+	return s.awaitReplaced(ctx, change)
+}
+
+func replaceArguments(args []string) (*saddlewire.ReplicaChange, error) {
+	usage := &usageError{reason: "name the old replica, the new one and its address; - for none"}
+	if len(args) < 2 {
+		return nil, usage
+	}
+	change := &saddlewire.ReplicaChange{}
+	if args[0] != "-" {
+		change.Remove = args[0]
+	}
+	if args[1] == "-" {
+		if len(args) != 2 || change.GetRemove() == "" {
+			return nil, usage
+		}
+		return change, nil
+	}
+	if len(args) != 3 {
+		return nil, usage
+	}
+	change.Add = args[1]
+	change.Address = args[2]
+	return change, nil
+}
+
+// awaitReplaced waits until the new replica votes and the old one is gone.
+func (s *session) awaitReplaced(ctx context.Context, change *saddlewire.ReplicaChange) error {
+	ctx, cancel := context.WithTimeout(ctx, s.waitFor)
+	defer cancel()
+	missing := "control did not answer"
+	for {
+		if state, err := s.client.Read(ctx); err == nil {
+			if missing = notReplaced(state, change); missing == "" {
+				s.progress("done")
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return &slowError{missing: []string{missing}}
+		case <-time.After(replacePoll):
+		}
+	}
+}
+
+// notReplaced says what is missing of a change; empty: nothing.
+func notReplaced(state *saddlewire.ReadResponse, change *saddlewire.ReplicaChange) string {
+	votes := change.GetAdd() == ""
+	for _, r := range state.GetReplicas() {
+		if r.GetId() == change.GetRemove() {
+			return fmt.Sprintf("replica %s is still there", r.GetId())
+		}
+		votes = votes || (r.GetId() == change.GetAdd() && r.GetVoter())
+	}
+	if !votes {
+		return fmt.Sprintf("replica %s has no vote yet", change.GetAdd())
+	}
+	return ""
+}
--- a/internal/control/saddleclient/client.go
+++ b/internal/control/saddleclient/client.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	callTimeout = time.Second            // of one try at one replica
+	callTimeout = time.Second // of one try at one replica
+	changeName  = "change of the control replicas"
 	pause       = 100 * time.Millisecond // between rounds over the replicas
 )
 
@@ -38,11 +39,18 @@
 // may be a refusal by the state. An error is a *fireflysaddle.RefusedError when
 // nothing was proposed, else an *UnknownError.
 func (c *Client) Submit(ctx context.Context, command *saddlewire.Command) (*saddlewire.Result, error) {
+	return c.propose(ctx, command.GetRequest(), func(ctx context.Context, address string) (*saddlewire.SubmitResponse, error) {
+		in := &saddlewire.SubmitRequest{Command: command, Stamp: c.timeline.Stamp(time.Now())}
+		return saddlewire.NewDRPCControlClient(c.pool.Conn(ctx, address)).Submit(ctx, in)
+	})
+}
+
+// propose calls one replica after another until one answers with a result.
+func (c *Client) propose(ctx context.Context, request string, call func(context.Context, string) (*saddlewire.SubmitResponse, error)) (*saddlewire.Result, error) {
 	var result *saddlewire.Result
 	maybe := false
 	err := c.rounds(ctx, func(ctx context.Context, address string) (string, error) {
-		in := &saddlewire.SubmitRequest{Command: command, Stamp: c.timeline.Stamp(time.Now())}
-		out, err := saddlewire.NewDRPCControlClient(c.pool.Conn(ctx, address)).Submit(ctx, in)
+		out, err := call(ctx, address)
 		var unsent *fireflysaddle.NotSentError
 		if err != nil {
 			maybe = maybe || !errors.As(err, &unsent)
@@ -60,11 +68,19 @@
 	case err == nil:
 		return result, nil
 	case maybe:
-		return nil, &UnknownError{Request: command.GetRequest(), Err: err}
+		return nil, &UnknownError{Request: request, Err: err}
 	}
 	return nil, noMajority(err)
 }
 
+// Change adds, removes or replaces a control replica. Asking again for what was
+// done is accepted and changes nothing. Errors are as of Submit.
+func (c *Client) Change(ctx context.Context, change *saddlewire.ReplicaChange) (*saddlewire.Result, error) {
+	return c.propose(ctx, changeName, func(ctx context.Context, address string) (*saddlewire.SubmitResponse, error) {
+		return saddlewire.NewDRPCControlClient(c.pool.Conn(ctx, address)).Change(ctx, change)
+	})
+}
+
 // Read returns the state as a leader vouches for it.
 func (c *Client) Read(ctx context.Context) (*saddlewire.ReadResponse, error) {
 	var state *saddlewire.ReadResponse
--- a/internal/control/saddlereplica/client_test.go
+++ b/internal/control/saddlereplica/client_test.go
@@ -10,13 +10,13 @@
 )
 
 const (
-	tryTimeout = 250 * time.Millisecond // of one try at one replica
-	giveUp     = 4 * time.Second        // of all tries
-	pause      = 40 * time.Millisecond  // after a refusal
-	claimTime  = 3 * time.Second        // between fresh claim keys
-	restTime   = 3 * time.Second        // of work and of rest, in turn
-	resendMin  = 2 * time.Second        // before a late resend
-	resendMax  = 10 * time.Second
+	tryTimeout  = 250 * time.Millisecond // of one try at one replica
+	giveUp      = 4 * time.Second        // of all tries
+	pause       = 40 * time.Millisecond  // after a refusal
+	claimTime   = 3 * time.Second        // between fresh claim keys
+	restTime    = 3 * time.Second        // of work and of rest, in turn
+	resendFrom  = 2 * time.Second        // before a late resend
+	resendUntil = 10 * time.Second
 )
 
 // client asks for one thing after another. A write is resent under its request
@@ -242,7 +242,7 @@
 	if !c.w.chance(0.2) {
 		return
 	}
-	c.w.after(c.w.between(resendMin, resendMax), func() {
+	c.w.after(c.w.between(resendFrom, resendUntil), func() {
 		over := false
 		c.tries(c.w.now, func(to *node, answered func()) {
 			to.submit(command, func(out *saddlewire.SubmitResponse) {
--- a/internal/control/saddlereplica/safety_test.go
+++ b/internal/control/saddlereplica/safety_test.go
@@ -166,3 +166,39 @@
 	var refused *saddlereplica.MembershipError
 	is.True(errors.As(err, &refused))
 }
+
+// A lease ends before any replica that answered the leader may vote.
+func TestLeaseEndsBeforeOthersMayVote(t *testing.T) {
+	is := is.New(t)
+	r, now := leading(t)
+	is.True(r.LeaseValid(now.Add(election/2)))
+	is.True(!r.LeaseValid(now.Add(election * 9 / 10)))
+
+	b := newReplica("b", three, hard(2), entries(2, 2))
+	b.Step(now, &saddlewire.Message{Type: saddlewire.Message_APPEND, From: "a", To: "b", Term: 2, Index: 2, LogTerm: 2})
+	drive(now, b)
+	ask := &saddlewire.Message{Type: saddlewire.Message_VOTE, From: "c", To: "b", Term: 3, Index: 2, LogTerm: 2}
+	b.Step(now.Add(election*19/20), ask)
+	is.True(!granted(drive(now, b)))
+	b.Step(now.Add(election), ask)
+	is.True(granted(drive(now, b)))
+}
+
+// A candidate that lacks entries gets no vote.
+func TestCandidateThatLacksEntriesGetsNoVote(t *testing.T) {
+	for name, last := range map[string]struct{ index, term uint64 }{
+		"shorter":             {2, 2},
+		"longer, older term":  {9, 1},
+		"shorter, older term": {1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := start.Add(2 * election)
+			for _, kind := range []saddlewire.Message_Type{saddlewire.Message_PRE_VOTE, saddlewire.Message_VOTE} {
+				r := newReplica("b", three, hard(2), entries(3, 2))
+				r.Step(now, &saddlewire.Message{Type: kind, From: "c", To: "b", Term: 3, Index: last.index, LogTerm: last.term})
+				is.True(!granted(drive(now, r)))
+			}
+		})
+	}
+}
--- a/internal/control/saddlereplica/simulation_test.go
+++ b/internal/control/saddlereplica/simulation_test.go
@@ -79,7 +79,7 @@
 	for _, c := range clients {
 		c.stopped = true
 	}
-	w.runFor(resendMax + 2*giveUp)
+	w.runFor(resendUntil + 2*giveUp)
 	checkEqualStates(w)
 	w.check()
 	if got := porcupine.CheckOperationsTimeout(model, hist.operations, checkTime); got != porcupine.Ok {
