--- a/internal/agent/saddleagent/counters.go
+++ b/internal/agent/saddleagent/counters.go
@@ -10,5 +10,7 @@
 	countFaults    = expvar.NewInt("agent_faults_total")
 	countTokens    = expvar.NewInt("agent_tokens_total")
 	countSeals     = expvar.NewInt("agent_seals_total")
+	countOrders    = expvar.NewInt("agent_orders_total")
+	countOldFences = expvar.NewInt("agent_old_fences_total")
 	countAnnounced = expvar.NewInt("agent_announcements_total")
 )
--- a/internal/agent/saddleagent/server.go
+++ b/internal/agent/saddleagent/server.go
@@ -95,6 +95,7 @@
 	var g errgroup.Group
 	g.Go(func() error { return s.attendant.Run(ctx) })
 	g.Go(func() error { return s.probeTarget(ctx) })
+	g.Go(func() error { return s.giveOrders(ctx) })
 	g.Go(func() error { return s.serveAnnounce(ctx) })
 	g.Go(func() error {
 		return saddlelink.Serve(ctx, s.lis, func(mux drpc.Mux) error {
--- a/internal/agent/saddleagent/slot.go
+++ b/internal/agent/saddleagent/slot.go
@@ -14,7 +14,8 @@
 	backend   *backend
 	answered  time.Time // when the target last answered
 	alive     bool
-	leaving   bool // the target asked to leave
+	leaving   bool   // the target asked to leave
+	loading   string // subject of the order that an engine carries out
 	queueWait time.Duration
 }
 
@@ -32,6 +33,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.backend
+	defer func() {
+		if err == nil {
+			s.loading = a.Loading
+		}
+	}()
 	switch {
 	case old == nil:
 	case old.announced.ID != a.ID && s.alive:
@@ -39,7 +45,7 @@
 	case old.announced.ID != a.ID:
 	case a.Incarnation < old.announced.Incarnation:
 		return false, &conflictError{reason: fmt.Sprintf("incarnation %d is older than %d", a.Incarnation, old.announced.Incarnation)}
-	case a.Incarnation == old.announced.Incarnation && a != old.announced:
+	case a.Incarnation == old.announced.Incarnation && !a.Equal(old.announced):
 		return false, &conflictError{reason: "the announcement changed without a new incarnation"}
 	case a.Incarnation == old.announced.Incarnation:
 		changed = !s.alive
@@ -94,6 +100,14 @@
 	return s.backend, s.leaving
 }
 
+// carriesOut returns the subject of the order that an engine carries out, empty
+// when there is none.
+func (s *slot) carriesOut() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loading
+}
+
 // any returns the target even when it is lost.
 func (s *slot) any() *backend {
 	s.mu.Lock()
--- a/internal/control/saddlecontrol/attendee.go
+++ b/internal/control/saddlecontrol/attendee.go
@@ -39,6 +39,7 @@
 	}
 	if !a.started || a.revision != u.GetRevision() {
 		u.Deployments, u.Drains = c.state.Since(a.revision)
+		u.Placements = c.state.PlacementsSince(a.revision)
 	}
 	if a.role == fireflysaddle.RoleEntry {
 		u.Members, u.Gone = c.members.since(a.version)
--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -19,6 +19,7 @@
 		return
 	}
 	e.command.NowNs = now.UnixNano()
+	e.command.Term = c.replica.Term()
 	data, err := proto.Marshal(e.command)
 	if err != nil {
 		e.reply <- &saddlewire.SubmitResponse{Refused: true}
@@ -114,6 +115,7 @@
 		Templates:   c.state.Templates(),
 		Deployments: c.state.Deployments(),
 		Drains:      c.state.Drains(),
+		Placements:  c.state.Placements(),
 		Members:     c.members.all(),
 		Term:        c.replica.Term(),
 	}
--- a/internal/control/saddlestate/apply.go
+++ b/internal/control/saddlestate/apply.go
@@ -29,6 +29,8 @@
 		return s.putDeployment(index, change.PutDeployment)
 	case *saddlewire.Command_PutDrain:
 		return s.putDrain(index, change.PutDrain)
+	case *saddlewire.Command_PutPlacement:
+		return s.putPlacement(index, c.GetTerm(), change.PutPlacement)
 	case *saddlewire.Command_OpenClaim:
 		return s.openClaim(c.GetNowNs(), change.OpenClaim.GetClaim())
 	case *saddlewire.Command_SettleClaim:
--- a/internal/control/saddlestate/state.go
+++ b/internal/control/saddlestate/state.go
@@ -25,6 +25,7 @@
 	templates   map[string]*saddlewire.Template
 	deployments map[string]*saddlewire.Deployment
 	drains      map[string]*saddlewire.Drain
+	placements  map[string]*saddlewire.Placement
 	claims      map[claimKey]*saddlewire.Claim
 	results     map[string]*saddlewire.Result
 	order       []string // requests in results, oldest first
@@ -36,6 +37,7 @@
 		templates:   map[string]*saddlewire.Template{},
 		deployments: map[string]*saddlewire.Deployment{},
 		drains:      map[string]*saddlewire.Drain{},
+		placements:  map[string]*saddlewire.Placement{},
 		claims:      map[claimKey]*saddlewire.Claim{},
 		results:     map[string]*saddlewire.Result{},
 	}
@@ -60,6 +62,7 @@
 		Templates:   s.Templates(),
 		Deployments: s.Deployments(),
 		Drains:      s.Drains(),
+		Placements:  s.Placements(),
 	}
 	for _, c := range s.claims {
 		out.Claims = append(out.Claims, c)
@@ -87,6 +90,9 @@
 	for _, d := range in.GetDrains() {
 		s.drains[d.GetTarget()] = d
 	}
+	for _, p := range in.GetPlacements() {
+		s.placements[p.GetTarget()] = p
+	}
 	for _, c := range in.GetClaims() {
 		s.claims[claimKey{workspace: c.GetWorkspace(), key: c.GetKey()}] = c
 	}
--- /dev/null
+++ b/internal/daemon/saddledaemon/orders_processes_test.go
@@ -0,0 +1,89 @@
+package saddledaemon_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclient"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddleprocess"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlestandin"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// A placement reaches the engine, which fetches the weights once, and the
+// announced version follows; the agent is killed while the load runs.
+func TestAPlacementConvergesWithOneLoadThoughTheAgentRestarts(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fenced=%t", fenced), func(t *testing.T) {
+			is := is.New(t)
+			fleet := saddleprocess.New(t, 3)
+			store, closeStore, err := saddlestandin.NewWeightStore("127.0.0.1:0", 256<<10, 512<<10)
+			is.NoErr(err)
+			t.Cleanup(closeStore)
+			engine, closeEngine, err := saddlestandin.NewEngine(saddlestandin.EngineConfig{
+				Address: "127.0.0.1:0", ID: "drafting-1", Model: "drafting-models", Version: "1",
+				From: 0, To: 2, Of: 2, Slots: 2, Incarnation: 1, Fenced: fenced, Weights: store.Address(), LoadTime: 4 * time.Second,
+			})
+			is.NoErr(err)
+			t.Cleanup(closeEngine)
+			agent := fleet.StartAgent(t, "agent-drafting-1", "")
+			agent.AnnounceChanging(t, engine.Announcement)
+			agent.AwaitReady(t)
+
+			client := fleet.Client(t)
+			submit(t, client, &saddlewire.Command{Change: &saddlewire.Command_PutPlacement{PutPlacement: &saddlewire.PutPlacement{
+				Target: "drafting-1", Group: "drafting-models", Version: "2",
+			}}})
+			saddleprocess.Await(t, "the load to begin", awaitTime, func() error {
+				if store.Reads("2") == 0 {
+					return fmt.Errorf("no read of the weights")
+				}
+				return nil
+			})
+			agent.Kill()
+			agent.Start(t)
+			saddleprocess.Await(t, "the new version to be announced", awaitTime, func() error {
+				return announcedVersion(t, client, "drafting-1", "2")
+			})
+			is.Equal(store.Reads("2"), 1) // loaded once
+		})
+	}
+}
+
+const awaitTime = 30 * time.Second
+
+func submit(t *testing.T, client *saddleclient.Client, c *saddlewire.Command) *saddlewire.Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), awaitTime)
+	defer cancel()
+	c.Request = uuid.NewString()
+	result, err := client.Submit(ctx, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !result.GetAccepted() {
+		t.Fatalf("refused: %s", result.GetMessage())
+	}
+	return result
+}
+
+func announcedVersion(t *testing.T, client *saddleclient.Client, target, version string) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), awaitTime)
+	defer cancel()
+	state, err := client.Read(ctx)
+	if err != nil {
+		return err
+	}
+	for _, m := range state.GetMembers() {
+		if m.GetTarget().GetId() == target && m.GetTarget().GetVersion() == version {
+			return nil
+		}
+	}
+	return fmt.Errorf("target %s is not at version %s", target, version)
+}
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -25,6 +25,7 @@
 	revision    uint64
 	deployments map[string]*saddlewire.Deployment
 	drains      map[string]*saddlewire.Drain
+	placements  map[string]*saddlewire.Placement
 	members     map[string]*saddlewire.Member
 }
 
@@ -32,6 +33,7 @@
 	return &source{
 		deployments: map[string]*saddlewire.Deployment{},
 		drains:      map[string]*saddlewire.Drain{},
+		placements:  map[string]*saddlewire.Placement{},
 		members:     map[string]*saddlewire.Member{},
 	}
 }
@@ -70,6 +72,7 @@
 	if u.GetSnapshot() {
 		s.deployments = map[string]*saddlewire.Deployment{}
 		s.drains = map[string]*saddlewire.Drain{}
+		s.placements = map[string]*saddlewire.Placement{}
 	}
 	s.revision = u.GetRevision()
 	for _, d := range u.GetDeployments() {
@@ -78,6 +81,9 @@
 	for _, d := range u.GetDrains() {
 		s.drains[d.GetTarget()] = d
 	}
+	for _, p := range u.GetPlacements() {
+		s.placements[p.GetTarget()] = p
+	}
 }
 
 // Lost notes that a replica is no longer heard.
@@ -96,6 +102,7 @@
 		v.Revision = best.revision
 		v.Deployments = cloneMap(best.deployments)
 		v.Drains = cloneMap(best.drains)
+		v.Placements = cloneMap(best.placements)
 	}
 	b.mergeMembers(v)
 	v.Keys = keys(v.Deployments)
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -12,7 +12,8 @@
 	Deployments map[string]*saddlewire.Deployment
 	Keys        map[string]*saddlewire.Deployment // by hex SHA-256 of the key
 	Drains      map[string]*saddlewire.Drain
-	Members     map[string]*saddlewire.Member // by node
+	Placements  map[string]*saddlewire.Placement // by target
+	Members     map[string]*saddlewire.Member    // by node
 	Groups      map[string][]*saddlewire.Member
 	Connected   int // replicas heard
 }
--- a/internal/standin/saddleprocess/fleet.go
+++ b/internal/standin/saddleprocess/fleet.go
@@ -101,12 +101,18 @@
 
 // AnnounceTarget lets a target announce itself to an agent until the test ends.
 func (a *Agent) AnnounceTarget(t testing.TB, target saddleannounce.Announcement) {
+	t.Helper()
+	a.AnnounceChanging(t, func() saddleannounce.Announcement { return target })
+}
+
+// AnnounceChanging is AnnounceTarget for a target that may change.
+func (a *Agent) AnnounceChanging(t testing.TB, describe func() saddleannounce.Announcement) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		saddlestandin.Announce(ctx, a.Announce, target, announceEvery)
+		saddlestandin.AnnounceChanging(ctx, a.Announce, describe, announceEvery)
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/standin/saddlestandin/engine.go
+++ b/internal/standin/saddlestandin/engine.go
@@ -14,10 +14,11 @@
 // Engine is a stand-in for a model engine.
 type Engine struct {
 	*host
-	cfg   EngineConfig
-	slots *slots
-	cache *prefixCache
-	loads *loadHistory
+	cfg     EngineConfig
+	holding *holding
+	slots   *slots
+	cache   *prefixCache
+	loads   *loadHistory
 
 	mu       sync.Mutex
 	attempts map[attemptKey]*attemptState
@@ -46,6 +47,7 @@
 	}
 	e := &Engine{
 		cfg:      cfg,
+		holding:  newHolding(cfg),
 		slots:    newSlots(cfg.Slots),
 		cache:    newPrefixCache(cfg.CacheLimit, cfg.LoseEvents),
 		loads:    &loadHistory{lag: cfg.LoadLag},
--- a/internal/standin/saddlestandin/engineconfig.go
+++ b/internal/standin/saddlestandin/engineconfig.go
@@ -24,6 +24,8 @@
 	Fenced      bool          // refuses orders with an old fence
 	Accelerator string
 	Incarnation uint64
+	LoadTime    time.Duration // of carrying out an order
+	Weights     string        // address of a weight store, empty: none
 	Journal     *Journal
 }
 
--- a/internal/standin/saddlestandin/engineorders.go
+++ b/internal/standin/saddlestandin/engineorders.go
@@ -65,6 +65,7 @@
 	}
 	e.fence = fence
 	e.orders = append(e.orders, in)
+	go e.carryOut(in)
 }
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
--- a/internal/target/saddleannounce/announcement.go
+++ b/internal/target/saddleannounce/announcement.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"net"
 	"regexp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
@@ -11,20 +14,29 @@
 
 // Announcement is what a target says of itself.
 type Announcement struct {
-	ID          string  `json:"id"`
-	Kind        string  `json:"kind"`  // "engine" or "service"
-	Group       string  `json:"group"` // model or service name
-	Version     string  `json:"version"`
-	From        uint32  `json:"layer_from"` // engines: layers [from, to) of n
-	To          uint32  `json:"layer_to"`
-	Of          uint32  `json:"layers"`
-	Slots       uint32  `json:"slots"`
-	Fenced      bool    `json:"checks_fences"`
-	Address     string  `json:"address"`     // IP:port of its HTTP interface
-	Incarnation uint64  `json:"incarnation"` // rises at each start
-	Accelerator string  `json:"accelerator"`
-	Rate        float64 `json:"rate"`    // tokens a second in one slot
-	LinkMs      float64 `json:"link_ms"` // one-way latency, milliseconds
+	ID          string   `json:"id"`
+	Kind        string   `json:"kind"`  // "engine" or "service"
+	Group       string   `json:"group"` // model or service name
+	Version     string   `json:"version"`
+	From        uint32   `json:"layer_from"` // engines: layers [from, to) of n
+	To          uint32   `json:"layer_to"`
+	Of          uint32   `json:"layers"`
+	Slots       uint32   `json:"slots"`
+	Fenced      bool     `json:"checks_fences"`
+	Address     string   `json:"address"`     // IP:port of its HTTP interface
+	Incarnation uint64   `json:"incarnation"` // rises at each start
+	Accelerator string   `json:"accelerator"`
+	Rate        float64  `json:"rate"`     // tokens a second in one slot
+	LinkMs      float64  `json:"link_ms"`  // one-way latency, milliseconds
+	Role        string   `json:"role"`     // engines: as ordered
+	Adapters    []string `json:"adapters"` // engines: loaded ones
+	Loading     string   `json:"loading"`  // engines: subject of the order being carried out
+}
+
+// Equal reports whether two announcements say the same, but for what is being
+// loaded: that changes within one incarnation.
+func (a Announcement) Equal(other Announcement) bool {
+	return proto.Equal(a.Target(), other.Target())
 }
 
 // Leave is a target's word that it wants no new work.
@@ -96,5 +108,7 @@
 		Accelerator: a.Accelerator,
 		Rate:        a.Rate,
 		LinkMs:      a.LinkMs,
+		Role:        a.Role,
+		Adapters:    slices.Sorted(slices.Values(a.Adapters)),
 	}
 }
