--- a/internal/agent/saddleagent/backend.go
+++ b/internal/agent/saddleagent/backend.go
@@ -13,7 +13,8 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-// backend is one incarnation of the announced target. It is immutable.
+// backend is one incarnation of the announced target. But for its loss it is
+// immutable.
 type backend struct {
 	announced saddleannounce.Announcement
 	info      *saddlewire.Target
@@ -21,12 +22,14 @@
 	service   fireflysaddle.Service // services only
 	gate      *saddlegate.Gate
 	close     func()
+	loss      *lossSignal
 }
 
 func newBackend(a saddleannounce.Announcement, queueWait time.Duration) *backend {
 	b := &backend{
 		announced: a,
 		info:      a.Target(),
+		loss:      newLossSignal(),
 		gate:      saddlegate.New(saddlequeue.New(int(a.Slots), queueWait)),
 	}
 	id := fireflysaddle.TargetID(a.ID)
--- a/internal/agent/saddleagent/config.go
+++ b/internal/agent/saddleagent/config.go
@@ -15,6 +15,7 @@
 	Incarnation fireflysaddle.Incarnation
 	Centre      fireflysaddle.DataCentre
 	Listen      string // drpc
+	Advertise   string // address at which others reach it
 	Announce    string // HTTP for the target
 	Admin       string
 	Controls    []string
--- a/internal/agent/saddleagent/draft.go
+++ b/internal/agent/saddleagent/draft.go
@@ -50,6 +50,8 @@
 	}
 	defer s.finish(t, nil)
 	countStarted.Add(1)
+	ctx, done := b.whileAlive(ctx)
+	defer done()
 	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "draft_start", Request: t.GetRequest(), Attempt: t.GetAttempt(), Target: string(b.id())})
 	if len(in.GetChain()) > 1 {
 		return s.stages.Drive(ctx, saddlestage.Draft{
--- a/internal/agent/saddleagent/server.go
+++ b/internal/agent/saddleagent/server.go
@@ -70,7 +70,7 @@
 		Timeline: cfg.Timeline,
 	}, nil)
 	s.stages, s.stopStage = saddlestage.New(saddlestage.Config{
-		Self:        cfg.Listen,
+		Self:        cfg.Advertise,
 		Incarnation: cfg.Incarnation,
 		Engine:      s.engine,
 		Target:      s.targetID,
@@ -160,7 +160,7 @@
 		Role:        string(fireflysaddle.RoleAgent),
 		Incarnation: uint64(s.cfg.Incarnation),
 		Centre:      string(s.cfg.Centre),
-		Address:     s.cfg.Listen,
+		Address:     s.cfg.Advertise,
 		Admin:       s.cfg.Admin,
 		Leaving:     s.stopping.Load(),
 		Revision:    view.Revision,
--- a/internal/agent/saddleagent/slot.go
+++ b/internal/agent/saddleagent/slot.go
@@ -26,7 +26,8 @@
 
 func (e *conflictError) Error() string { return e.reason }
 
-// announce takes in an announcement. The same one again renews it; a higher
+// announce takes in an announcement. The same one again changes nothing: that
+// an engine announces itself does not show that it answers requests. A higher
 // incarnation replaces the target; a lower one, a changed one under the same
 // incarnation, and another target while this one lives are *conflictError.
 func (s *slot) announce(now time.Time, a saddleannounce.Announcement) (changed bool, err error) {
@@ -48,10 +49,7 @@
 	case a.Incarnation == old.announced.Incarnation && !a.Equal(old.announced):
 		return false, &conflictError{reason: "the announcement changed without a new incarnation"}
 	case a.Incarnation == old.announced.Incarnation:
-		changed = !s.alive
-		s.answered = now
-		s.alive = true
-		return changed, nil
+		return false, nil
 	}
 	if old != nil {
 		old.close()
@@ -87,6 +85,9 @@
 	alive := now.Sub(s.answered) < lost
 	changed = alive != s.alive
 	s.alive = alive
+	if changed {
+		b.setAlive(alive)
+	}
 	return changed
 }
 
--- a/internal/config/saddlesettings/agent.go
+++ b/internal/config/saddlesettings/agent.go
@@ -5,9 +5,12 @@
 // Agent holds the settings of an agent.
 type Agent struct {
 	Common
-	Listen   string `toml:"listen"`   // drpc, for entries and other agents
-	Announce string `toml:"announce"` // HTTP, for the target beside it
-	Attend   Attend `toml:"attend"`
+	Listen string `toml:"listen"` // drpc, for entries and other agents
+	// Advertise is the address at which others reach the drpc listener; empty
+	// means Listen.
+	Advertise string `toml:"advertise"`
+	Announce  string `toml:"announce"` // HTTP, for the target beside it
+	Attend    Attend `toml:"attend"`
 	// Probe is the time between checks that the target answers.
 	Probe Duration `toml:"probe"`
 	// Lost is how long the target may stay silent before it is taken for lost.
@@ -47,6 +50,9 @@
 	s.Attend.check(c)
 	c.address("listen", s.Listen)
 	c.address("announce", s.Announce)
+	if s.Advertise != "" {
+		c.address("advertise", s.Advertise)
+	}
 	c.duration("probe", s.Probe, minProbe, maxProbe)
 	c.duration("lost", s.Lost, s.Probe.Std(), time.Minute)
 	c.duration("step_timeout", s.StepTimeout, minCallSilence, time.Minute)
--- a/internal/daemon/saddledaemon/agent.go
+++ b/internal/daemon/saddledaemon/agent.go
@@ -1,6 +1,7 @@
 package saddledaemon
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"time"
@@ -21,6 +22,7 @@
 		Incarnation: p.incarnation,
 		Centre:      fireflysaddle.DataCentre(settings.Centre),
 		Listen:      settings.Listen,
+		Advertise:   cmp.Or(settings.Advertise, settings.Listen),
 		Announce:    settings.Announce,
 		Admin:       settings.Admin,
 		Controls:    settings.Attend.Controls,
--- a/internal/daemon/saddledaemon/orders_processes_test.go
+++ b/internal/daemon/saddledaemon/orders_processes_test.go
@@ -18,6 +18,7 @@
 // A placement reaches the engine, which fetches the weights once, and the
 // announced version follows; the agent is killed while the load runs.
 func TestAPlacementConvergesWithOneLoadThoughTheAgentRestarts(t *testing.T) {
+	t.Parallel()
 	for _, fenced := range []bool{true, false} {
 		t.Run(fmt.Sprintf("fenced=%t", fenced), func(t *testing.T) {
 			is := is.New(t)
@@ -74,9 +75,7 @@
 
 func announcedVersion(t *testing.T, client *saddleclient.Client, target, version string) error {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), awaitTime)
-	defer cancel()
-	state, err := client.Read(ctx)
+	state, err := readState(client)
 	if err != nil {
 		return err
 	}
@@ -87,3 +86,9 @@
 	}
 	return fmt.Errorf("target %s is not at version %s", target, version)
 }
+
+func readState(client *saddleclient.Client) (*saddlewire.ReadResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), awaitTime)
+	defer cancel()
+	return client.Read(ctx)
+}
--- a/internal/daemon/saddledaemon/processes_test.go
+++ b/internal/daemon/saddledaemon/processes_test.go
@@ -25,6 +25,7 @@
 // The whole path in separate processes: a streamed draft through a chain of
 // three, a plain call, a template applied, and the clean end of all.
 func TestSeparateProcessesServeOnePathFromEndToEnd(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	fleet := saddleprocess.New(t, 3)
 	journal := &saddlestandin.Journal{}
@@ -115,6 +116,12 @@
 }
 
 func readTokens(t *testing.T, r io.Reader) []string {
+	t.Helper()
+	return readTokensAt(t, r, 0, nil)
+}
+
+// readTokensAt reads a stream and calls at when so many tokens are there.
+func readTokensAt(t *testing.T, r io.Reader, n int, at func()) []string {
 	t.Helper()
 	var tokens []string
 	lines := bufio.NewScanner(r)
@@ -136,6 +143,9 @@
 		}
 		if len(chunk.Choices) > 0 && chunk.Choices[0].Text != "" {
 			tokens = append(tokens, chunk.Choices[0].Text)
+			if len(tokens) == n {
+				at()
+			}
 		}
 	}
 	t.Fatalf("the stream broke off: %v", lines.Err())
--- a/internal/standin/saddleprocess/fleet.go
+++ b/internal/standin/saddleprocess/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclient"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlerelay"
 	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlestandin"
 	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleannounce"
 )
@@ -21,7 +22,15 @@
 type Fleet struct {
 	Dir      string
 	Controls []*Process
-	replicas []string // "node address"
+	replicas []replica
+}
+
+// replica is a control replica; others reach it at an address that may be a
+// relay's.
+type replica struct {
+	node    string
+	listen  string
+	address string
 }
 
 // New starts n control replicas.
@@ -29,21 +38,44 @@
 	t.Helper()
 	f := &Fleet{Dir: t.TempDir()}
 	for i := range n {
-		f.replicas = append(f.replicas, fmt.Sprintf("control-%d %s", i+1, address(t)))
+		a := address(t)
+		f.replicas = append(f.replicas, replica{node: fmt.Sprintf("control-%d", i+1), listen: a, address: a})
 	}
+	f.startControls(t)
+	return f
+}
+
+// NewBehind starts n control replicas, each of which is reached through a relay.
+func NewBehind(t testing.TB, n int) (*Fleet, []*saddlerelay.Relay) {
+	t.Helper()
+	f := &Fleet{Dir: t.TempDir()}
+	var relays []*saddlerelay.Relay
+	for i := range n {
+		r := replica{node: fmt.Sprintf("control-%d", i+1), listen: address(t), address: address(t)}
+		relay, cleanup, err := saddlerelay.New(r.address, r.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(cleanup)
+		relays = append(relays, relay)
+		f.replicas = append(f.replicas, r)
+	}
+	f.startControls(t)
+	return f, relays
+}
+
+func (f *Fleet) startControls(t testing.TB) {
+	t.Helper()
 	for _, r := range f.replicas {
-		node, listen, _ := strings.Cut(r, " ")
-		f.Controls = append(f.Controls, f.startControl(t, node, listen))
+		f.Controls = append(f.Controls, f.startControl(t, r.node, r.listen))
 	}
-	return f
 }
 
 // ControlAddresses returns the drpc addresses of the control replicas.
 func (f *Fleet) ControlAddresses() []string {
 	out := make([]string, 0, len(f.replicas))
 	for _, r := range f.replicas {
-		_, listen, _ := strings.Cut(r, " ")
-		out = append(out, listen)
+		out = append(out, r.address)
 	}
 	return out
 }
@@ -58,8 +90,7 @@
 	admin := address(t)
 	var replicas strings.Builder
 	for _, r := range f.replicas {
-		n, a, _ := strings.Cut(r, " ")
-		fmt.Fprintf(&replicas, "[[replicas]]\nnode = %q\naddress = %q\n", n, a)
+		fmt.Fprintf(&replicas, "[[replicas]]\nnode = %q\naddress = %q\n", r.node, r.address)
 	}
 	return start(t, f.Dir, "control", node, admin, fmt.Sprintf(
 		"node = %q\ncentre = \"centre-1\"\nlisten = %q\nadmin = %q\ndata = %q\n%s",
@@ -89,10 +120,28 @@
 	Announce string
 }
 
+// StartAgentBehind starts an agent that others reach through a relay. The clean-up
+// of the relay is the test's.
+func (f *Fleet) StartAgentBehind(t testing.TB, node string) (*Agent, *saddlerelay.Relay) {
+	t.Helper()
+	advertise, listen := address(t), address(t)
+	relay, cleanup, err := saddlerelay.New(advertise, listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanup)
+	return f.startAgentAt(t, node, listen, fmt.Sprintf("advertise = %q", advertise)), relay
+}
+
 // StartAgent starts an agent. extra is added to its settings, before any table.
 func (f *Fleet) StartAgent(t testing.TB, node, extra string) *Agent {
 	t.Helper()
-	admin, listen, announce := address(t), address(t), address(t)
+	return f.startAgentAt(t, node, address(t), extra)
+}
+
+func (f *Fleet) startAgentAt(t testing.TB, node, listen, extra string) *Agent {
+	t.Helper()
+	admin, announce := address(t), address(t)
 	p := start(t, f.Dir, "agent", node, admin, fmt.Sprintf(
 		"node = %q\ncentre = \"centre-1\"\nlisten = %q\nannounce = %q\nadmin = %q\n%s\n[attend]\ncontrols = [%s]\n",
 		node, listen, announce, admin, extra, quoted(f.ControlAddresses())))
--- /dev/null
+++ b/internal/standin/saddlerelay/relay.go
@@ -0,0 +1,184 @@
+package saddlerelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// chunkBytes is the most that is passed on at once.
+const chunkBytes = 32 << 10
+
+// Relay passes connections on to one address. It is safe for concurrent use.
+type Relay struct {
+	lis net.Listener
+	to  string
+	wg  sync.WaitGroup
+
+	mu    sync.Mutex
+	cut   bool
+	delay time.Duration
+	pairs map[*pair]struct{}
+}
+
+// pair is one connection and the one that it is passed on to.
+type pair struct {
+	near, far net.Conn
+	silent    chan struct{} // closed: nothing passes any more
+}
+
+// New listens on a loopback address and passes connections on to another one.
+// The clean-up closes the listener and every connection.
+func New(listen, to string) (*Relay, func(), error) {
+	lis, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, nil, err
+	}
+	r := &Relay{lis: lis, to: to, pairs: map[*pair]struct{}{}}
+	r.wg.Go(r.accept)
+	return r, r.close, nil
+}
+
+// Address returns the address that the relay listens on.
+func (r *Relay) Address() string { return r.lis.Addr().String() }
+
+// Reset closes the connections that are open; new ones work.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.close()
+	}
+}
+
+// Silence makes the connections that are open pass nothing more, without
+// closing them; new ones work.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		select {
+		case <-p.silent:
+		default:
+			close(p.silent)
+		}
+	}
+}
+
+// Cut closes the connections that are open and refuses new ones until Heal.
+func (r *Relay) Cut() {
+	r.mu.Lock()
+	r.cut = true
+	r.mu.Unlock()
+	r.Reset()
+}
+
+// Heal ends Cut.
+func (r *Relay) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = false
+}
+
+// Delay holds back everything that passes by a time.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Open returns the number of connections that are open.
+func (r *Relay) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.pairs)
+}
+
+func (r *Relay) close() {
+	_ = r.lis.Close()
+	r.Reset()
+	r.wg.Wait()
+}
+
+func (r *Relay) accept() {
+	for {
+		near, err := r.lis.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		r.wg.Go(func() { r.serve(near) })
+	}
+}
+
+func (r *Relay) serve(near net.Conn) {
+	defer func() { _ = near.Close() }()
+	r.mu.Lock()
+	cut := r.cut
+	r.mu.Unlock()
+	if cut {
+		return
+	}
+	var d net.Dialer
+	far, err := d.DialContext(context.Background(), "tcp", r.to)
+	if err != nil {
+		return
+	}
+	p := &pair{near: near, far: far, silent: make(chan struct{})}
+	r.mu.Lock()
+	r.pairs[p] = struct{}{}
+	r.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { r.pass(p, near, far) })
+	wg.Go(func() { r.pass(p, far, near) })
+	wg.Wait()
+	r.mu.Lock()
+	delete(r.pairs, p)
+	r.mu.Unlock()
+}
+
+// pass copies one direction until either end closes.
+func (r *Relay) pass(p *pair, from, to net.Conn) {
+	defer p.end(from)
+	buf := make([]byte, chunkBytes)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		delay := r.delay
+		r.mu.Unlock()
+		time.Sleep(delay)
+		select {
+		case <-p.silent:
+			_, _ = io.Copy(io.Discard, from)
+			return
+		default:
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// end closes the pair after one side ended; the other side of a silent pair is
+// not told.
+func (p *pair) end(ended net.Conn) {
+	select {
+	case <-p.silent:
+		_ = ended.Close()
+	default:
+		p.close()
+	}
+}
+
+func (p *pair) close() {
+	_ = p.near.Close()
+	_ = p.far.Close()
+}
