saddlectl: templates and deployments by revision, exit codes, JSON, a wait that shows its progress

Cause: saddlectl could only apply a file; every command took every flag, a change could not be made on a named revision, a lost answer was resent without a word, -request on a fleet file gave two changes one id (the second would have got the first's result), and control replicas were in no time line. Ruled out: keeping the winner of a race in the result (control names only the revision; the client reads the rest), and a field for replicas' admin addresses (a replica that beats as other nodes do needs no new message and also shows what is in force there). After: 17 commands from one table with an example each, 7 exit codes each with a test, members say since when their revision is in force, timeline merges by request, target, workspace and time and names whom it could not reach. Conclusion: history of a deployment is not there: control keeps no past revisions.

--- a/internal/command/saddlectl/command.go
+++ b/internal/command/saddlectl/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -9,45 +10,39 @@
 	"text/tabwriter"
 )
 
-// The exit codes of the command line.
-const (
-	ExitOK       = 0
-	ExitFailed   = 1 // refused, or could not be carried out
-	ExitUsage    = 2
-	ExitUnknown  = 3 // the outcome is unknown; resend
-	ExitConflict = 4 // another revision is in force
-	ExitTimeout  = 5 // accepted, not in force everywhere in time
-)
-
 // command is one entry of the table of commands.
 type command struct {
-	name    string
+	name    string // of one word, or two
 	args    string // after the flags
 	summary string
 	example string
+	flags   func(*session, *flag.FlagSet) // beside those of all commands; may be nil
 	run     func(ctx context.Context, s *session, args []string) error
 }
 
 // commands returns the table, from which help is made.
 func commands() []command {
 	return []command{
-		{"apply", "FILE", "submit the templates and deployments that a file lists", "saddlectl apply fleet.toml -wait", runApply},
-		{"status", "", "show what is accepted and where it is in force", "saddlectl status", runStatus},
-		{"targets", "", "list the targets", "saddlectl targets", runTargets},
-		{"drain", "TARGET", "give a target no new work", "saddlectl drain mastori-07", runDrain},
-		{"undrain", "TARGET", "give a target work again", "saddlectl undrain mastori-07", runUndrain},
-		{"timeline", "", "merge the time lines of all processes", "saddlectl timeline -request 6f0c", runTimeline},
-		{"control", "", "list the control replicas", "saddlectl control", runControl},
+		{"apply", "FILE", "submit what a fleet file lists and control does not have", "saddlectl apply fleet.toml -wait", changeFlags, runApply},
+		{"status", "", "show what is accepted and where it is in force", "saddlectl status -json", nil, runStatus},
+		{"template list", "", "list the templates", "saddlectl template list", nil, runTemplateList},
+		{"template show", "NAME", "print a template's text", "saddlectl template show meet", nil, runTemplateShow},
+		{"template diff", "FILE", "compare a file with the template in force", "saddlectl template diff meet.toml", nil, runTemplateDiff},
+		{"template submit", "FILE", "create a template", "saddlectl template submit meet.toml", changeFlags, runTemplateSubmit},
+		{"template revise", "FILE", "replace the revision of a template that was read", "saddlectl template revise meet.toml -base 3 -wait", reviseFlags, runTemplateRevise},
+		{"deployment list", "", "list the deployments", "saddlectl deployment list", nil, runDeploymentList},
+		{"deployment show", "WORKSPACE", "show a deployment as it was rendered", "saddlectl deployment show volos", nil, runDeploymentShow},
+		{"deployment diff", "WORKSPACE", "show what new parameters would change", "saddlectl deployment diff volos -set weight=3", deploymentDiffFlags, runDeploymentDiff},
+		{"deployment submit", "WORKSPACE", "create a deployment from a template", "saddlectl deployment submit volos -template meet -set weight=2", deploymentFlags, runDeploymentSubmit},
+		{"deployment revise", "WORKSPACE", "change parameters of the revision that was read", "saddlectl deployment revise volos -base 4 -set weight=3", deploymentReviseFlags, runDeploymentRevise},
+		{"targets", "", "list the targets", "saddlectl targets", nil, runTargets},
+		{"drain", "TARGET", "give a target no new work", "saddlectl drain mastori-07 -wait", changeFlags, runDrain},
+		{"undrain", "TARGET", "give a target work again", "saddlectl undrain mastori-07", changeFlags, runUndrain},
+		{"control", "", "list the control replicas", "saddlectl control", nil, runControl},
+		{"timeline", "", "merge the time lines of all processes", "saddlectl timeline -request 6f0c -since 10m", timelineFlags, runTimeline},
 	}
 }
 
-// usageError says that the command line is wrong.
-type usageError struct {
-	reason string
-}
-
-func (e *usageError) Error() string { return e.reason }
-
 // Run runs a command line and returns the exit code.
 func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	if len(args) == 0 || args[0] == "help" || args[0] == "-h" || args[0] == "--help" {
@@ -55,12 +50,13 @@
 		return ExitOK
 	}
 	for _, c := range commands() {
-		if c.name != args[0] {
+		words := strings.Fields(c.name)
+		if len(args) < len(words) || c.name != strings.Join(args[:len(words)], " ") {
 			continue
 		}
-		return runCommand(ctx, c, args[1:], out, errOut)
+		return runCommand(ctx, c, args[len(words):], out, errOut)
 	}
-	_, _ = fmt.Fprintf(errOut, "saddlectl: unknown command %q; see saddlectl help\n", args[0])
+	_, _ = fmt.Fprintf(errOut, "saddlectl: unknown command %q; see saddlectl help\n", strings.Join(args[:min(len(args), 2)], " "))
 	return ExitUsage
 }
 
@@ -70,21 +66,40 @@
 	fs.SetOutput(errOut)
 	fs.Usage = func() { commandHelp(errOut, c, fs) }
 	s.register(fs)
+	if c.flags != nil {
+		c.flags(s, fs)
+	}
 	positional, err := parse(fs, args)
-	if err != nil {
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case err != nil:
 		return ExitUsage
 	}
-	cleanup, err := s.open()
-	if err == nil {
-		defer cleanup()
-		err = c.run(ctx, s, positional)
+	if err = checkArgs(c, positional); err == nil {
+		var cleanup func()
+		if cleanup, err = s.open(); err == nil {
+			defer cleanup()
+			err = c.run(ctx, s, positional)
+		}
 	}
 	if err != nil {
-		_, _ = fmt.Fprintf(errOut, "saddlectl %s: %v\n", c.name, err)
+		s.printError(errOut, c.name, err)
 	}
 	return exitCode(err)
 }
 
+func checkArgs(c command, args []string) error {
+	want := strings.Fields(c.args)
+	if len(args) == len(want) {
+		return nil
+	}
+	if len(want) == 0 {
+		return &usageError{reason: fmt.Sprintf("takes no argument, got %q", args)}
+	}
+	return &usageError{reason: fmt.Sprintf("takes %s, got %q", c.args, args)}
+}
+
 // parse accepts flags before and after the other arguments.
 func parse(fs *flag.FlagSet, args []string) ([]string, error) {
 	var positional []string
@@ -104,10 +119,14 @@
 	_, _ = fmt.Fprint(w, "saddlectl drives fireflysaddle.\n\nUsage: saddlectl COMMAND [flags] [arguments]\n\n")
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, c := range commands() {
-		_, _ = fmt.Fprintf(tw, "  %s\t%s\n", strings.TrimSpace(c.name+" "+c.args), c.summary)
+		_, _ = fmt.Fprintf(tw, "  %s\t%s\t%s\n", strings.TrimSpace(c.name+" "+c.args), c.summary, c.example)
 	}
 	_ = tw.Flush()
-	_, _ = fmt.Fprint(w, "\nsaddlectl COMMAND -h shows the flags and an example.\n")
+	_, _ = fmt.Fprint(w, "\nExit codes:\n")
+	for _, e := range exits() {
+		_, _ = fmt.Fprintf(w, "  %d  %s\n", e.code, e.meaning)
+	}
+	_, _ = fmt.Fprint(w, "\nsaddlectl COMMAND -h shows the flags.\n")
 }
 
 func commandHelp(w io.Writer, c command, fs *flag.FlagSet) {
--- /dev/null
+++ b/internal/command/saddlectl/control.go
@@ -0,0 +1,35 @@
+package saddlectl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// replicaRow is one control replica as the command shows it.
+type replicaRow struct {
+	Node    string `json:"node"`
+	Address string `json:"address"`
+	Leader  bool   `json:"leader"`
+	Match   uint64 `json:"match"` // log index known to be stored there
+}
+
+func runControl(ctx context.Context, s *session, _ []string) error {
+	state, err := s.read(ctx)
+	if err != nil {
+		return err
+	}
+	rows := []replicaRow{}
+	for _, r := range state.GetReplicas() {
+		rows = append(rows, replicaRow{Node: r.GetId(), Address: r.GetAddress(), Leader: r.GetLeader(), Match: r.GetMatch()})
+	}
+	return s.print(rows, func(w io.Writer) {
+		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		_, _ = fmt.Fprintln(tw, "REPLICA\tADDRESS\tLEADER\tSTORED")
+		for _, r := range rows {
+			_, _ = fmt.Fprintf(tw, "%s\t%s\t%t\t%d\n", r.Node, r.Address, r.Leader, r.Match)
+		}
+		_ = tw.Flush()
+	})
+}
--- a/internal/command/saddlectl/drain.go
+++ b/internal/command/saddlectl/drain.go
@@ -7,26 +7,34 @@
 )
 
 func runDrain(ctx context.Context, s *session, args []string) error {
-	return s.putDrain(ctx, args, true)
+	return s.putDrain(ctx, args[0], true)
 }
 
 func runUndrain(ctx context.Context, s *session, args []string) error {
-	return s.putDrain(ctx, args, false)
+	return s.putDrain(ctx, args[0], false)
 }
 
-func (s *session) putDrain(ctx context.Context, args []string, active bool) error {
-	if len(args) != 1 {
-		return &usageError{reason: "name one target"}
-	}
-	result, err := s.submit(ctx, &saddlewire.Command{Change: &saddlewire.Command_PutDrain{
-		PutDrain: &saddlewire.PutDrain{Target: args[0], Active: active},
+// putDrain accepts a target that nobody has heard of: it may be away just now.
+func (s *session) putDrain(ctx context.Context, target string, active bool) error {
+	c, err := s.submit(ctx, kindTarget, target, s.request, &saddlewire.Command{Change: &saddlewire.Command_PutDrain{
+		PutDrain: &saddlewire.PutDrain{Target: target, Active: active},
 	}})
 	if err != nil {
 		return err
 	}
-	s.progress("target %s: drain %t accepted", args[0], active)
-	if !s.wait {
-		return nil
+	s.noteUnheard(ctx, target)
+	return s.finish(ctx, 0, []change{c})
+}
+
+func (s *session) noteUnheard(ctx context.Context, target string) {
+	state, err := s.read(ctx)
+	if err != nil {
+		return
+	}
+	for _, m := range state.GetMembers() {
+		if m.GetTarget().GetId() == target {
+			return
+		}
 	}
-	return s.awaitInForce(ctx, result.GetIndex())
+	s.progress("  no target of that name is heard at present")
 }
--- /dev/null
+++ b/internal/command/saddlectl/exit.go
@@ -0,0 +1,60 @@
+package saddlectl
+
+import (
+	"errors"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclient"
+)
+
+// The exit codes of the command line.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitUnknown     = 3
+	ExitConflict    = 4
+	ExitTimeout     = 5
+	ExitUnavailable = 6
+)
+
+// exit explains one exit code.
+type exit struct {
+	code    int
+	meaning string
+}
+
+func exits() []exit {
+	return []exit{
+		{ExitOK, "done"},
+		{ExitFailed, "refused, or something named does not exist; nothing changed"},
+		{ExitUsage, "the command line or a file is wrong; nothing was sent"},
+		{ExitUnknown, "the outcome is unknown; resend with the -request that is printed"},
+		{ExitConflict, "another revision is in force; it is printed, nothing changed"},
+		{ExitTimeout, "accepted, but not confirmed everywhere in time"},
+		{ExitUnavailable, "no control replica could decide; nothing changed, try again"},
+	}
+}
+
+func exitCode(err error) int {
+	var usage *usageError
+	var rejected *rejectedError
+	var unknown *saddleclient.UnknownError
+	var slow *slowError
+	var refused *fireflysaddle.RefusedError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &unknown):
+		return ExitUnknown
+	case errors.As(err, &slow):
+		return ExitTimeout
+	case errors.As(err, &rejected) && rejected.code == fireflysaddle.CodeConflict:
+		return ExitConflict
+	case errors.As(err, &refused) && refused.Code == fireflysaddle.CodeNoMajority:
+		return ExitUnavailable
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/internal/command/saddlectl/fakecontrol_test.go
@@ -0,0 +1,176 @@
+package saddlectl_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/command/saddlectl"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestate"
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+var errLost = errors.New("the answer is lost")
+
+// fakeControl is a control replica of one: the real state behind the real
+// interface, with faults on demand.
+type fakeControl struct {
+	saddlewire.DRPCControlUnimplementedServer
+	address string
+
+	mu       sync.Mutex
+	state    *saddlestate.State
+	index    uint64
+	requests []string // of the commands that arrived
+	members  []*saddlewire.Member
+	replicas []*saddlewire.Replica
+	lose     int  // answers still to be lost after the command was carried out
+	deposed  bool // neither leads nor knows a leader
+	lag      bool // members do not come up to the revision
+}
+
+func newFakeControl(t *testing.T) *fakeControl {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fakeControl{
+		address: lis.Addr().String(),
+		state:   saddlestate.New(),
+		members: []*saddlewire.Member{{Node: "entry-1", Role: "entry", Confirmed: true}},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = saddlelink.Serve(ctx, lis, func(mux drpc.Mux) error { return saddlewire.DRPCRegisterControl(mux, f) })
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f
+}
+
+func (f *fakeControl) Submit(_ context.Context, in *saddlewire.SubmitRequest) (*saddlewire.SubmitResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.deposed {
+		return &saddlewire.SubmitResponse{Refused: true}, nil
+	}
+	f.index++
+	command := in.GetCommand()
+	command.NowNs = int64(f.index) * int64(time.Second)
+	f.requests = append(f.requests, command.GetRequest())
+	result := f.state.Apply(f.index, command)
+	if f.lose > 0 {
+		f.lose--
+		return nil, errLost
+	}
+	return &saddlewire.SubmitResponse{Result: result}, nil
+}
+
+func (f *fakeControl) Read(context.Context, *saddlewire.ReadRequest) (*saddlewire.ReadResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if !f.lag {
+			m.Revision = f.state.Revision()
+		}
+	}
+	return &saddlewire.ReadResponse{
+		Current:     !f.deposed,
+		Revision:    f.state.Revision(),
+		Templates:   f.state.Templates(),
+		Deployments: f.state.Deployments(),
+		Drains:      f.state.Drains(),
+		Members:     f.members,
+		Replicas:    f.replicas,
+	}, nil
+}
+
+// set changes the fake under its lock.
+func (f *fakeControl) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeControl) revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Revision()
+}
+
+// outcome is how a command line ended.
+type outcome struct {
+	code int
+	out  string
+	err  string
+}
+
+func (f *fakeControl) run(t *testing.T, args ...string) outcome {
+	t.Helper()
+	return run(t, append(args, "-controls", f.address)...)
+}
+
+func run(t *testing.T, args ...string) outcome {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	code := saddlectl.Run(t.Context(), args, &out, &errOut)
+	return outcome{code: code, out: out.String(), err: errOut.String()}
+}
+
+// decode reads what a command printed with -json.
+func decode[T any](t *testing.T, text string) T {
+	t.Helper()
+	var out T
+	if err := json.Unmarshal([]byte(text), &out); err != nil {
+		t.Fatalf("not JSON: %v\n%s", err, text)
+	}
+	return out
+}
+
+const template = `name = "meet"
+[parameters.weight]
+type = "int"
+default = "1"
+max = 100
+[deployment]
+weight = "${weight}"
+timeout = "30s"
+models = [{ name = "mastori" }]
+`
+
+const fleet = `templates = ["meet.toml"]
+[[deployments]]
+workspace = "volos"
+template = "meet"
+parameters = { weight = "2" }
+[[deployments]]
+workspace = "larisa"
+template = "meet"
+`
+
+// write writes files and returns the folder.
+func write(t *testing.T, files map[string]string) string {
+	t.Helper()
+	dir := t.TempDir()
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
--- /dev/null
+++ b/internal/command/saddlectl/inforce.go
@@ -0,0 +1,69 @@
+package saddlectl
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// inForce is a template or deployment that control has.
+type inForce struct {
+	Kind       string            `json:"kind"`
+	Name       string            `json:"name"`
+	Revision   uint64            `json:"revision"`
+	Template   string            `json:"template,omitempty"`
+	Parameters map[string]string `json:"parameters,omitempty"`
+	Body       string            `json:"body,omitempty"`
+}
+
+const (
+	kindTemplate   = "template"
+	kindDeployment = "deployment"
+	kindTarget     = "target"
+)
+
+// String gives it in one line, without a template's text.
+func (f inForce) String() string {
+	text := fmt.Sprintf("%s %s revision %d", f.Kind, f.Name, f.Revision)
+	if f.Template != "" {
+		text += " of template " + f.Template
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.Parameters)) {
+		text += fmt.Sprintf(" %s=%q", name, f.Parameters[name])
+	}
+	return text
+}
+
+// find returns a template or deployment of a state, nil when it has none.
+func find(state *saddlewire.ReadResponse, kind, name string) *inForce {
+	if kind == kindTemplate {
+		if t := findTemplate(state, name); t != nil {
+			return &inForce{Kind: kind, Name: name, Revision: t.GetRevision(), Body: t.GetBody()}
+		}
+		return nil
+	}
+	if d := findDeployment(state, name); d != nil {
+		return &inForce{Kind: kind, Name: name, Revision: d.GetRevision(), Template: d.GetTemplate(), Parameters: d.GetParameters()}
+	}
+	return nil
+}
+
+func findTemplate(state *saddlewire.ReadResponse, name string) *saddlewire.Template {
+	for _, t := range state.GetTemplates() {
+		if t.GetName() == name {
+			return t
+		}
+	}
+	return nil
+}
+
+func findDeployment(state *saddlewire.ReadResponse, workspace string) *saddlewire.Deployment {
+	for _, d := range state.GetDeployments() {
+		if d.GetWorkspace() == workspace {
+			return d
+		}
+	}
+	return nil
+}
--- a/internal/command/saddlectl/timeline.go
+++ b/internal/command/saddlectl/timeline.go
@@ -6,15 +6,21 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
+	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/admin/saddleadmin"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-const adminTimeout = 2 * time.Second // for one process to hand out its time line
+const (
+	adminTimeout = 2 * time.Second // for one process to hand out its time line
+	fetchers     = 16              // processes asked at the same time
+	maxTimeline  = 256 << 20       // bytes taken from one process
+)
 
 // timelineView is what the command shows.
 type timelineView struct {
@@ -23,55 +29,88 @@
 }
 
 func runTimeline(ctx context.Context, s *session, _ []string) error {
+	key, err := s.adminKey()
+	if err != nil {
+		return err
+	}
+	if s.since > 0 {
+		s.filter.Since = time.Now().Add(-s.since)
+	}
 	state, err := s.read(ctx)
 	if err != nil {
 		return err
 	}
+	view := gather(ctx, state.GetMembers(), key)
+	view.Unreachable = append(view.Unreachable, notHeard(state)...)
+	view.Events = s.filter.Select(view.Events)
+	return s.print(view, view.write)
+}
+
+func (s *session) adminKey() (string, error) {
+	if s.adminKeyFile == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(s.adminKeyFile)
+	if err != nil {
+		return "", &usageError{reason: err.Error()}
+	}
+	return strings.TrimSpace(string(text)), nil
+}
+
+// gather asks every member for its events.
+func gather(ctx context.Context, members []*saddlewire.Member, key string) timelineView {
 	client := &http.Client{Timeout: adminTimeout}
 	defer client.CloseIdleConnections()
-	var view timelineView
-	for _, m := range state.GetMembers() {
-		events, err := fetchTimeline(ctx, client, m.GetAdmin())
-		if err != nil {
-			view.Unreachable = append(view.Unreachable, m.GetNode())
+	all := make([][]saddletimeline.Event, len(members))
+	errs := make([]error, len(members))
+	slots := make(chan struct{}, fetchers)
+	var wg sync.WaitGroup
+	for i, m := range members {
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			all[i], errs[i] = fetchTimeline(ctx, client, m.GetAdmin(), key)
+		})
+	}
+	wg.Wait()
+	view := timelineView{Events: []saddletimeline.Event{}}
+	for i, m := range members {
+		if errs[i] != nil {
+			view.Unreachable = append(view.Unreachable, fmt.Sprintf("%s: %v", m.GetNode(), errs[i]))
 			continue
 		}
-		view.Events = append(view.Events, s.filter(events)...)
+		view.Events = append(view.Events, all[i]...)
 	}
-	slices.SortFunc(view.Events, func(a, b saddletimeline.Event) int {
-		if a.Less(b) {
-			return -1
-		}
-		return 1
-	})
-	return s.print(view, func(w io.Writer) {
-		for _, e := range view.Events {
-			_, _ = fmt.Fprintln(w, formatEvent(e))
-		}
-		for _, node := range view.Unreachable {
-			_, _ = fmt.Fprintf(w, "could not reach %s\n", node)
-		}
-	})
-}
-
-func (s *session) filter(events []saddletimeline.Event) []saddletimeline.Event {
-	return slices.DeleteFunc(events, func(e saddletimeline.Event) bool {
-		return !strings.HasPrefix(e.Request, s.request) || (s.target != "" && e.Target != s.target)
-	})
+	return view
 }
 
-func fetchTimeline(ctx context.Context, client *http.Client, admin string) ([]saddletimeline.Event, error) {
+func fetchTimeline(ctx context.Context, client *http.Client, admin, key string) ([]saddletimeline.Event, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+saddleadmin.PathTimeline, nil)
 	if err != nil {
 		return nil, err
 	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
 	var events []saddletimeline.Event
-	return events, json.NewDecoder(resp.Body).Decode(&events)
+	return events, json.NewDecoder(io.LimitReader(resp.Body, maxTimeline)).Decode(&events)
+}
+
+func (v timelineView) write(w io.Writer) {
+	for _, e := range v.Events {
+		_, _ = fmt.Fprintln(w, formatEvent(e))
+	}
+	for _, node := range v.Unreachable {
+		_, _ = fmt.Fprintf(w, "could not reach %s\n", node)
+	}
 }
 
 func formatEvent(e saddletimeline.Event) string {
--- a/internal/control/saddleclient/client.go
+++ b/internal/control/saddleclient/client.go
@@ -38,6 +38,12 @@
 // may be a refusal by the state. An error is a *fireflysaddle.RefusedError when
 // nothing was proposed, else an *UnknownError.
 func (c *Client) Submit(ctx context.Context, command *saddlewire.Command) (*saddlewire.Result, error) {
+	outcome, err := c.SubmitOutcome(ctx, command)
+	return outcome.Result, err
+}
+
+// SubmitOutcome is Submit, and says whether an answer was lost on the way.
+func (c *Client) SubmitOutcome(ctx context.Context, command *saddlewire.Command) (Outcome, error) {
 	var result *saddlewire.Result
 	maybe := false
 	err := c.rounds(ctx, func(ctx context.Context, address string) (string, error) {
@@ -58,11 +64,11 @@
 	})
 	switch {
 	case err == nil:
-		return result, nil
+		return Outcome{Result: result, Resent: maybe}, nil
 	case maybe:
-		return nil, &UnknownError{Request: command.GetRequest(), Err: err}
+		return Outcome{}, &UnknownError{Request: command.GetRequest(), Err: err}
 	}
-	return nil, noMajority(err)
+	return Outcome{}, noMajority(err)
 }
 
 // Read returns the state as a leader vouches for it.
--- a/internal/daemon/saddledaemon/control.go
+++ b/internal/daemon/saddledaemon/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -40,6 +41,7 @@
 		return err
 	}
 	defer func() { _ = cleanup() }()
+	attendant := newControlAttendant(settings, p)
 	return p.serve(ctx, s.Ready, func(stop <-chan struct{}) error {
 		runCtx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -50,6 +52,10 @@
 			case <-runCtx.Done():
 			}
 		}()
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		wg.Go(func() { _ = attendant.Run(runCtx) })
 		return s.Run(runCtx)
 	})
 }
--- a/internal/node/saddleattend/attendant.go
+++ b/internal/node/saddleattend/attendant.go
@@ -20,6 +20,7 @@
 type Attendant struct {
 	cfg    Config
 	view   atomic.Pointer[saddleview.View]
+	since  atomic.Int64 // when the view's revision came into force, Unix nanoseconds
 	events chan event
 	wakes  []chan struct{}
 	notify func(*saddleview.View)
@@ -94,7 +95,9 @@
 func (a *Attendant) publish(v *saddleview.View) {
 	old := a.view.Swap(v)
 	if v.Revision != old.Revision {
-		a.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "in_force", Revision: v.Revision})
+		now := time.Now()
+		a.since.Store(now.UnixNano())
+		a.cfg.Timeline.Add(now, saddletimeline.Event{Name: "in_force", Revision: v.Revision})
 	}
 	if a.notify != nil {
 		a.notify(v)
@@ -155,7 +158,9 @@
 	tick := time.NewTicker(a.cfg.Beat)
 	defer tick.Stop()
 	for {
-		b := &saddlewire.Beat{Member: a.cfg.Member(), Stamp: a.cfg.Timeline.Stamp(time.Now())}
+		m := a.cfg.Member()
+		m.SinceNs = a.since.Load()
+		b := &saddlewire.Beat{Member: m, Stamp: a.cfg.Timeline.Stamp(time.Now())}
 		if err := stream.Send(b); err != nil {
 			return
 		}
