--- /dev/null
+++ b/internal/admin/saddleadmin/counters.go
@@ -0,0 +1,6 @@
+package saddleadmin
+
+import "expvar"
+
+// Counters of the admin listener; docs/OPERATIONS.md lists them with units.
+var countDenied = expvar.NewInt("admin_denied_total")
--- a/internal/admin/saddleadmin/server.go
+++ b/internal/admin/saddleadmin/server.go
@@ -14,7 +14,13 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 )
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout  = 5 * time.Second  // for a caller to send its request's head
+	readTimeout    = 10 * time.Second // for a caller to send its request
+	writeTimeout   = 30 * time.Second // for a caller to take in the answer
+	idleTimeout    = time.Minute      // between requests on one connection
+	maxHeaderBytes = 16 << 10
+)
 
 // Server is an admin listener.
 type Server struct {
@@ -23,13 +29,21 @@
 }
 
 // New opens the listener and returns its clean-up. ready returns nil when the
-// process can serve.
-func New(address string, ready func() error, timeline *saddletimeline.Ring) (*Server, func() error, error) {
+// process can serve. With keys, counters and time line need one of them; whether
+// the process lives and is ready does not.
+func New(address string, keys *Keys, ready func() error, timeline *saddletimeline.Ring) (*Server, func() error, error) {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "listen on %s", address)
 	}
-	s := &Server{lis: lis, srv: &http.Server{Handler: routes(ready, timeline), ReadHeaderTimeout: headerTimeout}}
+	s := &Server{lis: lis, srv: &http.Server{
+		Handler:           routes(keys, ready, timeline),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}}
 	return s, s.srv.Close, nil
 }
 
@@ -43,7 +57,7 @@
 	return nil
 }
 
-func routes(ready func() error, timeline *saddletimeline.Ring) http.Handler {
+func routes(keys *Keys, ready func() error, timeline *saddletimeline.Ring) http.Handler {
 	e := echo.New()
 	e.HideBanner = true
 	e.GET(PathLive, func(c echo.Context) error { return c.String(http.StatusOK, "live\n") })
@@ -53,7 +67,20 @@
 		}
 		return c.String(http.StatusOK, "ready\n")
 	})
-	e.GET(PathCounters, echo.WrapHandler(expvar.Handler()))
-	e.GET(PathTimeline, func(c echo.Context) error { return c.JSON(http.StatusOK, timeline.Events()) })
+	e.GET(PathCounters, echo.WrapHandler(expvar.Handler()), needKey(keys))
+	e.GET(PathTimeline, func(c echo.Context) error { return c.JSON(http.StatusOK, timeline.Events()) }, needKey(keys))
 	return e
 }
+
+// needKey refuses a caller without one of the keys.
+func needKey(keys *Keys) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			if !keys.Allow(c.Request().Header.Get(echo.HeaderAuthorization)) {
+				countDenied.Add(1)
+				return c.String(http.StatusUnauthorized, "a bearer key of this admin listener is required\n")
+			}
+			return next(c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/saddlectl/inprocess_test.go
@@ -0,0 +1,190 @@
+package saddlectl_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+	"github.com/fireflysaddle/fireflysaddle/internal/daemon/saddledaemon"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlestandin"
+	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleannounce"
+)
+
+// awaitTime bounds what a test waits for; nothing is asserted of it.
+const awaitTime = 30 * time.Second
+
+// lockedBuffer gathers the logs of all daemons.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// daemons is a small fleet in this process: three control replicas, an entry,
+// an agent beside an engine and an agent beside a service.
+type daemons struct {
+	logs     lockedBuffer
+	controls string // addresses, comma-separated
+	entry    string
+	stops    map[string]func() // by node
+	admins   []string
+}
+
+func newDaemons(t *testing.T) *daemons {
+	t.Helper()
+	d := &daemons{stops: map[string]func(){}}
+	var replicas []saddlesettings.Replica
+	var addresses []string
+	for i := range 3 {
+		replicas = append(replicas, saddlesettings.Replica{Node: fmt.Sprintf("control-%d", i+1), Address: address(t)})
+		addresses = append(addresses, replicas[i].Address)
+	}
+	d.controls = strings.Join(addresses, ",")
+	dir := t.TempDir()
+	for _, r := range replicas {
+		s := saddlesettings.DefaultControl()
+		d.common(t, &s.Common, r.Node)
+		s.Listen = r.Address
+		s.Replicas = replicas
+		s.Data = filepath.Join(dir, r.Node)
+		d.start(t, r.Node, func(ctx context.Context) error { return saddledaemon.RunControl(ctx, s, &d.logs) })
+	}
+	e := saddlesettings.DefaultEntry()
+	d.common(t, &e.Common, "entry-1")
+	e.Listen = address(t)
+	e.Attend.Controls = addresses
+	d.entry = e.Listen
+	d.start(t, "entry-1", func(ctx context.Context) error { return saddledaemon.RunEntry(ctx, e, &d.logs) })
+	d.startAgents(t, addresses)
+	return d
+}
+
+func (d *daemons) startAgents(t *testing.T, controls []string) {
+	t.Helper()
+	engine, cleanEngine, err := saddlestandin.NewEngine(saddlestandin.EngineConfig{
+		Address: "127.0.0.1:0", ID: "mastori-1", Model: "mastori", Version: "1", To: 4, Of: 4,
+		Slots: 2, CacheLimit: 1024, Incarnation: 1, Journal: &saddlestandin.Journal{},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanEngine)
+	desk, cleanDesk, err := saddlestandin.NewService(saddlestandin.ServiceConfig{
+		Address: "127.0.0.1:0", ID: "desk-1", Group: "grammateia", Version: "1", Slots: 2, Incarnation: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanDesk)
+	for _, target := range []interface {
+		Announcement() saddleannounce.Announcement
+	}{engine, desk} {
+		a := target.Announcement()
+		s := saddlesettings.DefaultAgent()
+		d.common(t, &s.Common, "agent-"+a.ID)
+		s.Listen = address(t)
+		s.Announce = address(t)
+		s.Attend.Controls = controls
+		d.start(t, s.Node, func(ctx context.Context) error { return saddledaemon.RunAgent(ctx, s, &d.logs) })
+		d.start(t, "target-"+a.ID, func(ctx context.Context) error {
+			saddlestandin.Announce(ctx, s.Announce, a, 50*time.Millisecond)
+			return nil
+		})
+	}
+}
+
+func (d *daemons) common(t *testing.T, s *saddlesettings.Common, node string) {
+	t.Helper()
+	s.Node = node
+	s.Centre = "centre-1"
+	s.Admin = address(t)
+	s.Log.Level = "debug"
+	s.LameDuck = saddlesettings.Duration(time.Millisecond)
+	d.admins = append(d.admins, s.Admin)
+}
+
+func (d *daemons) start(t *testing.T, name string, run func(context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := run(ctx); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}()
+	d.stops[name] = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(d.stops[name])
+}
+
+// apply submits a fleet whose workspace "volos" has a key.
+func (d *daemons) apply(t *testing.T, key string) outcome {
+	t.Helper()
+	hash := sha256.Sum256([]byte(key))
+	dir := write(t, map[string]string{
+		"meet.toml":  strings.Replace(template, "[deployment]\n", "[deployment]\nkeys = [\""+hex.EncodeToString(hash[:])+"\"]\nservices = [{ name = \"grammateia\" }]\n", 1),
+		"fleet.toml": "templates = [\"meet.toml\"]\n[[deployments]]\nworkspace = \"volos\"\ntemplate = \"meet\"\n",
+	})
+	return run(t, "apply", filepath.Join(dir, "fleet.toml"), "-wait", "-controls", d.controls)
+}
+
+// post sends a request again until its status is not 503, and returns the
+// body.
+func (d *daemons) post(t *testing.T, path, key, body string) string {
+	t.Helper()
+	until := time.Now().Add(awaitTime)
+	for {
+		req, err := http.NewRequest(http.MethodPost, "http://"+d.entry+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+key)
+		req.Header.Set("Idempotency-Key", "idem-"+key)
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			text, readErr := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if readErr == nil && resp.StatusCode != http.StatusServiceUnavailable {
+				return fmt.Sprintf("%d %s", resp.StatusCode, text)
+			}
+			err = fmt.Errorf("status %d: %s", resp.StatusCode, text)
+		}
+		if time.Now().After(until) {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	a, err := saddlestandin.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
--- /dev/null
+++ b/internal/command/saddlectl/wholefleet_test.go
@@ -0,0 +1,89 @@
+package saddlectl_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/admin/saddleadmin"
+	"github.com/fireflysaddle/fireflysaddle/internal/command/saddlectl"
+	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+)
+
+const (
+	markerPrompt = "marker-of-the-prompt"
+	markerKey    = "marker-of-the-key"
+	markerBody   = "marker-of-the-body"
+)
+
+// A request's way is followed over all processes, control included, and a
+// process that is gone is named.
+func TestTimelineCoversControlReplicas(t *testing.T) {
+	is := is.New(t)
+	d := newDaemons(t)
+	is.Equal(d.apply(t, markerKey).code, saddlectl.ExitOK)
+	answer := d.post(t, "/v1/completions", markerKey, `{"model":"mastori","prompt":"wall","max_tokens":2}`)
+	is.True(strings.HasPrefix(answer, "200 "))
+
+	view := decode[struct{ Events []saddletimeline.Event }](t, run(t, "timeline", "-json", "-controls", d.controls).out)
+	seen := map[string]map[string]bool{}
+	for _, e := range view.Events {
+		if seen[e.Node] == nil {
+			seen[e.Node] = map[string]bool{}
+		}
+		seen[e.Node][e.Name] = true
+	}
+	for _, node := range []string{"control-1", "control-2", "control-3"} {
+		is.True(seen[node]["configuration"])
+	}
+	is.True(seen["entry-1"]["draft_received"])
+	is.True(seen["agent-mastori-1"]["draft_start"])
+
+	d.stops["control-3"]()
+	got := run(t, "timeline", "-controls", d.controls)
+	is.Equal(got.code, saddlectl.ExitOK)
+	is.True(strings.Contains(got.out, "could not reach control-3"))
+}
+
+// No prompt, key or body is in a log, a time line or an error.
+func TestLogsAndTimeLinesHoldNothingOfTheCallers(t *testing.T) {
+	is := is.New(t)
+	d := newDaemons(t)
+	is.Equal(d.apply(t, markerKey).code, saddlectl.ExitOK)
+	draft := d.post(t, "/v1/completions", markerKey, `{"model":"mastori","prompt":"`+markerPrompt+`","max_tokens":2}`)
+	is.True(strings.HasPrefix(draft, "200 "))
+	call := d.post(t, "/services/grammateia/results", markerKey, `{"entrant":"`+markerBody+`"}`)
+	is.True(strings.HasPrefix(call, "201 "))
+	errors := d.post(t, "/v1/completions", markerKey, `{"model":"none","prompt":"`+markerPrompt+`","max_tokens":2}`)
+	errors += d.post(t, "/v1/completions", markerKey, `{"model":"mastori","prompt":"`+markerPrompt)
+	errors += d.post(t, "/services/none/results", markerKey, markerBody)
+	errors += d.post(t, "/v1/completions", markerKey+"-wrong", `{"prompt":"`+markerPrompt+`"}`)
+	errors += d.post(t, "/services/grammateia/results", markerKey, `{"entrant":"`+markerBody+` again"}`) // key reused
+
+	text := errors + d.logs.String() + run(t, "timeline", "-json", "-controls", d.controls).out
+	for _, admin := range d.admins {
+		text += get(t, admin+saddleadmin.PathCounters) + get(t, admin+saddleadmin.PathTimeline)
+	}
+	is.True(strings.Contains(text, "draft_received")) // there is something to search
+	is.True(strings.Contains(text, "started"))
+	for _, marker := range []string{markerPrompt, markerKey, markerBody} {
+		is.True(!strings.Contains(text, marker))
+	}
+}
+
+func get(t *testing.T, url string) string {
+	t.Helper()
+	resp, err := http.Get("http://" + url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
--- a/internal/config/saddlesettings/common.go
+++ b/internal/config/saddlesettings/common.go
@@ -7,7 +7,10 @@
 	Node   string `toml:"node"`   // name of the process, unique in the fleet
 	Centre string `toml:"centre"` // data centre
 	Admin  string `toml:"admin"`  // address of the admin listener
-	Log    Log    `toml:"log"`
+	// AdminKeys is a file with the SHA-256 hashes of the keys that the admin
+	// listener takes; without one it takes every caller.
+	AdminKeys string `toml:"admin_keys"`
+	Log       Log    `toml:"log"`
 	// Timeline is the number of events kept.
 	Timeline int `toml:"timeline"`
 	// LameDuck is how long a process that was told to stop still accepts work,
--- a/internal/daemon/saddledaemon/process.go
+++ b/internal/daemon/saddledaemon/process.go
@@ -50,7 +50,14 @@
 // serve runs the role beside its admin listener until the context ends. Then
 // serveRole is told to stop and is waited for.
 func (p *process) serve(ctx context.Context, ready func() error, serveRole func(stop <-chan struct{}) error) error {
-	admin, closeAdmin, err := saddleadmin.New(p.settings.Admin, ready, p.timeline)
+	keys, err := saddleadmin.LoadKeys(p.settings.AdminKeys)
+	if err != nil {
+		return err
+	}
+	if keys == nil {
+		p.log.Warn().Str("admin", p.settings.Admin).Msg("admin_keys is not set: the admin listener takes every caller")
+	}
+	admin, closeAdmin, err := saddleadmin.New(p.settings.Admin, keys, ready, p.timeline)
 	if err != nil {
 		return err
 	}
--- a/internal/demo/saddledemo/fleet.go
+++ b/internal/demo/saddledemo/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"os"
@@ -25,6 +27,7 @@
 	wholeModel    = "mastori-small"
 	deskGroup     = "grammateia"
 	lameDuck      = 100 * time.Millisecond
+	adminKey      = "demo-admin-key"
 )
 
 // fleet is the running system.
@@ -64,7 +67,7 @@
 		journal: &saddlestandin.Journal{},
 		engines: map[string]*saddlestandin.Engine{},
 	}
-	for _, start := range []func() error{f.startControls, f.startEntries, f.startEngines, f.startDesks} {
+	for _, start := range []func() error{f.writeAdminKeys, f.startControls, f.startEntries, f.startEngines, f.startDesks} {
 		if err := start(); err != nil {
 			f.close()
 			return nil, nil, err
@@ -152,9 +155,16 @@
 	s.Admin = admin
 	s.LameDuck = saddlesettings.Duration(lameDuck)
 	s.Log.Level = "warn"
+	s.AdminKeys = filepath.Join(f.dir, "admin-keys")
 	return err
 }
 
+// writeAdminKeys writes the file with the hash of the admin listeners' key.
+func (f *fleet) writeAdminKeys() error {
+	hash := sha256.Sum256([]byte(adminKey))
+	return os.WriteFile(filepath.Join(f.dir, "admin-keys"), []byte(hex.EncodeToString(hash[:])), 0o600)
+}
+
 func (f *fleet) startEntries() error {
 	listens, err := addresses(entries)
 	if err != nil {
--- a/internal/trace/saddletimeline/clock.go
+++ b/internal/trace/saddletimeline/clock.go
@@ -16,9 +16,16 @@
 
 // Now returns a stamp above every stamp returned or observed before.
 func (c *Clock) Now(now time.Time) *saddlewire.Stamp {
+	wall, count := c.next(now)
+	return &saddlewire.Stamp{WallNs: wall, Count: count}
+}
+
+// next is Now without a message to allocate.
+func (c *Clock) next(now time.Time) (wall int64, count uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.advance(now, 0, 0)
+	c.advance(now, 0, 0)
+	return c.wall, c.count
 }
 
 // Observe takes in the stamp of a received message, which may be nil.
@@ -28,7 +35,7 @@
 	c.advance(now, s.GetWallNs(), s.GetCount())
 }
 
-func (c *Clock) advance(now time.Time, wall int64, count uint32) *saddlewire.Stamp {
+func (c *Clock) advance(now time.Time, wall int64, count uint32) {
 	latest := max(now.UnixNano(), c.wall, wall)
 	next := uint32(0)
 	if latest == c.wall {
@@ -39,5 +46,4 @@
 	}
 	c.wall = latest
 	c.count = next
-	return &saddlewire.Stamp{WallNs: latest, Count: next}
 }
--- a/internal/trace/saddletimeline/ring.go
+++ b/internal/trace/saddletimeline/ring.go
@@ -29,10 +29,8 @@
 	if r == nil {
 		return
 	}
-	stamp := r.clock.Now(now)
 	e.Node = r.node
-	e.WallNs = stamp.GetWallNs()
-	e.Count = stamp.GetCount()
+	e.WallNs, e.Count = r.clock.next(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.events[r.next] = e
