Examples: both fleets at their sizes, one settings file for each role and data centre

Cause: examples held one runner and no fleet file; 43 agents would have needed 43 files, and an agent that listened on 0.0.0.0 told others to dial that. Ruled out: placeholders in settings (a second language beside TOML). Before: 6 files a fleet, nothing checked them. Addresses that cannot be dialled are refused. A workspace that stands twice in a fleet file is refused.

--- a/internal/command/saddlectl/command_test.go
+++ b/internal/command/saddlectl/command_test.go
@@ -73,6 +73,7 @@
 		"meet.toml":  template,
 		"bad.toml":   strings.Replace(template, `"${weight}"`, `"${size}"`, 1),
 		"fleet.toml": fleet,
+		"twice.toml": fleet + "[[deployments]]\nworkspace = \"volos\"\ntemplate = \"meet\"\n",
 		"typo.toml":  "templates = []\ndeploymnets = []\n",
 	})
 	meet := filepath.Join(dir, "meet.toml")
@@ -91,6 +92,7 @@
 		{"an unknown flag", nil, []string{"status", "-target", "x"}, saddlectl.ExitUsage, "-target"},
 		{"an argument too many", nil, []string{"status", "volos"}, saddlectl.ExitUsage, "takes no argument"},
 		{"a file with an unknown key", nil, []string{"apply", filepath.Join(dir, "typo.toml")}, saddlectl.ExitUsage, "deploymnets"},
+		{"a workspace twice in a file", nil, []string{"apply", filepath.Join(dir, "twice.toml")}, saddlectl.ExitUsage, `"volos" stands there twice`},
 		{"a template with an undeclared parameter", nil, []string{"template", "submit", filepath.Join(dir, "bad.toml")}, saddlectl.ExitUsage, `"size"`},
 		{"a parameter without a value", nil, []string{"deployment", "submit", "volos", "-template", "meet", "-set", "weight"}, saddlectl.ExitUsage, "NAME=VALUE"},
 		{"a revision without a base", nil, []string{"template", "revise", meet}, saddlectl.ExitUsage, "-base"},
--- a/internal/command/saddlectl/fleet.go
+++ b/internal/command/saddlectl/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/BurntSushi/toml"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddletemplate"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
 // fleet is the file that apply reads.
@@ -51,7 +52,12 @@
 		templates = append(templates, t)
 		parsed[t.name] = p
 	}
+	seen := map[string]bool{}
 	for _, d := range f.Deployments {
+		if seen[d.Workspace] {
+			return f, nil, fmt.Errorf("%s: workspace %q stands there twice", file, d.Workspace)
+		}
+		seen[d.Workspace] = true
 		t, ok := parsed[d.Template]
 		if !ok {
 			continue // control may have the template
@@ -63,6 +69,34 @@
 	return f, templates, nil
 }
 
+// RenderFleet checks a fleet file as apply does and returns its deployments as
+// control will render them. Every template must be among those that it names.
+func RenderFleet(file string) ([]*saddlewire.Deployment, error) {
+	f, templates, err := readFleet(file)
+	if err != nil {
+		return nil, err
+	}
+	parsed := map[string]*saddletemplate.Template{}
+	for _, t := range templates {
+		if parsed[t.name], err = saddletemplate.Parse(t.name, t.body); err != nil {
+			return nil, err
+		}
+	}
+	var out []*saddlewire.Deployment
+	for _, d := range f.Deployments {
+		t, ok := parsed[d.Template]
+		if !ok {
+			return nil, &missingError{kind: kindTemplate, name: d.Template}
+		}
+		rendered, err := t.Render(d.Workspace, d.Parameters)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, rendered)
+	}
+	return out, nil
+}
+
 func readTemplate(path string) (fleetTemplate, *saddletemplate.Template, error) {
 	body, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/command/saddlemain/run.go
+++ b/internal/command/saddlemain/run.go
@@ -30,10 +30,10 @@
 
 func commands() []command {
 	return []command{
-		{"entry", "-settings FILE", "take callers' requests", runEntry},
-		{"agent", "-settings FILE", "run beside a target", runAgent},
-		{"control", "-settings FILE", "keep the configuration and the claims", runControl},
-		{"check", "ROLE FILE...", "check settings files", runCheck},
+		{"entry", "-settings FILE [-node NODE] [-ip IP]", "take callers' requests", runEntry},
+		{"agent", "-settings FILE [-node NODE] [-ip IP]", "run beside a target", runAgent},
+		{"control", "-settings FILE [-node NODE] [-ip IP]", "keep the configuration and the claims", runControl},
+		{"check", "[-node NODE] [-ip IP] ROLE FILE...", "check settings files", runCheck},
 		{"demo", "[-hold]", "run everything on this machine, with stand-ins", runDemo},
 		{"version", "", "print the version", runVersion},
 	}
@@ -65,14 +65,15 @@
 }
 
 // daemon reads a role's settings and runs it.
-func daemon[S any](ctx context.Context, role string, args []string, errOut io.Writer, load func(string) (S, error), run func(context.Context, S, io.Writer) error) int {
+func daemon[S any](ctx context.Context, role string, args []string, errOut io.Writer, load func(string, saddlesettings.Place) (S, error), run func(context.Context, S, io.Writer) error) int {
 	fs := flag.NewFlagSet(role, flag.ContinueOnError)
 	fs.SetOutput(errOut)
 	file := fs.String("settings", "", "settings file")
+	place := placeFlags(fs)
 	if err := fs.Parse(args); err != nil {
 		return ExitSettings
 	}
-	settings, err := load(*file)
+	settings, err := load(*file, *place)
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, err)
 		return ExitSettings
@@ -96,15 +97,29 @@
 	return daemon(ctx, "control", args, errOut, saddlesettings.LoadControl, saddledaemon.RunControl)
 }
 
+// placeFlags adds the flags for processes that share a settings file.
+func placeFlags(fs *flag.FlagSet) *saddlesettings.Place {
+	var place saddlesettings.Place
+	fs.StringVar(&place.Node, "node", "", "name of this process; default the file's")
+	fs.StringVar(&place.IP, "ip", "", "IP of this process's listeners; default the file's")
+	return &place
+}
+
 // runCheck checks settings files and names every error.
 func runCheck(_ context.Context, args []string, out, errOut io.Writer) int {
-	if len(args) < 2 {
+	fs := flag.NewFlagSet("check", flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	place := placeFlags(fs)
+	if err := fs.Parse(args); err != nil {
+		return ExitSettings
+	}
+	if fs.NArg() < 2 {
 		_, _ = fmt.Fprintln(errOut, "fireflysaddle check: name a role and its settings files")
 		return ExitSettings
 	}
 	code := ExitOK
-	for _, file := range args[1:] {
-		if err := checkFile(args[0], file); err != nil {
+	for _, file := range fs.Args()[1:] {
+		if err := checkFile(fs.Arg(0), file, *place); err != nil {
 			_, _ = fmt.Fprintln(errOut, err)
 			code = ExitSettings
 			continue
@@ -114,15 +129,15 @@
 	return code
 }
 
-func checkFile(role, file string) error {
+func checkFile(role, file string, place saddlesettings.Place) error {
 	var err error
 	switch role {
 	case "entry":
-		_, err = saddlesettings.LoadEntry(file)
+		_, err = saddlesettings.LoadEntry(file, place)
 	case "agent":
-		_, err = saddlesettings.LoadAgent(file)
+		_, err = saddlesettings.LoadAgent(file, place)
 	case "control":
-		_, err = saddlesettings.LoadControl(file)
+		_, err = saddlesettings.LoadControl(file, place)
 	default:
 		err = fmt.Errorf("role %q must be entry, agent or control", role)
 	}
--- a/internal/config/saddlesettings/agent.go
+++ b/internal/config/saddlesettings/agent.go
@@ -45,7 +45,7 @@
 	c := &checker{file: file}
 	s.check(c)
 	s.Attend.check(c)
-	c.address("listen", s.Listen)
+	c.reachable("listen", s.Listen)
 	c.address("announce", s.Announce)
 	c.duration("probe", s.Probe, minProbe, maxProbe)
 	c.duration("lost", s.Lost, s.Probe.Std(), time.Minute)
--- a/internal/config/saddlesettings/checker.go
+++ b/internal/config/saddlesettings/checker.go
@@ -33,6 +33,15 @@
 	}
 }
 
+// reachable checks an address that other processes are told to dial.
+func (c *checker) reachable(key, value string) {
+	c.address(key, value)
+	host, _, _ := net.SplitHostPort(value)
+	if ip := net.ParseIP(host); ip != nil && ip.IsUnspecified() {
+		c.fail(key, value, "must be an IP that other processes can dial")
+	}
+}
+
 func (c *checker) addresses(key string, values []string) {
 	if len(values) == 0 {
 		c.fail(key, values, "must name at least one address")
--- a/internal/config/saddlesettings/common.go
+++ b/internal/config/saddlesettings/common.go
@@ -46,7 +46,7 @@
 func (s *Common) check(c *checker) {
 	c.required("node", s.Node)
 	c.required("centre", s.Centre)
-	c.address("admin", s.Admin)
+	c.reachable("admin", s.Admin)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json", "console")
 	c.count("timeline", s.Timeline, maxTimeline)
--- a/internal/config/saddlesettings/load.go
+++ b/internal/config/saddlesettings/load.go
@@ -6,30 +6,36 @@
 	"github.com/BurntSushi/toml"
 )
 
-// LoadEntry reads the settings of an entry.
-func LoadEntry(file string) (Entry, error) {
+// LoadEntry reads the settings of an entry at a place.
+func LoadEntry(file string, place Place) (Entry, error) {
 	s := DefaultEntry()
 	if err := load(file, &s); err != nil {
 		return Entry{}, err
 	}
+	place.common(&s.Common)
+	place.addresses(&s.Listen)
 	return s, s.Check(file)
 }
 
-// LoadAgent reads the settings of an agent.
-func LoadAgent(file string) (Agent, error) {
+// LoadAgent reads the settings of an agent at a place.
+func LoadAgent(file string, place Place) (Agent, error) {
 	s := DefaultAgent()
 	if err := load(file, &s); err != nil {
 		return Agent{}, err
 	}
+	place.common(&s.Common)
+	place.addresses(&s.Listen, &s.Announce)
 	return s, s.Check(file)
 }
 
-// LoadControl reads the settings of a control replica.
-func LoadControl(file string) (Control, error) {
+// LoadControl reads the settings of a control replica at a place.
+func LoadControl(file string, place Place) (Control, error) {
 	s := DefaultControl()
 	if err := load(file, &s); err != nil {
 		return Control{}, err
 	}
+	place.common(&s.Common)
+	place.addresses(&s.Listen)
 	return s, s.Check(file)
 }
 
