--- /dev/null
+++ b/internal/bench/saddleslope/run_test.go
@@ -0,0 +1,30 @@
+package saddleslope_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddleslope"
+)
+
+// Every quantity that docs/CAPACITY.md builds on is measured at three sizes.
+func TestEachQuantityIsMeasuredAtThreeSizes(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(saddleslope.Run(t.Context(), []string{"-divide", "50", "-window", "600ms"}, &out))
+	rows := strings.Split(strings.TrimSpace(out.String()), "\n")[1:]
+	is.Equal(len(rows), 23)
+	for _, row := range rows {
+		is.Equal(strings.Count(row, ": "), 3) // three sizes with their values
+		is.True(!strings.Contains(row, "NaN"))
+	}
+}
+
+func TestUnknownMeasurementIsRefused(t *testing.T) {
+	is := is.New(t)
+	err := saddleslope.Run(t.Context(), []string{"-only", "streams,colours"}, &bytes.Buffer{})
+	is.True(err != nil && strings.Contains(err.Error(), `"colours"`))
+}
--- /dev/null
+++ b/internal/bench/saddleslope/series.go
@@ -0,0 +1,45 @@
+package saddleslope
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// series is one quantity at several sizes.
+type series struct {
+	quantity string
+	unit     string // of the values
+	of       string // what a size counts
+	points   []point
+}
+
+// report gathers the series of a run in the order of their first points.
+type report struct {
+	series []*series
+}
+
+// add notes one value; size counts things of a kind.
+func (r *report) add(quantity, unit, of string, size int, value float64) {
+	for _, s := range r.series {
+		if s.quantity == quantity {
+			s.points = append(s.points, point{size: float64(size), value: value})
+			return
+		}
+	}
+	r.series = append(r.series, &series{quantity: quantity, unit: unit, of: of, points: []point{{size: float64(size), value: value}}})
+}
+
+func (r *report) write(w io.Writer) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "QUANTITY\tSLOPE\tUNIT\tAT 0\tSIZES: VALUES")
+	for _, s := range r.series {
+		l := fit(s.points)
+		_, _ = fmt.Fprintf(tw, "%s\t%.4g\t%s / %s\t%.4g\t", s.quantity, l.slope, s.unit, s.of, l.intercept)
+		for _, p := range s.points {
+			_, _ = fmt.Fprintf(tw, "%.0f: %.4g  ", p.size, p.value)
+		}
+		_, _ = fmt.Fprintln(tw)
+	}
+	_ = tw.Flush()
+}
