A view shares with the one before what no update has changed

Cause: the attendant rebuilt members, groups, deployments and keys at every update, idle ones included: six times a second with three replicas. Ruled out: skipping the publication of idle updates (Confirmed and Connected would go stale).

--- a/internal/bench/saddleslope/control.go
+++ b/internal/bench/saddleslope/control.go
@@ -62,7 +62,7 @@
 	go func() { done <- server.Run(ctx) }()
 	cleanup := func() {
 		cancel()
-		<-done
+		_ = <-done // the run ended by the context
 		_ = closeServer()
 		_ = os.RemoveAll(dir)
 	}
--- a/internal/bench/saddleslope/views.go
+++ b/internal/bench/saddleslope/views.go
@@ -10,7 +10,7 @@
 
 const (
 	viewSources = 3   // replicas that a node hears
-	viewBuilds  = 100 // merges at each size
+	viewBuilds  = 200 // merges at each size
 )
 
 // measureViews merges what a node hears: first with members, then with
@@ -19,12 +19,13 @@
 	for _, n := range o.sizes(300, 1000, 3000) {
 		b, grown := viewOf(&saddlewire.Update{Snapshot: true, Revision: 1, Members: some(n, agentMember)})
 		r.add("memory of a member in a view", "bytes", "member", n, grown)
-		r.add("processor time of a merge", "ns", "member", n, mergeCost(b))
+		r.add("processor time of a merge that changes a member", "ns", "member", n, mergeCost(b, &saddlewire.Update{Revision: 1, Members: some(1, agentMember)}))
+		r.add("processor time of an idle merge", "ns", "member", n, mergeCost(b, &saddlewire.Update{Revision: 1}))
 	}
 	for _, n := range o.sizes(50, 150, 430) {
 		b, grown := viewOf(&saddlewire.Update{Snapshot: true, Revision: 1, Deployments: some(n, deploymentOf)})
 		r.add("memory of a deployment in a view", "bytes", "deployment", n, grown)
-		r.add("processor time of a merge by deployments", "ns", "deployment", n, mergeCost(b))
+		r.add("processor time of a merge that changes a deployment", "ns", "deployment", n, mergeCost(b, &saddlewire.Update{Revision: 1, Deployments: some(1, deploymentOf)}))
 	}
 	return nil
 }
@@ -43,20 +44,19 @@
 	return b, grown
 }
 
-func mergeCost(b *saddleview.Builder) float64 {
-	idle := &saddlewire.Update{Revision: 1}
+func mergeCost(b *saddleview.Builder, u *saddlewire.Update) float64 {
 	return cost(func() {
 		for range viewBuilds {
-			b.Update("a", idle)
+			b.Update("a", u)
 			b.Build()
 		}
 	}) / viewBuilds
 }
 
-func some[T any](n int, make func(int) T) []T {
+func some[T any](n int, sample func(int) T) []T {
 	var out []T
 	for i := range n {
-		out = append(out, make(i))
+		out = append(out, sample(i))
 	}
 	return out
 }
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -13,9 +13,15 @@
 // never goes back when a replica that is behind is heard. Members are those
 // that any connected replica knows; with none connected the last set stays, so
 // that a node goes on serving without control.
+//
+// A view shares with the one before what no update has changed since: most
+// updates change nothing, and there may be thousands of members.
 type Builder struct {
 	sources map[string]*source
 	last    *View
+
+	staleConfiguration bool // changed since last was built
+	staleMembers       bool
 }
 
 // source is what one replica said.
@@ -38,7 +44,7 @@
 
 // NewBuilder returns a builder that has heard nothing.
 func NewBuilder() *Builder {
-	return &Builder{sources: map[string]*source{}, last: &View{}}
+	return &Builder{sources: map[string]*source{}, last: &View{}, staleConfiguration: true, staleMembers: true}
 }
 
 // Update takes in what a replica sent. An update below the revision that the
@@ -49,6 +55,7 @@
 		s = newSource()
 		b.sources[replica] = s
 	}
+	b.note(s, u)
 	s.connected = true
 	s.confirmed = u.GetConfirmed()
 	if u.GetSnapshot() {
@@ -63,6 +70,17 @@
 	}
 }
 
+// note marks what an update may change.
+func (b *Builder) note(s *source, u *saddlewire.Update) {
+	anew := u.GetSnapshot() || !s.connected
+	if anew || u.GetRevision() != s.revision || len(u.GetDeployments())+len(u.GetDrains()) > 0 {
+		b.staleConfiguration = true
+	}
+	if anew || len(u.GetMembers())+len(u.GetGone()) > 0 {
+		b.staleMembers = true
+	}
+}
+
 func (s *source) applyConfiguration(u *saddlewire.Update) {
 	if u.GetRevision() < s.revision {
 		return
@@ -83,6 +101,7 @@
 // Lost notes that a replica is no longer heard.
 func (b *Builder) Lost(replica string) {
 	if s, ok := b.sources[replica]; ok {
+		b.staleMembers = b.staleMembers || s.connected
 		s.connected = false
 		s.confirmed = false
 	}
@@ -90,20 +109,48 @@
 
 // Build returns the merged view.
 func (b *Builder) Build() *View {
-	v := &View{Drains: map[string]*saddlewire.Drain{}}
-	if best := b.best(); best != nil {
-		v.Ready = true
-		v.Revision = best.revision
-		v.Deployments = cloneMap(best.deployments)
-		v.Drains = cloneMap(best.drains)
-	}
-	b.mergeMembers(v)
-	v.Keys = keys(v.Deployments)
-	v.Groups = groups(v.Members)
+	next := *b.last
+	v := &next
+	if b.staleConfiguration {
+		b.mergeConfiguration(v)
+	}
+	b.countSources(v)
+	if b.staleMembers && v.Connected > 0 {
+		v.Members = b.mergedMembers()
+		v.Groups = groups(v.Members)
+	}
+	b.staleConfiguration = false
+	b.staleMembers = false
 	b.last = v
 	return v
 }
 
+func (b *Builder) mergeConfiguration(v *View) {
+	best := b.best()
+	if best == nil {
+		return
+	}
+	v.Ready = true
+	v.Revision = best.revision
+	v.Deployments = cloneMap(best.deployments)
+	v.Drains = cloneMap(best.drains)
+	v.Keys = keys(v.Deployments)
+}
+
+// countSources notes how many replicas are heard and whether one of them
+// confirms the view's revision.
+func (b *Builder) countSources(v *View) {
+	v.Connected = 0
+	v.Confirmed = false
+	for _, s := range b.sources {
+		if !s.connected {
+			continue
+		}
+		v.Connected++
+		v.Confirmed = v.Confirmed || (s.confirmed && s.revision == v.Revision)
+	}
+}
+
 func (b *Builder) best() *source {
 	var best *source
 	for _, s := range b.sources {
@@ -114,23 +161,21 @@
 	return best
 }
 
-func (b *Builder) mergeMembers(v *View) {
-	v.Members = map[string]*saddlewire.Member{}
+// mergedMembers returns the latest incarnation of each member that a connected
+// replica knows.
+func (b *Builder) mergedMembers() map[string]*saddlewire.Member {
+	out := map[string]*saddlewire.Member{}
 	for _, s := range b.sources {
 		if !s.connected {
 			continue
 		}
-		v.Connected++
-		v.Confirmed = v.Confirmed || (s.confirmed && s.revision == v.Revision)
 		for node, m := range s.members {
-			if m.GetIncarnation() >= v.Members[node].GetIncarnation() {
-				v.Members[node] = m
+			if m.GetIncarnation() >= out[node].GetIncarnation() {
+				out[node] = m
 			}
 		}
 	}
-	if v.Connected == 0 {
-		v.Members = b.last.Members
-	}
+	return out
 }
 
 func keys(deployments map[string]*saddlewire.Deployment) map[string]*saddlewire.Deployment {
