--- a/internal/bench/saddleslope/control.go
+++ b/internal/bench/saddleslope/control.go
@@ -58,11 +58,14 @@
 		return nil, nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan error, 1)
-	go func() { done <- server.Run(ctx) }()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Run(ctx) // a failure shows as streams that end
+	}()
 	cleanup := func() {
 		cancel()
-		_ = <-done // the run ended by the context
+		<-done
 		_ = closeServer()
 		_ = os.RemoveAll(dir)
 	}
--- /dev/null
+++ b/internal/bench/saddleslope/drafts.go
@@ -0,0 +1,76 @@
+package saddleslope
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// quietSource is an agent whose drafts stay open and say nothing.
+type quietSource struct {
+	saddlewire.DRPCAgentUnimplementedServer
+	open atomic.Int64
+}
+
+// Draft holds the stream until its end.
+func (q *quietSource) Draft(_ *saddlewire.DraftRequest, stream saddlewire.DRPCAgent_DraftStream) error {
+	q.open.Add(1)
+	<-stream.Context().Done()
+	return nil
+}
+
+// measureDrafts holds drafts open, each on a connection of its own as drpc has
+// it.
+func measureDrafts(ctx context.Context, o options, r *report) error {
+	for _, n := range o.sizes(200, 600, 1800) {
+		if err := measureDraftsAt(ctx, r, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureDraftsAt(ctx context.Context, r *report, n int) error {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	source := &quietSource{}
+	wg.Go(func() {
+		_ = saddlelink.Serve(ctx, lis, func(mux drpc.Mux) error { return saddlewire.DRPCRegisterAgent(mux, source) })
+	})
+	before := memory()
+	for range n {
+		raw, err := net.Dial("tcp", lis.Addr().String())
+		if err != nil {
+			return err
+		}
+		conn := drpcconn.New(raw)
+		defer func() { _ = conn.Close() }()
+		if _, err := saddlewire.NewDRPCAgentClient(conn).Draft(ctx, &saddlewire.DraftRequest{Ticket: &saddlewire.Ticket{Request: claimOf(0).GetRequest()}}); err != nil {
+			return err
+		}
+	}
+	if err := await(ctx, func() error {
+		if got := source.open.Load(); got < int64(n) {
+			return fmt.Errorf("%d of %d drafts are open", got, n)
+		}
+		return nil
+	}); err != nil {
+		return err
+	}
+	r.add("memory of an open draft on the wire, both ends", "bytes", "draft", n, memory()-before)
+	return nil
+}
--- /dev/null
+++ b/internal/bench/saddleslope/requests.go
@@ -0,0 +1,192 @@
+package saddleslope
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclient"
+	"github.com/fireflysaddle/fireflysaddle/internal/daemon/saddledaemon"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlestandin"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+const (
+	pathModel     = "mastori"
+	pathKey       = "slopes-key"
+	pathCallers   = 8
+	pathTokens    = 500 // of one long answer
+	pathTemplate  = "name = \"path\"\n[deployment]\nkeys = [%q]\nmodels = [{ name = %q }]\n"
+	announceEvery = 100 * time.Millisecond
+)
+
+// measureRequests sends requests through an entry and an agent to a stand-in
+// engine, all in this process: short answers for the cost of a request, long
+// ones for that of a token.
+func measureRequests(ctx context.Context, o options, r *report) error {
+	p, cleanup, err := newPath(ctx)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	for _, n := range o.sizes(400, 1200, 3600) {
+		used := cost(func() { err = p.drafts(ctx, n, 1) })
+		if err != nil {
+			return err
+		}
+		r.add("processor time of a request with one token, all ends", "ns", "request", n, used)
+	}
+	for _, n := range o.sizes(40, 120, 360) {
+		used := cost(func() { err = p.drafts(ctx, n, pathTokens) })
+		if err != nil {
+			return err
+		}
+		r.add("processor time of a token, all ends", "ns", "token", n*pathTokens, used)
+	}
+	return nil
+}
+
+// path is the whole way of a request, in this process.
+type path struct {
+	entry string
+}
+
+func newPath(ctx context.Context) (*path, func(), error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	closing := []func(){cancel, wg.Wait}
+	cleanup := func() {
+		for _, c := range closing {
+			c()
+		}
+	}
+	dir, err := os.MkdirTemp("", "fireflysaddle-slopes-")
+	if err != nil {
+		return nil, cleanup, err
+	}
+	closing = append(closing, func() { _ = os.RemoveAll(dir) })
+	engine, closeEngine, err := saddlestandin.NewEngine(saddlestandin.EngineConfig{
+		Address: "127.0.0.1:0", ID: "mastori-1", Model: pathModel, Version: "1", To: 4, Of: 4,
+		Slots: pathCallers, CacheLimit: 1024, Incarnation: 1, Journal: &saddlestandin.Journal{},
+	})
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	closing = append(closing, closeEngine)
+	var addresses [7]string
+	for i := range addresses {
+		if addresses[i], err = freeAddress(); err != nil {
+			cleanup()
+			return nil, nil, err
+		}
+	}
+	control, entry, agent := pathSettings(dir, addresses)
+	wg.Go(func() { _ = saddledaemon.RunControl(ctx, control, io.Discard) })
+	wg.Go(func() { _ = saddledaemon.RunEntry(ctx, entry, io.Discard) })
+	wg.Go(func() { _ = saddledaemon.RunAgent(ctx, agent, io.Discard) })
+	wg.Go(func() { saddlestandin.Announce(ctx, agent.Announce, engine.Announcement(), announceEvery) })
+	p := &path{entry: entry.Listen}
+	if err := p.configure(ctx, control.Listen); err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	return p, cleanup, nil
+}
+
+func pathSettings(dir string, addresses [7]string) (saddlesettings.Control, saddlesettings.Entry, saddlesettings.Agent) {
+	control, entry, agent := saddlesettings.DefaultControl(), saddlesettings.DefaultEntry(), saddlesettings.DefaultAgent()
+	control.Node, entry.Node, agent.Node = "control-1", "entry-1", "agent-1"
+	control.Admin, entry.Admin, agent.Admin = addresses[0], addresses[1], addresses[2]
+	control.Listen, entry.Listen, agent.Listen = addresses[3], addresses[4], addresses[5]
+	control.Data = filepath.Join(dir, "data")
+	control.Replicas = []saddlesettings.Replica{{Node: control.Node, Address: control.Listen}}
+	entry.Attend.Controls = []string{control.Listen}
+	agent.Attend.Controls = []string{control.Listen}
+	agent.Announce = addresses[6]
+	entry.LameDuck = 0
+	agent.LameDuck = 0
+	return control, entry, agent
+}
+
+// configure submits a template and a deployment and waits for the first answer.
+func (p *path) configure(ctx context.Context, control string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	client, cleanup := saddleclient.New([]string{control}, nil)
+	defer func() { _ = cleanup() }()
+	hash := sha256.Sum256([]byte(pathKey))
+	body := fmt.Sprintf(pathTemplate, hex.EncodeToString(hash[:]), pathModel)
+	for _, command := range []*saddlewire.Command{
+		{Change: &saddlewire.Command_PutTemplate{PutTemplate: &saddlewire.PutTemplate{Name: "path", Body: body}}},
+		{Change: &saddlewire.Command_PutDeployment{PutDeployment: &saddlewire.PutDeployment{Workspace: "volos", Template: "path"}}},
+	} {
+		command.Request = uuid.NewString()
+		result, err := client.Submit(ctx, command)
+		if err == nil && !result.GetAccepted() {
+			err = fmt.Errorf("refused: %s", result.GetMessage())
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return await(ctx, func() error { return p.draft(ctx, 1) })
+}
+
+// drafts asks for n answers, pathCallers at a time.
+func (p *path) drafts(ctx context.Context, n, tokens int) error {
+	work := make(chan struct{})
+	errs := make(chan error, pathCallers)
+	for range pathCallers {
+		go func() {
+			var first error
+			for range work {
+				if err := p.draft(ctx, tokens); err != nil && first == nil {
+					first = err
+				}
+			}
+			errs <- first
+		}()
+	}
+	for range n {
+		work <- struct{}{}
+	}
+	close(work)
+	var first error
+	for range pathCallers {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (p *path) draft(ctx context.Context, tokens int) error {
+	body := fmt.Sprintf(`{"model":%q,"prompt":"the wall leans","max_tokens":%d,"stream":true}`, pathModel, tokens)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.entry+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+pathKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && !strings.Contains(string(text), "[DONE]") {
+		err = fmt.Errorf("status %d: no whole answer", resp.StatusCode)
+	}
+	return err
+}
--- a/internal/bench/saddleslope/run.go
+++ b/internal/bench/saddleslope/run.go
@@ -37,6 +37,8 @@
 		{"claims", measureClaims},
 		{"snapshots", measureSnapshots},
 		{"tokens", measureTokens},
+		{"drafts", measureDrafts},
+		{"requests", measureRequests},
 		{"events", measureEvents},
 	}
 }
--- a/internal/bench/saddleslope/run_test.go
+++ b/internal/bench/saddleslope/run_test.go
@@ -16,7 +16,7 @@
 	var out bytes.Buffer
 	is.NoErr(saddleslope.Run(t.Context(), []string{"-divide", "50", "-window", "600ms"}, &out))
 	rows := strings.Split(strings.TrimSpace(out.String()), "\n")[1:]
-	is.Equal(len(rows), 24)
+	is.Equal(len(rows), 27)
 	for _, row := range rows {
 		is.Equal(strings.Count(row, ": "), 3) // three sizes with their values
 		is.True(!strings.Contains(row, "NaN"))
