--- a/internal/config/saddlesettings/agent.go
+++ b/internal/config/saddlesettings/agent.go
@@ -48,7 +48,7 @@
 	c := &checker{file: file}
 	s.check(c)
 	s.Attend.check(c)
-	c.address("listen", s.Listen)
+	c.reachable("listen", s.Listen)
 	c.address("announce", s.Announce)
 	if s.Advertise != "" {
 		c.address("advertise", s.Advertise)
