--- /dev/null
+++ b/internal/bench/saddlebaseline/roundrobin.go
@@ -0,0 +1,25 @@
+package saddlebaseline
+
+import (
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+)
+
+// RoundRobin takes the targets in turn.
+type RoundRobin struct {
+	next int
+}
+
+// NewRoundRobin returns a chooser that begins at a target.
+func NewRoundRobin(first int) *RoundRobin { return &RoundRobin{next: first} }
+
+// Choose returns the index of a target; ok is false when there is none.
+func (c *RoundRobin) Choose(_ time.Time, _ fireflysaddle.Work, pool fireflysaddle.Pool) (int, bool) {
+	if pool.Len() == 0 {
+		return 0, false
+	}
+	i, ok := firstFrom(c.next%pool.Len(), pool)
+	c.next = i + 1
+	return i, ok
+}
--- /dev/null
+++ b/internal/bench/saddlebench/choice.go
@@ -0,0 +1,116 @@
+package saddlebench
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddlefigure"
+	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddleload"
+	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddlesim"
+)
+
+const (
+	choiceLength = 240 * time.Second
+	choiceWarm   = 60 * time.Second
+	workspaces   = 10
+	templates    = 200
+	plainShare   = 0.05
+)
+
+// choiceSettings are the flags of the choice command.
+type choiceSettings struct {
+	options
+	engines int
+	load    float64
+	callers float64
+	lag     time.Duration
+	beat    time.Duration
+	all     bool
+}
+
+// runChoice compares the ways of choosing a target under a steady load, bursts
+// and saturation.
+func runChoice(ctx context.Context, args []string, out io.Writer) error {
+	var s choiceSettings
+	var err error
+	s.options, err = parse("choice", args, out, func(fs *flag.FlagSet) {
+		fs.IntVar(&s.engines, "engines", 40, "engines of the fleet")
+		fs.Float64Var(&s.load, "load", 0.8, "offered load as a share of the bound")
+		fs.Float64Var(&s.callers, "callers", 2, "callers for each slot at saturation")
+		fs.DurationVar(&s.lag, "lag", 0, "added lag of load reports")
+		fs.DurationVar(&s.beat, "beat", saddlesim.Default().Beat, "between load reports on requests in progress, 0: none")
+		fs.BoolVar(&s.all, "all", false, "compare variants too")
+	})
+	if err != nil {
+		return err
+	}
+	for _, scenario := range []string{"steady", "bursts", "saturated"} {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err := s.table(scenario).Write(out, s.json); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s choiceSettings) table(scenario string) *saddlefigure.Table {
+	fleet := saddleload.Fleet(s.seed, s.engines)
+	t := &saddlefigure.Table{
+		Name: "choice, " + scenario,
+		Settings: fmt.Sprintf("seed %d, %d engines, %d entries, load %.2f, %.1f callers a slot, lag %v, beat %v, %v from %v on",
+			s.seed, s.engines, saddlesim.Default().Entries, s.load, s.callers, s.lag, s.beat, choiceLength, choiceWarm),
+		Columns: []string{"way", "tokens by bound", "first p50 ms", "p95", "p99", "between p95 ms", "prefix hits", "attempts", "refused"},
+	}
+	for _, c := range s.compared() {
+		f := s.run(scenario, fleet, c)
+		t.Add(c.name,
+			saddlefigure.Share(f.TokensPerSecond()/saddleload.Bound(fleet)),
+			saddlefigure.Ms(f.First.At(50)), saddlefigure.Ms(f.First.At(95)), saddlefigure.Ms(f.First.At(99)),
+			saddlefigure.Ms(f.Gap.At(95)),
+			saddlefigure.Share(f.HitShare()),
+			saddlefigure.Share(f.AttemptsPerRequest()),
+			fmt.Sprint(f.Refused))
+	}
+	return t
+}
+
+func (s choiceSettings) compared() []namedChooser {
+	if s.all {
+		return append(baselines(), predictions()...)
+	}
+	return append(baselines(), predictions()[:2]...)
+}
+
+func (s choiceSettings) run(scenario string, fleet []saddleload.Engine, c namedChooser) *saddlesim.Figures {
+	cfg := saddlesim.Default()
+	cfg.Seed = s.seed
+	cfg.Engines = fleet
+	cfg.NewChooser = c.make
+	cfg.ReportLag = s.lag
+	cfg.Beat = s.beat
+	cfg.Warm = choiceWarm
+	cfg.Length = choiceLength
+	load := saddleload.Config{
+		Seed:       s.seed,
+		Shape:      saddleload.Shape(scenario),
+		Rate:       s.load * saddleload.Bound(fleet) / saddleload.MeanTokens / (1 - plainShare),
+		Length:     choiceLength,
+		Workspaces: workspaces,
+		Templates:  templates,
+		PlainShare: plainShare,
+	}
+	if scenario == "saturated" {
+		load.PlainShare = 0
+		slots := 0
+		for _, e := range fleet {
+			slots += e.Slots
+		}
+		return saddlesim.New(cfg).Closed(int(s.callers*float64(slots)), saddleload.NewDrawer(load))
+	}
+	return saddlesim.New(cfg).Open(saddleload.Draw(load))
+}
--- /dev/null
+++ b/internal/bench/saddlebench/choosers.go
@@ -0,0 +1,45 @@
+package saddlebench
+
+import (
+	"math/rand/v2"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddlebaseline"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddlechoice"
+)
+
+// namedChooser is one way of choosing that is compared.
+type namedChooser struct {
+	name string
+	make func(seed uint64) fireflysaddle.Chooser
+}
+
+func source(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 3)) }
+
+func predictWith(change func(*saddlechoice.Settings)) func(uint64) fireflysaddle.Chooser {
+	s := saddlechoice.DefaultSettings()
+	change(&s)
+	return func(seed uint64) fireflysaddle.Chooser { return saddlechoice.NewPredictWith(source(seed), s) }
+}
+
+// baselines are the plain ways.
+func baselines() []namedChooser {
+	return []namedChooser{
+		{"random", func(seed uint64) fireflysaddle.Chooser { return saddlebaseline.NewRandom(source(seed)) }},
+		{"round robin", func(seed uint64) fireflysaddle.Chooser { return saddlebaseline.NewRoundRobin(int(seed)) }},
+		{"least in flight", func(seed uint64) fireflysaddle.Chooser { return saddlebaseline.NewLeastInFlight(source(seed)) }},
+		{"least reported", func(seed uint64) fireflysaddle.Chooser { return saddlebaseline.NewLeastReported(source(seed)) }},
+	}
+}
+
+// predictions are the product's way and variants of it.
+func predictions() []namedChooser {
+	return []namedChooser{
+		{"predicted", predictWith(func(*saddlechoice.Settings) {})},
+		{"predicted, no hints", predictWith(func(s *saddlechoice.Settings) { s.Hints = false })},
+		{"predicted, 3 draws", predictWith(func(s *saddlechoice.Settings) { s.Draws = 3 })},
+		{"predicted, 4 draws", predictWith(func(s *saddlechoice.Settings) { s.Draws = 4 })},
+		{"predicted, first token only", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 0 })},
+		{"predicted, whole finish", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 1 })},
+	}
+}
--- /dev/null
+++ b/internal/bench/saddlebench/doc.go
@@ -0,0 +1,2 @@
+// Package saddlebench is the command line of the measurements.
+package saddlebench
--- /dev/null
+++ b/internal/bench/saddlebench/run.go
@@ -0,0 +1,59 @@
+package saddlebench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// The exit codes.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// command is one entry of the table of commands.
+type command struct {
+	name    string
+	summary string
+	run     func(ctx context.Context, args []string, out io.Writer) error
+}
+
+// commands returns the table, from which help is made.
+func commands() []command {
+	return []command{
+		{"choice", "compare the ways of choosing a target, in virtual time", runChoice},
+	}
+}
+
+// Run runs a command line and returns the exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	if len(args) == 0 || args[0] == "help" || args[0] == "-h" || args[0] == "--help" {
+		help(out)
+		return ExitOK
+	}
+	for _, c := range commands() {
+		if c.name != args[0] {
+			continue
+		}
+		if err := c.run(ctx, args[1:], out); err != nil {
+			_, _ = fmt.Fprintf(errOut, "saddlebench %s: %v\n", c.name, err)
+			return ExitFailed
+		}
+		return ExitOK
+	}
+	_, _ = fmt.Fprintf(errOut, "saddlebench: unknown command %q; see saddlebench help\n", args[0])
+	return ExitUsage
+}
+
+func help(w io.Writer) {
+	_, _ = fmt.Fprint(w, "saddlebench measures fireflysaddle.\n\nUsage: saddlebench COMMAND [flags]\n\n")
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, c := range commands() {
+		_, _ = fmt.Fprintf(tw, "  %s\t%s\n", c.name, c.summary)
+	}
+	_ = tw.Flush()
+	_, _ = fmt.Fprint(w, "\nsaddlebench COMMAND -h shows the flags.\n")
+}
--- /dev/null
+++ b/internal/bench/saddlefigure/table.go
@@ -0,0 +1,61 @@
+package saddlefigure
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// Table holds the figures of one run. Each row has one cell a column.
+type Table struct {
+	Name     string
+	Settings string // seed and settings, as they are printed
+	Columns  []string
+	rows     [][]string
+}
+
+// Add adds a row.
+func (t *Table) Add(cells ...string) { t.rows = append(t.rows, cells) }
+
+// line is one row as JSON.
+type line struct {
+	Run      string            `json:"run"`
+	Settings string            `json:"settings"`
+	Figures  map[string]string `json:"figures"`
+}
+
+// Write writes the table, or one JSON object for each row.
+func (t *Table) Write(w io.Writer, asJSON bool) error {
+	if asJSON {
+		return t.writeJSON(w)
+	}
+	if _, err := fmt.Fprintf(w, "%s: %s\n", t.Name, t.Settings); err != nil {
+		return err
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, strings.Join(t.Columns, "\t"))
+	for _, row := range t.rows {
+		_, _ = fmt.Fprintln(tw, strings.Join(row, "\t"))
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(w)
+	return err
+}
+
+func (t *Table) writeJSON(w io.Writer) error {
+	out := json.NewEncoder(w)
+	for _, row := range t.rows {
+		l := line{Run: t.Name, Settings: t.Settings, Figures: map[string]string{}}
+		for i, cell := range row {
+			l.Figures[t.Columns[i]] = cell
+		}
+		if err := out.Encode(l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/entry/saddlechoice/predict.go
+++ b/internal/entry/saddlechoice/predict.go
@@ -1,78 +1,126 @@
 package saddlechoice
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
 )
 
-// reportHalfLife is the age at which a load report counts half.
-const reportHalfLife = 2 * time.Second
-
-// Predict draws two candidates, each with a chance that grows with its speed,
-// and takes the one that is predicted to finish the request first.
+// Predict draws a few candidates, each with a chance that grows with its speed,
+// adds those that may hold the prompt's prefix, and takes the one that is
+// predicted to serve the request first.
 type Predict struct {
-	rand *rand.Rand
+	rand     *rand.Rand
+	settings Settings
+	mean     float64 // moving average of the work of a request, generated tokens
 }
 
 // NewPredict returns a chooser that draws from the given source.
 func NewPredict(r *rand.Rand) *Predict {
-	return &Predict{rand: r}
+	return NewPredictWith(r, DefaultSettings())
+}
+
+// NewPredictWith returns a chooser with other settings than the default.
+func NewPredictWith(r *rand.Rand, s Settings) *Predict {
+	return &Predict{rand: r, settings: s}
 }
 
-// Choose returns the index of a candidate; ok is false when there is none.
-func (p *Predict) Choose(_ time.Time, w fireflysaddle.Work, candidates []fireflysaddle.Candidate) (int, bool) {
-	if len(candidates) == 0 {
+const (
+	meanSmoothing = 0.02 // weight of the latest request in the average
+	drawTries     = 4    // draws for a candidate that can take the request
+)
+
+// Choose returns the index of a target; ok is false when there is none.
+func (p *Predict) Choose(_ time.Time, w fireflysaddle.Work, pool fireflysaddle.Pool) (int, bool) {
+	if pool.Len() == 0 {
 		return 0, false
 	}
-	first := p.draw(candidates)
-	second := p.draw(candidates)
-	if finish(w, candidates[second]) < finish(w, candidates[first]) {
-		return second, true
+	p.note(w)
+	best := bestOf{index: -1, score: math.Inf(1)}
+	for range p.settings.Draws {
+		p.draw(w, pool, &best)
+	}
+	if p.settings.Hints {
+		for _, i := range pool.Hinted() {
+			if c, ok := pool.Candidate(i); ok {
+				best.offer(i, p.score(w, c))
+			}
+		}
+	}
+	if best.index < 0 {
+		return p.scan(w, pool)
+	}
+	return best.index, true
+}
+
+// bestOf keeps the candidate with the lowest score.
+type bestOf struct {
+	index int
+	score float64
+}
+
+func (b *bestOf) offer(index int, score float64) {
+	if score < b.score {
+		*b = bestOf{index: index, score: score}
 	}
-	return first, true
 }
 
-// draw picks a candidate with a chance proportional to its speed.
-func (p *Predict) draw(candidates []fireflysaddle.Candidate) int {
-	total := 0.0
-	for _, c := range candidates {
-		total += speed(c)
+func (p *Predict) draw(w fireflysaddle.Work, pool fireflysaddle.Pool, best *bestOf) {
+	for range drawTries {
+		i := pool.Draw(p.rand.Float64())
+		if i == best.index {
+			continue
+		}
+		if c, ok := pool.Candidate(i); ok {
+			best.offer(i, p.score(w, c))
+			return
+		}
 	}
-	at := p.rand.Float64() * total
-	for i, c := range candidates {
-		if at -= speed(c); at < 0 {
-			return i
+}
+
+// scan looks at every target; it serves pools of which few targets can take
+// the request.
+func (p *Predict) scan(w fireflysaddle.Work, pool fireflysaddle.Pool) (int, bool) {
+	best := bestOf{index: -1, score: math.Inf(1)}
+	for i := range pool.Len() {
+		if c, ok := pool.Candidate(i); ok {
+			best.offer(i, p.score(w, c))
 		}
 	}
-	return len(candidates) - 1
+	return best.index, best.index >= 0
 }
 
-// speed returns the tokens a second of all slots; a target that announced no
-// rate counts as one token a second a slot.
-func speed(c fireflysaddle.Candidate) float64 {
-	return max(c.Rate, 1) * float64(max(c.Slots, 1))
+func (p *Predict) note(w fireflysaddle.Work) {
+	work := float64(max(w.MaxTokens, 1))
+	if p.mean == 0 {
+		p.mean = work
+	}
+	p.mean += meanSmoothing * (work - p.mean)
 }
 
-// finish predicts the time until the request has ended at a candidate.
-func finish(w fireflysaddle.Work, c fireflysaddle.Candidate) time.Duration {
-	aged := float64(c.Reported) * halfLife(c.ReportAge)
-	others := max(aged, float64(c.InFlight))
+// score predicts the seconds until the first token, plus a share of those from
+// there to the last one.
+func (p *Predict) score(w fireflysaddle.Work, c fireflysaddle.Candidate) float64 {
+	rate := c.Rate
+	if rate <= 0 {
+		rate = 1
+	}
 	slots := float64(max(c.Slots, 1))
-	waves := max(others+1-slots, 0)/slots + 1
-	work := float64(w.PromptTokens)*(1-c.PrefixHit)*prefillShare + float64(w.MaxTokens)
-	seconds := waves * max(work, 1) / max(c.Rate, 1)
-	return time.Duration(seconds*float64(time.Second)) + 2*c.Link
+	ahead := max(float64(c.InFlight)+p.others(c)+1-slots, 0)
+	wait := ahead / slots * p.mean / rate
+	prefill := float64(w.PromptTokens) * (1 - c.PrefixHit) * prefillShare / rate
+	generate := float64(w.MaxTokens) / rate
+	return wait + prefill + 2*c.Link.Seconds() + p.settings.GenerateShare*generate
 }
 
-// prefillShare is the cost of a prompt token as a share of a generated one's.
-const prefillShare = 0.1
-
-func halfLife(age time.Duration) float64 {
-	share := 1.0
-	for ; age >= reportHalfLife; age -= reportHalfLife {
-		share /= 2
-	}
-	return share
+// others estimates the requests that came from other entries: what the target
+// reported less this entry's own at that time, aged towards none.
+func (p *Predict) others(c fireflysaddle.Candidate) float64 {
+	others := float64(max(c.Reported-c.InFlightThen, 0))
+	return others * math.Exp2(-c.ReportAge.Seconds()/p.settings.HalfLife.Seconds())
 }
+
+// prefillShare is the cost of a prompt token as a share of a generated one's.
+const prefillShare = 0.02
--- a/internal/entry/saddleentry/attempt.go
+++ b/internal/entry/saddleentry/attempt.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleretry"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
 	"github.com/fireflysaddle/fireflysaddle/internal/pipeline/saddlechain"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
@@ -49,11 +51,11 @@
 	}
 	now := time.Now()
 	for _, stage := range a.chain.Stages() {
-		report := load
-		if stage.Target != head.Target {
-			report = nil
+		result := saddleroute.Result{Outcome: outcomeOf(stage.Target, atFault, err)}
+		if stage.Target == head.Target {
+			result.Load = load
 		}
-		s.router.Done(now, stage, stage.Target == atFault && !isRefusal(err), report)
+		s.router.Done(now, stage, result)
 	}
 	return err
 }
@@ -75,6 +77,17 @@
 	return head
 }
 
+// outcomeOf returns what the end of an attempt says about one of its targets.
+func outcomeOf(target, atFault fireflysaddle.TargetID, err error) saddleretry.Outcome {
+	switch {
+	case err == nil:
+		return saddleretry.Succeeded
+	case target == atFault && !isRefusal(err):
+		return saddleretry.Failed
+	}
+	return saddleretry.Neutral
+}
+
 func isRefusal(err error) bool {
 	var refused *fireflysaddle.RefusedError
 	return errors.As(err, &refused)
--- a/internal/entry/saddleentry/claims.go
+++ b/internal/entry/saddleentry/claims.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestate"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -32,7 +33,7 @@
 		claim := claimOf(c, number, stage)
 		earlier, err := s.openClaim(ctx, claim)
 		if err != nil || earlier != nil {
-			s.router.Done(time.Now(), stage, false, nil)
+			s.router.Done(time.Now(), stage, saddleroute.Result{})
 		}
 		switch {
 		case err != nil:
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -33,12 +32,14 @@
 // error is a *failure.
 func (s *Server) runDraft(ctx context.Context, d draft, emit func(string) error) error {
 	s.countFirst()
+	prefixes, words := saddleroute.Prefixes(d.prompt)
 	need := saddleroute.Need{
-		Group:   d.model,
-		Version: d.version,
-		Kind:    fireflysaddle.KindEngine,
-		Work:    fireflysaddle.Work{PromptTokens: len(strings.Fields(d.prompt)), MaxTokens: int(d.maxTokens)},
-		Avoid:   map[fireflysaddle.TargetID]bool{},
+		Group:    d.model,
+		Version:  d.version,
+		Kind:     fireflysaddle.KindEngine,
+		Work:     fireflysaddle.Work{PromptTokens: words, MaxTokens: int(d.maxTokens)},
+		Prefixes: prefixes,
+		Avoid:    map[fireflysaddle.TargetID]bool{},
 	}
 	var given []string
 	take := func(text string) error {
--- a/internal/entry/saddleentry/trycall.go
+++ b/internal/entry/saddleentry/trycall.go
@@ -44,7 +44,7 @@
 	if atFault != "" {
 		avoid[atFault] = true
 	}
-	s.router.Done(time.Now(), stage, atFault == stage.Target && !isRefusal(err), load)
+	s.router.Done(time.Now(), stage, saddleroute.Result{Outcome: outcomeOf(stage.Target, atFault, err), Load: load})
 	return answer, err
 }
 
--- a/internal/entry/saddleretry/budget.go
+++ b/internal/entry/saddleretry/budget.go
@@ -25,9 +25,12 @@
 	b.tokens = min(b.tokens+b.share, b.reserve)
 }
 
+// Left reports whether a retry is left.
+func (b *Budget) Left() bool { return b.tokens >= 1 }
+
 // Retry takes one retry; it reports false when the budget is spent.
 func (b *Budget) Retry() bool {
-	if b.tokens < 1 {
+	if !b.Left() {
 		return false
 	}
 	b.tokens--
--- a/internal/entry/saddleroute/router.go
+++ b/internal/entry/saddleroute/router.go
@@ -16,41 +16,38 @@
 	mu      sync.Mutex
 	chooser fireflysaddle.Chooser
 	local   map[fireflysaddle.TargetID]*local
-}
-
-// local is what this entry knows of a target by itself.
-type local struct {
-	inFlight int
-	circuit  saddleretry.Circuit
-	load     *saddlewire.Load // of its last answer
-	reported time.Time
-}
-
-// Need is what a request needs of its targets.
-type Need struct {
-	Group   string
-	Version string // empty: any
-	Kind    fireflysaddle.TargetKind
-	Work    fireflysaddle.Work
-	Avoid   map[fireflysaddle.TargetID]bool // targets that failed this request
+	groups  map[string]*saddleretry.Group
+	hints   *hints
+	index   *index
+	pool    pool // of the choice in progress
 }
 
 // New returns a router that asks the chooser, which it owns.
 func New(chooser fireflysaddle.Chooser) *Router {
-	return &Router{chooser: chooser, local: map[fireflysaddle.TargetID]*local{}}
+	r := &Router{
+		chooser: chooser,
+		local:   map[fireflysaddle.TargetID]*local{},
+		groups:  map[string]*saddleretry.Group{},
+		hints:   newHints(),
+	}
+	r.pool.hints = r.hints
+	return r
 }
 
 // Service picks the target of a plain call and counts it as in flight.
 func (r *Router) Service(now time.Time, view *saddleview.View, need Need) (saddlechain.Stage, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	offered := r.offered(now, view, need)
-	i := r.choose(now, need, offered)
-	if i < 0 {
+	s, ok := r.indexOf(view).services[versionKey{group: need.Group, version: need.Version}]
+	if !ok {
+		return saddlechain.Stage{}, false
+	}
+	m := r.choose(now, &need, s)
+	if m == nil {
 		return saddlechain.Stage{}, false
 	}
-	r.take(offered[i].stage)
-	return offered[i].stage, true
+	r.take(now, &need, m)
+	return m.stage, true
 }
 
 // Chain picks the targets of a draft and counts them as in flight. All stages
@@ -58,11 +55,17 @@
 func (r *Router) Chain(now time.Time, view *saddleview.View, need Need) (saddlechain.Chain, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, version := range versions(r.offered(now, view, need)) {
-		need.Version = version
-		if chain, ok := r.plan(now, view, need); ok {
-			for _, s := range chain.Stages() {
-				r.take(s)
+	for _, l := range r.indexOf(view).engines[need.Group] {
+		if need.Version != "" && need.Version != l.version {
+			continue
+		}
+		chosen := r.walk(now, &need, l)
+		if chosen == nil {
+			chosen = r.plan(now, &need, l)
+		}
+		if chain, err := saddlechain.New(stagesOf(chosen)); err == nil {
+			for _, m := range chosen {
+				r.take(now, &need, m)
 			}
 			return chain, true
 		}
@@ -70,79 +73,140 @@
 	return saddlechain.Chain{}, false
 }
 
-func (r *Router) plan(now time.Time, view *saddleview.View, need Need) (saddlechain.Chain, bool) {
-	offered := r.offered(now, view, need)
-	byTarget := make(map[fireflysaddle.TargetID]offer, len(offered))
-	stages := make([]saddlechain.Stage, 0, len(offered))
-	for _, o := range offered {
-		byTarget[o.stage.Target] = o
-		stages = append(stages, o.stage)
-	}
-	return saddlechain.Plan(stages, func(candidates []saddlechain.Stage) int {
-		subset := make([]offer, 0, len(candidates))
-		for _, c := range candidates {
-			subset = append(subset, byTarget[c.Target])
+// walk chooses a stage at each boundary; nil: it came to one that no target
+// can take up at present.
+func (r *Router) walk(now time.Time, need *Need, l *layout) []*member {
+	var chosen []*member
+	for at := fireflysaddle.Layer(0); at < l.of; {
+		s, ok := l.starts[at]
+		if !ok {
+			return nil
 		}
-		return r.choose(now, need, subset)
-	})
+		m := r.choose(now, need, s)
+		if m == nil {
+			return nil
+		}
+		chosen = append(chosen, m)
+		at = m.stage.Layers.To
+	}
+	return chosen
 }
 
-// Done notes the end of an attempt at a stage. failed says that the target or
-// its agent was at fault; load is what its last answer reported, if any.
-func (r *Router) Done(now time.Time, stage saddlechain.Stage, failed bool, load *saddlewire.Load) {
+// plan chooses among the stages from which the end of the model can be reached
+// at present. It looks at every target of the version.
+func (r *Router) plan(now time.Time, need *Need, l *layout) []*member {
+	able := &layout{of: l.of, starts: map[fireflysaddle.Layer]*set{}}
+	for _, m := range l.all {
+		if !need.Avoid[m.stage.Target] && m.local.group.Allows(now, &m.local.circuit) {
+			able.add(m)
+		}
+	}
+	if len(able.all) == len(l.all) {
+		return nil
+	}
+	able.arrange()
+	return r.walk(now, need, able)
+}
+
+func stagesOf(members []*member) []saddlechain.Stage {
+	out := make([]saddlechain.Stage, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.stage)
+	}
+	return out
+}
+
+// Done notes the end of an attempt at a stage.
+func (r *Router) Done(now time.Time, stage saddlechain.Stage, result Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := r.of(stage.Target)
+	l, ok := r.local[stage.Target]
+	if !ok {
+		return
+	}
 	l.inFlight--
-	if load != nil {
-		l.load = load
-		l.reported = now
+	if result.Load != nil {
+		l.report(now, result.Load)
 	}
-	if failed {
-		l.circuit.Failed(now)
-		return
+	l.saw(result.Rate)
+	l.group.Note(now, &l.circuit, result.Outcome)
+}
+
+// Report takes in the load of a target with an attempt in progress.
+func (r *Router) Report(now time.Time, target fireflysaddle.TargetID, load *saddlewire.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l, ok := r.local[target]; ok && load != nil {
+		l.report(now, load)
+	}
+}
+
+// CacheGap drops what is known of a target's prefix cache: events of it were
+// lost.
+func (r *Router) CacheGap(target fireflysaddle.TargetID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l, ok := r.local[target]; ok {
+		l.epoch++
 	}
-	l.circuit.Succeeded()
 }
 
 // Prune forgets the targets that no view names any more.
 func (r *Router) Prune(view *saddleview.View) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := map[fireflysaddle.TargetID]bool{}
+	known := make(map[fireflysaddle.TargetID]bool, len(view.Members))
 	for _, m := range view.Members {
 		known[fireflysaddle.TargetID(m.GetTarget().GetId())] = true
 	}
 	for id, l := range r.local {
 		if !known[id] && l.inFlight == 0 {
+			l.group.Forget(&l.circuit)
 			delete(r.local, id)
 		}
 	}
+	r.index = nil
 }
 
-func (r *Router) take(s saddlechain.Stage) {
-	l := r.of(s.Target)
-	l.inFlight++
-	l.circuit.Sent()
+func (r *Router) take(now time.Time, need *Need, m *member) {
+	m.local.inFlight++
+	m.local.group.Sent(now, &m.local.circuit)
+	r.hints.sent(now, need.Prefixes, holder{target: m.stage.Target, epoch: m.local.epoch})
 }
 
-func (r *Router) of(id fireflysaddle.TargetID) *local {
+// of returns what is known of a target. A new incarnation of its agent starts
+// with an unknown cache and rate.
+func (r *Router) of(id fireflysaddle.TargetID, group string, incarnation fireflysaddle.Incarnation, load *saddlewire.Load) *local {
 	l, ok := r.local[id]
 	if !ok {
-		l = &local{}
+		l = &local{group: r.group(group), load: load, incarnation: incarnation}
 		r.local[id] = l
 	}
+	if l.incarnation != incarnation {
+		l.incarnation = incarnation
+		l.epoch++
+		l.rate = 0
+	}
 	return l
 }
 
-func (r *Router) choose(now time.Time, need Need, offered []offer) int {
-	candidates := make([]fireflysaddle.Candidate, 0, len(offered))
-	for _, o := range offered {
-		candidates = append(candidates, o.candidate)
+func (r *Router) group(name string) *saddleretry.Group {
+	g, ok := r.groups[name]
+	if !ok {
+		g = saddleretry.NewGroup()
+		r.groups[name] = g
 	}
-	i, ok := r.chooser.Choose(now, need.Work, candidates)
+	return g
+}
+
+// choose asks the chooser; nil: no member of the set can take the request.
+func (r *Router) choose(now time.Time, need *Need, s *set) *member {
+	r.pool.now = now
+	r.pool.need = need
+	r.pool.set = s
+	i, ok := r.chooser.Choose(now, need.Work, &r.pool)
 	if !ok {
-		return -1
+		return nil
 	}
-	return i
+	return s.members[i]
 }
