--- a/chooser.go
+++ b/chooser.go
@@ -9,6 +9,7 @@
 	Reported     int           // requests at the target by its last report
 	InFlightThen int           // requests of this entry at the target at that report
 	ReportAge    time.Duration // age of that report
+	OwnShare     float64       // share of this entry in the load of all targets, above 0 to 1
 	Slots        int           // requests the target runs at the same time
 	Rate         float64       // tokens a second in one slot
 	Link         time.Duration // one-way latency
--- a/internal/bench/saddlebench/choosers.go
+++ b/internal/bench/saddlebench/choosers.go
@@ -37,9 +37,13 @@
 	return []namedChooser{
 		{"predicted", predictWith(func(*saddlechoice.Settings) {})},
 		{"predicted, no hints", predictWith(func(s *saddlechoice.Settings) { s.Hints = false })},
-		{"predicted, 3 draws", predictWith(func(s *saddlechoice.Settings) { s.Draws = 3 })},
-		{"predicted, 4 draws", predictWith(func(s *saddlechoice.Settings) { s.Draws = 4 })},
-		{"predicted, first token only", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 0 })},
-		{"predicted, whole finish", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 1 })},
+		{"predicted, of 4", predictWith(func(s *saddlechoice.Settings) { s.Draws = 4 })},
+		{"predicted, of 6", predictWith(func(s *saddlechoice.Settings) { s.Draws = 6 })},
+		{"predicted, generation by 0", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 0 })},
+		{"predicted, generation by 0.2", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 0.2 })},
+		{"predicted, generation by 1", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 1 })},
+		{"predicted, misses by 2", predictWith(func(s *saddlechoice.Settings) { s.MissWeight = 2 })},
+		{"predicted, misses by 4", predictWith(func(s *saddlechoice.Settings) { s.MissWeight = 4 })},
+		{"predicted, misses by 8", predictWith(func(s *saddlechoice.Settings) { s.MissWeight = 8 })},
 	}
 }
--- a/internal/bench/saddleload/draw.go
+++ b/internal/bench/saddleload/draw.go
@@ -73,11 +73,8 @@
 // workspace draws from a few large workspaces and many small ones.
 func (d *Drawer) workspace() fireflysaddle.Workspace {
 	large := min(largeOnes, d.cfg.Workspaces)
-	n := 0
-	switch {
-	case d.cfg.Workspaces <= large || d.rand.Float64() < largeShare:
-		n = d.rand.IntN(max(large, 1))
-	default:
+	n := d.rand.IntN(max(large, 1))
+	if d.cfg.Workspaces > large && d.rand.Float64() >= largeShare {
 		n = large + d.rand.IntN(d.cfg.Workspaces-large)
 	}
 	return fireflysaddle.Workspace(fmt.Sprintf("workspace-%d", n+1))
--- a/internal/bench/saddlesim/config.go
+++ b/internal/bench/saddlesim/config.go
@@ -34,7 +34,6 @@
 
 const (
 	defaultQueueWait = 30 * time.Second
-	defaultBeat      = 300 * time.Millisecond
 	defaultSilence   = 1500 * time.Millisecond
 	defaultLost      = 2 * time.Second
 )
@@ -45,7 +44,6 @@
 		Entries:   3,
 		Services:  3,
 		QueueWait: defaultQueueWait,
-		Beat:      defaultBeat,
 		Silence:   defaultSilence,
 		Lost:      defaultLost,
 	}
--- a/internal/entry/saddlechoice/predict.go
+++ b/internal/entry/saddlechoice/predict.go
@@ -8,9 +8,9 @@
 	"github.com/fireflysaddle/fireflysaddle"
 )
 
-// Predict draws a few candidates, each with a chance that grows with its speed,
-// adds those that may hold the prompt's prefix, and takes the one that is
-// predicted to serve the request first.
+// Predict takes those targets that may hold the prompt's prefix and draws others
+// up to two candidates, at least one, each with a chance that grows with its
+// speed. Of these it picks the one that is predicted to serve the request first.
 type Predict struct {
 	rand     *rand.Rand
 	settings Settings
@@ -39,16 +39,10 @@
 	}
 	p.note(w)
 	best := bestOf{index: -1, score: math.Inf(1)}
-	for range p.settings.Draws {
+	hinted := p.hinted(w, pool, &best)
+	for range max(p.settings.Draws-hinted, 1) {
 		p.draw(w, pool, &best)
 	}
-	if p.settings.Hints {
-		for _, i := range pool.Hinted() {
-			if c, ok := pool.Candidate(i); ok {
-				best.offer(i, p.score(w, c))
-			}
-		}
-	}
 	if best.index < 0 {
 		return p.scan(w, pool)
 	}
@@ -67,6 +61,22 @@
 	}
 }
 
+// hinted offers the targets that may hold the prompt's prefix and returns their
+// number.
+func (p *Predict) hinted(w fireflysaddle.Work, pool fireflysaddle.Pool, best *bestOf) int {
+	if !p.settings.Hints {
+		return 0
+	}
+	n := 0
+	for _, i := range pool.Hinted() {
+		if c, ok := pool.Candidate(i); ok {
+			best.offer(i, p.score(w, c))
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Predict) draw(w fireflysaddle.Work, pool fireflysaddle.Pool, best *bestOf) {
 	for range drawTries {
 		i := pool.Draw(p.rand.Float64())
@@ -108,18 +118,25 @@
 		rate = 1
 	}
 	slots := float64(max(c.Slots, 1))
-	ahead := max(float64(c.InFlight)+p.others(c)+1-slots, 0)
+	ahead := max(p.load(c)+1-slots, 0)
 	wait := ahead / slots * p.mean / rate
 	prefill := float64(w.PromptTokens) * (1 - c.PrefixHit) * prefillShare / rate
 	generate := float64(w.MaxTokens) / rate
-	return wait + prefill + 2*c.Link.Seconds() + p.settings.GenerateShare*generate
+	return wait + p.settings.MissWeight*prefill + 2*c.Link.Seconds() + p.settings.GenerateShare*generate
 }
 
-// others estimates the requests that came from other entries: what the target
-// reported less this entry's own at that time, aged towards none.
-func (p *Predict) others(c fireflysaddle.Candidate) float64 {
-	others := float64(max(c.Reported-c.InFlightThen, 0))
-	return others * math.Exp2(-c.ReportAge.Seconds()/p.settings.HalfLife.Seconds())
+// load estimates the requests at a target. What it reported is corrected by
+// what this entry has sent since, taken as its share of what all entries have
+// sent. As the report ages, the estimate turns to this entry's requests alone.
+func (p *Predict) load(c fireflysaddle.Candidate) float64 {
+	own := float64(c.InFlight)
+	share := c.OwnShare
+	if share <= 0 {
+		share = 1
+	}
+	corrected := float64(c.Reported) + (own-float64(c.InFlightThen))/share
+	fresh := math.Exp2(-c.ReportAge.Seconds() / p.settings.HalfLife.Seconds())
+	return max(fresh*corrected+(1-fresh)*own/share, own)
 }
 
 // prefillShare is the cost of a prompt token as a share of a generated one's.
--- a/internal/entry/saddleroute/hints.go
+++ b/internal/entry/saddleroute/hints.go
@@ -35,8 +35,7 @@
 }
 
 // sent notes that a target was sent a prompt.
-func (h *hints) sent(now time.Time, prefixes []Prefix, sent holder) {
-	h.age(now)
+func (h *hints) sent(prefixes []Prefix, sent holder) {
 	for _, p := range prefixes {
 		list, ok := h.young[p.Hash]
 		if !ok {
@@ -71,6 +70,7 @@
 	return h.old[prefix]
 }
 
+// age drops the hints that are too old or too many.
 func (h *hints) age(now time.Time) {
 	if now.Sub(h.started) < hintAge && len(h.young) < maxHints {
 		return
--- a/internal/entry/saddleroute/pool.go
+++ b/internal/entry/saddleroute/pool.go
@@ -13,6 +13,7 @@
 	need   *Need
 	set    *set
 	hints  *hints
+	share  float64 // of this entry in the load of all targets
 	hinted []int
 }
 
@@ -63,6 +64,7 @@
 		Reported:     int(l.load.GetRunning() + l.load.GetQueued()),
 		InFlightThen: l.inFlightThen,
 		ReportAge:    age,
+		OwnShare:     p.share,
 		Slots:        m.slots,
 		Rate:         rate,
 		Link:         m.link,
--- a/internal/entry/saddleroute/router.go
+++ b/internal/entry/saddleroute/router.go
@@ -18,6 +18,7 @@
 	local   map[fireflysaddle.TargetID]*local
 	groups  map[string]*saddleretry.Group
 	hints   *hints
+	share   share
 	index   *index
 	pool    pool // of the choice in progress
 }
@@ -126,7 +127,7 @@
 	}
 	l.inFlight--
 	if result.Load != nil {
-		l.report(now, result.Load)
+		r.report(now, l, result.Load)
 	}
 	l.saw(result.Rate)
 	l.group.Note(now, &l.circuit, result.Outcome)
@@ -137,10 +138,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if l, ok := r.local[target]; ok && load != nil {
-		l.report(now, load)
+		r.report(now, l, load)
 	}
 }
 
+func (r *Router) report(now time.Time, l *local, load *saddlewire.Load) {
+	l.report(now, load)
+	r.share.note(l.inFlight, load.GetRunning()+load.GetQueued())
+}
+
 // CacheGap drops what is known of a target's prefix cache: events of it were
 // lost.
 func (r *Router) CacheGap(target fireflysaddle.TargetID) {
@@ -171,7 +177,7 @@
 func (r *Router) take(now time.Time, need *Need, m *member) {
 	m.local.inFlight++
 	m.local.group.Sent(now, &m.local.circuit)
-	r.hints.sent(now, need.Prefixes, holder{target: m.stage.Target, epoch: m.local.epoch})
+	r.hints.sent(need.Prefixes, holder{target: m.stage.Target, epoch: m.local.epoch})
 }
 
 // of returns what is known of a target. A new incarnation of its agent starts
@@ -201,9 +207,11 @@
 
 // choose asks the chooser; nil: no member of the set can take the request.
 func (r *Router) choose(now time.Time, need *Need, s *set) *member {
+	r.hints.age(now)
 	r.pool.now = now
 	r.pool.need = need
 	r.pool.set = s
+	r.pool.share = r.share.value()
 	i, ok := r.chooser.Choose(now, need.Work, &r.pool)
 	if !ok {
 		return nil
--- /dev/null
+++ b/internal/entry/saddleroute/router_bench_test.go
@@ -0,0 +1,34 @@
+package saddleroute_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddlechoice"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleretry"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
+)
+
+func BenchmarkChainAmong40(b *testing.B)   { benchmarkChain(b, 40) }
+func BenchmarkChainAmong3000(b *testing.B) { benchmarkChain(b, 3000) }
+
+func benchmarkChain(b *testing.B, n int) {
+	view := viewOf(n)
+	r := saddleroute.New(saddlechoice.NewPredict(rand.New(rand.NewPCG(1, 1))))
+	need := saddleroute.Need{
+		Group:    model,
+		Kind:     fireflysaddle.KindEngine,
+		Work:     fireflysaddle.Work{PromptTokens: 400, MaxTokens: 128},
+		Prefixes: []saddleroute.Prefix{{Hash: 1, Tokens: 16}, {Hash: 2, Tokens: 32}, {Hash: 3, Tokens: 64}, {Hash: 4, Tokens: 128}},
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		chain, ok := r.Chain(epoch, view, need)
+		if !ok {
+			b.Fatal("no chain")
+		}
+		r.Done(epoch.Add(time.Millisecond), chain.Head(), saddleroute.Result{Outcome: saddleretry.Succeeded})
+	}
+}
--- /dev/null
+++ b/internal/entry/saddleroute/router_test.go
@@ -0,0 +1,188 @@
+package saddleroute_test
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddlechoice"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleretry"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+func router(seed uint64) *saddleroute.Router {
+	return saddleroute.New(saddlechoice.NewPredict(rand.New(rand.NewPCG(seed, 1))))
+}
+
+func draft() saddleroute.Need {
+	return saddleroute.Need{Group: model, Kind: fireflysaddle.KindEngine, Work: fireflysaddle.Work{PromptTokens: 100, MaxTokens: 100}}
+}
+
+func TestTargetsThatTakeNoNewWorkAreNeverChosen(t *testing.T) {
+	leaving := engine("leaving", 0, 2)
+	leaving.Leaving = true
+	other := engine("other-version", 0, 2)
+	other.Target.Version = "0"
+	v := view(leaving, engine("drained", 0, 2), engine("avoided", 0, 2), other, engine("able", 0, 2))
+	v.Drains["drained"] = &saddlewire.Drain{Target: "drained", Active: true}
+	need := draft()
+	need.Version = "1"
+	need.Avoid = map[fireflysaddle.TargetID]bool{"avoided": true}
+	is := is.New(t)
+	r := router(1)
+	for range 50 {
+		chain, ok := r.Chain(epoch, v, need)
+		is.True(ok)
+		is.Equal(chain.Head().Target, fireflysaddle.TargetID("able"))
+	}
+}
+
+func TestAChainGoesRoundAStageWhoseNextOneIsAvoided(t *testing.T) {
+	is := is.New(t)
+	v := view(engine("first", 0, 1), engine("second", 1, 2), engine("whole", 0, 2))
+	need := draft()
+	need.Avoid = map[fireflysaddle.TargetID]bool{"second": true}
+	r := router(1)
+	for range 50 {
+		chain, ok := r.Chain(epoch, v, need)
+		is.True(ok)
+		is.Equal(chain.Len(), 1)
+		is.Equal(chain.Head().Target, fireflysaddle.TargetID("whole"))
+	}
+}
+
+func TestAChainIsOfOneVersionTheLatestThatIsWhole(t *testing.T) {
+	is := is.New(t)
+	half := engine("half-of-2", 0, 1)
+	half.Target.Version = "2"
+	chain, ok := router(1).Chain(epoch, view(half, engine("first", 0, 1), engine("second", 1, 2)), draft())
+	is.True(ok)
+	is.Equal(chain.Len(), 2)
+	is.Equal(chain.Head().Target, fireflysaddle.TargetID("first"))
+}
+
+func TestAServiceOfAnyVersionIsFound(t *testing.T) {
+	is := is.New(t)
+	need := saddleroute.Need{Group: service, Kind: fireflysaddle.KindService}
+	v := view(desk("old", "1"), desk("new", "2"))
+	seen := map[fireflysaddle.TargetID]bool{}
+	r := router(1)
+	for range 50 {
+		stage, ok := r.Service(epoch, v, need)
+		is.True(ok)
+		seen[stage.Target] = true
+		r.Done(epoch, stage, saddleroute.Result{})
+	}
+	is.Equal(len(seen), 2)
+	need.Version = "2"
+	stage, ok := r.Service(epoch, v, need)
+	is.True(ok)
+	is.Equal(stage.Target, fireflysaddle.TargetID("new"))
+}
+
+func TestAPromptGoesWhereItsPrefixWentUntilTheHintIsGone(t *testing.T) {
+	prefixes, words := saddleroute.Prefixes(strings.Repeat("wall ", 200))
+	need := draft()
+	need.Work.PromptTokens = words
+	need.Prefixes = prefixes
+	for _, c := range []struct {
+		name   string
+		later  time.Duration
+		change func(*saddleroute.Router, fireflysaddle.TargetID)
+		kept   bool
+	}{
+		{"soon after", time.Second, nil, true},
+		{"after the hint aged out", 5 * time.Minute, nil, false},
+		{"after a gap in the cache events", time.Second, (*saddleroute.Router).CacheGap, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			v := viewOf(500)
+			r := router(1)
+			first, ok := r.Chain(epoch, v, need)
+			is.True(ok)
+			r.Done(epoch, first.Head(), saddleroute.Result{Outcome: saddleretry.Succeeded})
+			if c.change != nil {
+				c.change(r, first.Head().Target)
+			}
+			again, ok := r.Chain(epoch.Add(c.later), v, need)
+			is.True(ok)
+			is.Equal(again.Head().Target == first.Head().Target, c.kept)
+		})
+	}
+}
+
+func TestARestartedAgentIsNotExpectedToHoldPrefixes(t *testing.T) {
+	is := is.New(t)
+	need := draft()
+	need.Prefixes, need.Work.PromptTokens = saddleroute.Prefixes(strings.Repeat("course ", 200))
+	v := viewOf(500)
+	r := router(1)
+	first, ok := r.Chain(epoch, v, need)
+	is.True(ok)
+	r.Done(epoch, first.Head(), saddleroute.Result{Outcome: saddleretry.Succeeded})
+	restarted := viewOf(500)
+	restarted.Members["agent-"+string(first.Head().Target)].Incarnation = 2
+	again, ok := r.Chain(epoch, restarted, need)
+	is.True(ok)
+	is.True(again.Head().Target != first.Head().Target)
+}
+
+func TestPrefixesOfPromptsWithOneBeginningAgree(t *testing.T) {
+	is := is.New(t)
+	shared := strings.Repeat("explain the fault in the course ", 10) // 60 words
+	a, words := saddleroute.Prefixes(shared + "of the wall at bay seven")
+	b, _ := saddleroute.Prefixes(shared + "next to the gate, where it leans")
+	is.Equal(words, 66)
+	is.Equal(len(a), 3) // 16, 32 and 64 words
+	is.Equal(a[:2], b[:2])
+	is.True(a[2] != b[2])
+}
+
+func TestASlowButAliveTargetLosesItsWork(t *testing.T) {
+	is := is.New(t)
+	v := view(engine("slow", 0, 2), engine("sound", 0, 2))
+	r := router(1)
+	chosen := map[fireflysaddle.TargetID]int{}
+	for n := range 200 {
+		chain, ok := r.Chain(epoch, v, draft())
+		is.True(ok)
+		id := chain.Head().Target
+		if n >= 100 {
+			chosen[id]++
+		}
+		rate := 20.0
+		if id == "slow" {
+			rate = 1
+		}
+		r.Done(epoch, chain.Head(), saddleroute.Result{Outcome: saddleretry.Succeeded, Rate: rate})
+	}
+	is.True(chosen["slow"] < 40) // both drawn alike would give 100
+}
+
+func TestAFailedTargetIsLeftOutButNeverMoreThanHalf(t *testing.T) {
+	is := is.New(t)
+	v := viewOf(8)
+	r := router(1)
+	failed := map[fireflysaddle.TargetID]bool{}
+	for range 200 {
+		chain, ok := r.Chain(epoch, v, draft())
+		is.True(ok)
+		failed[chain.Head().Target] = true
+		r.Done(epoch, chain.Head(), saddleroute.Result{Outcome: saddleretry.Failed})
+	}
+	is.Equal(len(failed), 8)
+	left := map[fireflysaddle.TargetID]bool{}
+	for range 200 {
+		chain, ok := r.Chain(epoch, v, draft())
+		is.True(ok)
+		left[chain.Head().Target] = true
+		r.Done(epoch, chain.Head(), saddleroute.Result{})
+	}
+	is.Equal(len(left), 4)
+}
