Slopes: the replica's silence limit must outlast a measurement

Cause: the merged replica closes streams that send no heartbeat within its silence time, which the slopes left at 0, so no stream was answered.

--- a/internal/bench/saddleslope/control.go
+++ b/internal/bench/saddleslope/control.go
@@ -50,6 +50,7 @@
 		Heartbeat:     100 * time.Millisecond,
 		Election:      600 * time.Millisecond,
 		Lost:          time.Hour,
+		Silence:       time.Hour,
 		SnapshotEvery: 1 << 20,
 		Log:           zerolog.Nop(),
 		Timeline:      saddletimeline.NewRing("control-1", 4096),
