--- a/internal/agent/saddleagent/call.go
+++ b/internal/agent/saddleagent/call.go
@@ -27,6 +27,7 @@
 	if err != nil {
 		return out.refuse(err)
 	}
+	out.target = b
 	ctx, cancel := context.WithTimeout(stream.Context(), budget(t))
 	defer cancel()
 	go beats(ctx, out.beat)
@@ -81,6 +82,7 @@
 	server *Server
 	ticket *saddlewire.Ticket
 	stream saddlewire.DRPCAgent_CallStream
+	target *backend // whose load the events report, nil: none yet
 
 	mu    sync.Mutex
 	ended bool
@@ -92,12 +94,15 @@
 	if c.ended {
 		return nil
 	}
-	return c.send(&saddlewire.CallEvent{Event: &saddlewire.CallEvent_Beat{Beat: &saddlewire.Empty{}}})
+	return c.send(&saddlewire.CallEvent{
+		Event: &saddlewire.CallEvent_Beat{Beat: &saddlewire.Empty{}},
+		Load:  loadOf(time.Now(), c.target),
+	})
 }
 
 func (c *callStream) refuse(err error) error {
 	countRefused.Add(1)
-	return c.last(nil, &saddlewire.CallEvent{Event: &saddlewire.CallEvent_Refusal{Refusal: refusalOf(err)}})
+	return c.last(c.target, &saddlewire.CallEvent{Event: &saddlewire.CallEvent_Refusal{Refusal: refusalOf(err)}})
 }
 
 func (c *callStream) end(b *backend, answer *fireflysaddle.Answer, err error) error {
--- a/internal/agent/saddleagent/draft.go
+++ b/internal/agent/saddleagent/draft.go
@@ -25,6 +25,7 @@
 	if err != nil {
 		return out.refuse(err)
 	}
+	out.target = b
 	ctx, cancel := context.WithTimeout(stream.Context(), budget(in.GetTicket()))
 	defer cancel()
 	go beats(ctx, out.beat)
--- a/internal/agent/saddleagent/draftstream.go
+++ b/internal/agent/saddleagent/draftstream.go
@@ -14,6 +14,7 @@
 	server *Server
 	ticket *saddlewire.Ticket
 	stream saddlewire.DRPCAgent_DraftStream
+	target *backend // whose load the events report, nil: none yet
 
 	mu       sync.Mutex
 	position uint32
@@ -46,13 +47,15 @@
 	if d.ended {
 		return nil
 	}
-	return d.send(&saddlewire.DraftEvent{Event: &saddlewire.DraftEvent_Beat{Beat: &saddlewire.Empty{}}})
+	e := &saddlewire.DraftEvent{Event: &saddlewire.DraftEvent_Beat{Beat: &saddlewire.Empty{}}}
+	e.Load = loadOf(time.Now(), d.target)
+	return d.send(e)
 }
 
 // refuse says that the attempt was not run.
 func (d *draftStream) refuse(err error) error {
 	countRefused.Add(1)
-	return d.last(nil, &saddlewire.DraftEvent{Event: &saddlewire.DraftEvent_Refusal{Refusal: refusalOf(err)}})
+	return d.last(d.target, &saddlewire.DraftEvent{Event: &saddlewire.DraftEvent_Refusal{Refusal: refusalOf(err)}})
 }
 
 // end says that the attempt is done, or what it failed of.
--- a/internal/bench/saddlebench/choice.go
+++ b/internal/bench/saddlebench/choice.go
@@ -41,7 +41,7 @@
 		fs.Float64Var(&s.load, "load", 0.8, "offered load as a share of the bound")
 		fs.Float64Var(&s.callers, "callers", 2, "callers for each slot at saturation")
 		fs.DurationVar(&s.lag, "lag", 0, "added lag of load reports")
-		fs.DurationVar(&s.beat, "beat", 0, "between load reports on requests in progress, 0: reports come with answers only")
+		fs.DurationVar(&s.beat, "beat", saddlesim.Default().Beat, "between load reports on requests in progress, 0: reports come with answers only")
 		fs.BoolVar(&s.all, "all", false, "compare variants too")
 	})
 	if err != nil {
--- a/internal/bench/saddlebench/choosers.go
+++ b/internal/bench/saddlebench/choosers.go
@@ -40,6 +40,7 @@
 		{"predicted, of 4", predictWith(func(s *saddlechoice.Settings) { s.Draws = 4 })},
 		{"predicted, of 6", predictWith(func(s *saddlechoice.Settings) { s.Draws = 6 })},
 		{"predicted, generation by 0", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 0 })},
+		{"predicted, generation by 0.05", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 0.05 })},
 		{"predicted, generation by 0.2", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 0.2 })},
 		{"predicted, generation by 1", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 1 })},
 		{"predicted, misses by 2", predictWith(func(s *saddlechoice.Settings) { s.MissWeight = 2 })},
--- a/internal/bench/saddlesim/config.go
+++ b/internal/bench/saddlesim/config.go
@@ -34,6 +34,7 @@
 
 const (
 	defaultQueueWait = 30 * time.Second
+	defaultBeat      = 300 * time.Millisecond
 	defaultSilence   = 1500 * time.Millisecond
 	defaultLost      = 2 * time.Second
 )
@@ -44,6 +45,7 @@
 		Entries:   3,
 		Services:  3,
 		QueueWait: defaultQueueWait,
+		Beat:      defaultBeat,
 		Silence:   defaultSilence,
 		Lost:      defaultLost,
 	}
--- a/internal/entry/saddleentry/attempt.go
+++ b/internal/entry/saddleentry/attempt.go
@@ -44,7 +44,11 @@
 	countAttempts.Add(1)
 	head := a.chain.Head()
 	s.note(time.Now(), "draft_attempt", d.caller, a.number, head.Target)
-	load, err := s.streamDraft(ctx, d, a, take)
+	var pace pace
+	load, err := s.streamDraft(ctx, d, a, func(text string) error {
+		pace.token(time.Now())
+		return take(text)
+	})
 	atFault := culprit(ctx, err, head.Target)
 	if atFault != "" {
 		avoid[atFault] = true
@@ -54,6 +58,7 @@
 		result := saddleroute.Result{Outcome: outcomeOf(stage.Target, atFault, err)}
 		if stage.Target == head.Target {
 			result.Load = load
+			result.Rate = pace.rate()
 		}
 		s.router.Done(now, stage, result)
 	}
@@ -136,6 +141,8 @@
 			if err := take(event.Token.GetText()); err != nil {
 				return nil, err
 			}
+		case *saddlewire.DraftEvent_Beat:
+			s.router.Report(time.Now(), head.Target, e.GetLoad())
 		case *saddlewire.DraftEvent_Refusal:
 			return e.GetLoad(), refusedBy(event.Refusal)
 		case *saddlewire.DraftEvent_Fault:
--- a/internal/entry/saddleentry/trycall.go
+++ b/internal/entry/saddleentry/trycall.go
@@ -80,6 +80,8 @@
 		switch event := e.GetEvent().(type) {
 		case *saddlewire.CallEvent_Answer:
 			return event.Answer, e.GetLoad(), nil
+		case *saddlewire.CallEvent_Beat:
+			s.router.Report(time.Now(), stage.Target, e.GetLoad())
 		case *saddlewire.CallEvent_Refusal:
 			return nil, e.GetLoad(), refusedBy(event.Refusal)
 		case *saddlewire.CallEvent_Fault:
--- a/internal/entry/saddleroute/router_test.go
+++ b/internal/entry/saddleroute/router_test.go
@@ -15,8 +15,8 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-func router(seed uint64) *saddleroute.Router {
-	return saddleroute.New(saddlechoice.NewPredict(rand.New(rand.NewPCG(seed, 1))))
+func router() *saddleroute.Router {
+	return saddleroute.New(saddlechoice.NewPredict(rand.New(rand.NewPCG(1, 1))))
 }
 
 func draft() saddleroute.Need {
@@ -34,7 +34,7 @@
 	need.Version = "1"
 	need.Avoid = map[fireflysaddle.TargetID]bool{"avoided": true}
 	is := is.New(t)
-	r := router(1)
+	r := router()
 	for range 50 {
 		chain, ok := r.Chain(epoch, v, need)
 		is.True(ok)
@@ -47,7 +47,7 @@
 	v := view(engine("first", 0, 1), engine("second", 1, 2), engine("whole", 0, 2))
 	need := draft()
 	need.Avoid = map[fireflysaddle.TargetID]bool{"second": true}
-	r := router(1)
+	r := router()
 	for range 50 {
 		chain, ok := r.Chain(epoch, v, need)
 		is.True(ok)
@@ -60,7 +60,7 @@
 	is := is.New(t)
 	half := engine("half-of-2", 0, 1)
 	half.Target.Version = "2"
-	chain, ok := router(1).Chain(epoch, view(half, engine("first", 0, 1), engine("second", 1, 2)), draft())
+	chain, ok := router().Chain(epoch, view(half, engine("first", 0, 1), engine("second", 1, 2)), draft())
 	is.True(ok)
 	is.Equal(chain.Len(), 2)
 	is.Equal(chain.Head().Target, fireflysaddle.TargetID("first"))
@@ -71,7 +71,7 @@
 	need := saddleroute.Need{Group: service, Kind: fireflysaddle.KindService}
 	v := view(desk("old", "1"), desk("new", "2"))
 	seen := map[fireflysaddle.TargetID]bool{}
-	r := router(1)
+	r := router()
 	for range 50 {
 		stage, ok := r.Service(epoch, v, need)
 		is.True(ok)
@@ -103,7 +103,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			v := viewOf(500)
-			r := router(1)
+			r := router()
 			first, ok := r.Chain(epoch, v, need)
 			is.True(ok)
 			r.Done(epoch, first.Head(), saddleroute.Result{Outcome: saddleretry.Succeeded})
@@ -122,7 +122,7 @@
 	need := draft()
 	need.Prefixes, need.Work.PromptTokens = saddleroute.Prefixes(strings.Repeat("course ", 200))
 	v := viewOf(500)
-	r := router(1)
+	r := router()
 	first, ok := r.Chain(epoch, v, need)
 	is.True(ok)
 	r.Done(epoch, first.Head(), saddleroute.Result{Outcome: saddleretry.Succeeded})
@@ -147,7 +147,7 @@
 func TestASlowButAliveTargetLosesItsWork(t *testing.T) {
 	is := is.New(t)
 	v := view(engine("slow", 0, 2), engine("sound", 0, 2))
-	r := router(1)
+	r := router()
 	chosen := map[fireflysaddle.TargetID]int{}
 	for n := range 200 {
 		chain, ok := r.Chain(epoch, v, draft())
@@ -168,7 +168,7 @@
 func TestAFailedTargetIsLeftOutButNeverMoreThanHalf(t *testing.T) {
 	is := is.New(t)
 	v := viewOf(8)
-	r := router(1)
+	r := router()
 	failed := map[fireflysaddle.TargetID]bool{}
 	for range 200 {
 		chain, ok := r.Chain(epoch, v, draft())
