Time lines are selected by the process, and -wait looks less and less often

Before: all events of all processes for one request. After: each process selects by request, target and time; the looks of -wait go from 100 ms to 1 s.

--- a/internal/admin/saddleadmin/server.go
+++ b/internal/admin/saddleadmin/server.go
@@ -68,7 +68,7 @@
 		return c.String(http.StatusOK, "ready\n")
 	})
 	e.GET(PathCounters, echo.WrapHandler(expvar.Handler()), needKey(keys))
-	e.GET(PathTimeline, func(c echo.Context) error { return c.JSON(http.StatusOK, timeline.Events()) }, needKey(keys))
+	e.GET(PathTimeline, func(c echo.Context) error { return serveTimeline(c, timeline) }, needKey(keys))
 	return e
 }
 
--- /dev/null
+++ b/internal/admin/saddleadmin/timeline.go
@@ -0,0 +1,48 @@
+package saddleadmin
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+)
+
+// The parameters of PathTimeline.
+const (
+	paramRequest = "request"  // start of a request id
+	paramTarget  = "target"   // target id
+	paramSince   = "since_ns" // Unix nanoseconds
+)
+
+// TimelineQuery asks a process for what a filter selects. A workspace is not
+// part of it: only the entry that received a request knows its workspace.
+func TimelineQuery(f saddletimeline.Filter) string {
+	q := url.Values{}
+	if f.Request != "" {
+		q.Set(paramRequest, f.Request)
+	}
+	if f.Target != "" {
+		q.Set(paramTarget, f.Target)
+	}
+	if !f.Since.IsZero() {
+		q.Set(paramSince, strconv.FormatInt(f.Since.UnixNano(), 10))
+	}
+	return q.Encode()
+}
+
+func serveTimeline(c echo.Context, timeline *saddletimeline.Ring) error {
+	f := saddletimeline.Filter{Request: c.QueryParam(paramRequest), Target: c.QueryParam(paramTarget)}
+	if text := c.QueryParam(paramSince); text != "" {
+		ns, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return c.String(http.StatusBadRequest, fmt.Sprintf("%s = %q must be Unix nanoseconds\n", paramSince, text))
+		}
+		f.Since = time.Unix(0, ns)
+	}
+	return c.JSON(http.StatusOK, f.Select(timeline.Events()))
+}
--- a/internal/command/saddlectl/timeline.go
+++ b/internal/command/saddlectl/timeline.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return err
 	}
-	view := gather(ctx, state.GetMembers(), key)
+	view := s.gather(ctx, state.GetMembers(), key)
 	view.Unreachable = append(view.Unreachable, notHeard(state)...)
 	view.Events = s.filter.Select(view.Events)
 	return s.print(view, view.write)
@@ -58,8 +58,9 @@
 }
 
 // gather asks every member for its events.
-func gather(ctx context.Context, members []*saddlewire.Member, key string) timelineView {
+func (s *session) gather(ctx context.Context, members []*saddlewire.Member, key string) timelineView {
 	client := &http.Client{Timeout: adminTimeout}
+	query := saddleadmin.TimelineQuery(s.filter)
 	defer client.CloseIdleConnections()
 	all := make([][]saddletimeline.Event, len(members))
 	errs := make([]error, len(members))
@@ -69,7 +70,7 @@
 		wg.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			all[i], errs[i] = fetchTimeline(ctx, client, m.GetAdmin(), key)
+			all[i], errs[i] = fetchTimeline(ctx, client, m.GetAdmin(), query, key)
 		})
 	}
 	wg.Wait()
@@ -84,8 +85,8 @@
 	return view
 }
 
-func fetchTimeline(ctx context.Context, client *http.Client, admin, key string) ([]saddletimeline.Event, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+saddleadmin.PathTimeline, nil)
+func fetchTimeline(ctx context.Context, client *http.Client, admin, query, key string) ([]saddletimeline.Event, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+saddleadmin.PathTimeline+"?"+query, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/command/saddlectl/wait.go
+++ b/internal/command/saddlectl/wait.go
@@ -7,7 +7,12 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-const waitPoll = 200 * time.Millisecond // between looks at who has confirmed
+// The time between looks at who has confirmed grows: each look reads the whole
+// state.
+const (
+	firstPoll = 100 * time.Millisecond
+	lastPoll  = time.Second
+)
 
 // spread says how far a configuration has come. It counts only what the
 // processes themselves confirmed.
@@ -59,7 +64,7 @@
 	defer cancel()
 	last := &spread{}
 	shown := -1
-	for {
+	for poll := firstPoll; ; poll = min(2*poll, lastPoll) {
 		if state, err := s.read(ctx); err == nil {
 			last = spreadOf(state, index)
 		}
@@ -73,7 +78,7 @@
 		select {
 		case <-ctx.Done():
 			return last, &slowError{revision: index, missing: last.missing()}
-		case <-time.After(waitPoll):
+		case <-time.After(poll):
 		}
 	}
 }
