--- a/internal/bench/saddleslope/run_test.go
+++ b/internal/bench/saddleslope/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"os"
 	"strings"
 	"testing"
 
@@ -10,16 +11,21 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddleslope"
 )
 
-// Every quantity that docs/CAPACITY.md builds on is measured at three sizes.
+// Every quantity that docs/CAPACITY.md builds on is measured at three
+// sizes and stands on the page.
 func TestEachQuantityIsMeasuredAtThreeSizes(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
 	is.NoErr(saddleslope.Run(t.Context(), []string{"-divide", "50", "-window", "600ms"}, &out))
+	page, err := os.ReadFile("../../../docs/CAPACITY.md")
+	is.NoErr(err)
 	rows := strings.Split(strings.TrimSpace(out.String()), "\n")[1:]
 	is.Equal(len(rows), 27)
 	for _, row := range rows {
 		is.Equal(strings.Count(row, ": "), 3) // three sizes with their values
 		is.True(!strings.Contains(row, "NaN"))
+		name, _, _ := strings.Cut(row, "  ")
+		is.True(strings.Contains(string(page), "| "+name+" |")) // the page has this quantity
 	}
 }
 
