--- a/internal/control/saddleclient/client.go
+++ b/internal/control/saddleclient/client.go
@@ -73,9 +73,14 @@
 
 // Read returns the state as a leader vouches for it.
 func (c *Client) Read(ctx context.Context) (*saddlewire.ReadResponse, error) {
+	return c.ReadWith(ctx, &saddlewire.ReadRequest{})
+}
+
+// ReadWith is Read, and asks for a history if the request names one.
+func (c *Client) ReadWith(ctx context.Context, in *saddlewire.ReadRequest) (*saddlewire.ReadResponse, error) {
 	var state *saddlewire.ReadResponse
 	err := c.rounds(ctx, func(ctx context.Context, address string) (string, error) {
-		out, err := saddlewire.NewDRPCControlClient(c.pool.Conn(ctx, address)).Read(ctx, &saddlewire.ReadRequest{})
+		out, err := saddlewire.NewDRPCControlClient(c.pool.Conn(ctx, address)).Read(ctx, in)
 		if err != nil {
 			return "", err
 		}
--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -106,7 +106,7 @@
 }
 
 // read returns the state if this replica can vouch that it is current.
-func (c *core) read(now time.Time) *saddlewire.ReadResponse {
+func (c *core) read(now time.Time, in *saddlewire.ReadRequest) *saddlewire.ReadResponse {
 	r := &saddlewire.ReadResponse{
 		Current:     c.replica.LeaseValid(now),
 		Leader:      c.leaderAddress(),
@@ -116,6 +116,7 @@
 		Drains:      c.state.Drains(),
 		Members:     c.members.all(),
 		Term:        c.replica.Term(),
+		History:     c.state.History(in.GetHistoryKind(), in.GetHistoryName()),
 	}
 	for id, address := range c.cfg.Replicas {
 		r.Replicas = append(r.Replicas, &saddlewire.Replica{
--- a/internal/control/saddlecontrol/event.go
+++ b/internal/control/saddlecontrol/event.go
@@ -32,10 +32,11 @@
 
 // readEvent asks for the state.
 type readEvent struct {
+	request *saddlewire.ReadRequest
 	reply chan *saddlewire.ReadResponse // of capacity 1
 }
 
-func (e readEvent) handle(now time.Time, c *core) { e.reply <- c.read(now) }
+func (e readEvent) handle(now time.Time, c *core) { e.reply <- c.read(now, e.request) }
 
 // beatEvent brings a node's heartbeat.
 type beatEvent struct {
--- a/internal/control/saddlecontrol/server.go
+++ b/internal/control/saddlecontrol/server.go
@@ -111,9 +111,9 @@
 }
 
 // Read returns the state.
-func (s *Server) Read(ctx context.Context, _ *saddlewire.ReadRequest) (*saddlewire.ReadResponse, error) {
+func (s *Server) Read(ctx context.Context, in *saddlewire.ReadRequest) (*saddlewire.ReadResponse, error) {
 	reply := make(chan *saddlewire.ReadResponse, 1)
-	return ask(ctx, s, readEvent{reply: reply}, reply)
+	return ask(ctx, s, readEvent{request: in, reply: reply}, reply)
 }
 
 // Exchange takes in messages of another replica.
--- a/internal/control/saddlestate/apply.go
+++ b/internal/control/saddlestate/apply.go
@@ -15,6 +15,9 @@
 		return past
 	}
 	result := s.change(index, c)
+	if result.GetAccepted() && s.revision == index {
+		s.noteHistory(index, c)
+	}
 	result.Index = index
 	result.NowNs = c.GetNowNs()
 	s.remember(c.GetRequest(), result)
--- a/internal/control/saddlestate/state.go
+++ b/internal/control/saddlestate/state.go
@@ -27,6 +27,7 @@
 	drains      map[string]*saddlewire.Drain
 	claims      map[claimKey]*saddlewire.Claim
 	results     map[string]*saddlewire.Result
+	history     map[historyKey][]*saddlewire.PastRevision
 	order       []string // requests in results, oldest first
 }
 
@@ -38,6 +39,7 @@
 		drains:      map[string]*saddlewire.Drain{},
 		claims:      map[claimKey]*saddlewire.Claim{},
 		results:     map[string]*saddlewire.Result{},
+		history:     map[historyKey][]*saddlewire.PastRevision{},
 	}
 }
 
@@ -60,6 +62,7 @@
 		Templates:   s.Templates(),
 		Deployments: s.Deployments(),
 		Drains:      s.Drains(),
+		History:     s.allHistory(),
 	}
 	for _, c := range s.claims {
 		out.Claims = append(out.Claims, c)
@@ -90,6 +93,9 @@
 	for _, c := range in.GetClaims() {
 		s.claims[claimKey{workspace: c.GetWorkspace(), key: c.GetKey()}] = c
 	}
+	for _, p := range in.GetHistory() {
+		s.keepPast(p)
+	}
 	for _, p := range in.GetResults() {
 		s.remember(p.GetRequest(), p.GetResult())
 	}
