--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -31,6 +31,7 @@
 	revision    uint64
 	deployments map[string]*saddlewire.Deployment
 	drains      map[string]*saddlewire.Drain
+	placements  map[string]*saddlewire.Placement
 	members     map[string]*saddlewire.Member
 }
 
@@ -38,6 +39,7 @@
 	return &source{
 		deployments: map[string]*saddlewire.Deployment{},
 		drains:      map[string]*saddlewire.Drain{},
+		placements:  map[string]*saddlewire.Placement{},
 		members:     map[string]*saddlewire.Member{},
 	}
 }
@@ -73,7 +75,7 @@
 // note marks what an update may change.
 func (b *Builder) note(s *source, u *saddlewire.Update) {
 	anew := u.GetSnapshot() || !s.connected
-	if anew || u.GetRevision() != s.revision || len(u.GetDeployments())+len(u.GetDrains()) > 0 {
+	if anew || u.GetRevision() != s.revision || len(u.GetDeployments())+len(u.GetDrains())+len(u.GetPlacements()) > 0 {
 		b.staleConfiguration = true
 	}
 	if anew || len(u.GetMembers())+len(u.GetGone()) > 0 {
@@ -88,6 +90,7 @@
 	if u.GetSnapshot() {
 		s.deployments = map[string]*saddlewire.Deployment{}
 		s.drains = map[string]*saddlewire.Drain{}
+		s.placements = map[string]*saddlewire.Placement{}
 	}
 	s.revision = u.GetRevision()
 	for _, d := range u.GetDeployments() {
@@ -96,6 +99,9 @@
 	for _, d := range u.GetDrains() {
 		s.drains[d.GetTarget()] = d
 	}
+	for _, p := range u.GetPlacements() {
+		s.placements[p.GetTarget()] = p
+	}
 }
 
 // Lost notes that a replica is no longer heard.
@@ -134,6 +140,7 @@
 	v.Revision = best.revision
 	v.Deployments = cloneMap(best.deployments)
 	v.Drains = cloneMap(best.drains)
+	v.Placements = cloneMap(best.placements)
 	v.Keys = keys(v.Deployments)
 }
 
