--- a/internal/command/saddlectl/command_test.go
+++ b/internal/command/saddlectl/command_test.go
@@ -263,3 +263,30 @@
 	}
 	is.True(strings.Count(help, "  saddlectl ") >= 15)
 }
+
+func TestHistoryShowsEachRevisionAndItsRequest(t *testing.T) {
+	is := is.New(t)
+	f := newFakeControl(t)
+	dir := write(t, map[string]string{"meet.toml": template, "next.toml": strings.Replace(template, "30s", "45s", 1)})
+	is.Equal(f.run(t, "template", "submit", filepath.Join(dir, "meet.toml")).code, 0)
+	is.Equal(f.run(t, "deployment", "submit", "volos", "-template", "meet", "-request", "r1").code, 0)
+	is.Equal(f.run(t, "deployment", "revise", "volos", "-base", "1", "-set", "weight=3", "-request", "r2").code, 0)
+	is.Equal(f.run(t, "deployment", "revise", "volos", "-base", "1", "-set", "weight=4").code, saddlectl.ExitConflict)
+	is.Equal(f.run(t, "template", "revise", filepath.Join(dir, "next.toml"), "-base", "1", "-request", "r3").code, 0)
+
+	type row struct {
+		Revision         uint64
+		Request          string
+		TemplateRevision uint64 `json:"template_revision"`
+		Parameters       map[string]string
+	}
+	rows := decode[[]row](t, f.run(t, "deployment", "history", "volos", "-json").out)
+	is.Equal(rows, []row{
+		{Revision: 1, Request: "r1", TemplateRevision: 1},
+		{Revision: 2, Request: "r2", TemplateRevision: 1, Parameters: map[string]string{"weight": "3"}},
+		{Revision: 3, Request: "r3", TemplateRevision: 2, Parameters: map[string]string{"weight": "3"}}, // by its template
+	})
+	old := f.run(t, "template", "show", "meet", "-revision", "1")
+	is.True(strings.Contains(old.out, "30s"))
+	is.Equal(f.run(t, "template", "show", "meet", "-revision", "9").code, saddlectl.ExitFailed)
+}
--- a/internal/command/saddlectl/fakecontrol_test.go
+++ b/internal/command/saddlectl/fakecontrol_test.go
@@ -81,7 +81,7 @@
 	return &saddlewire.SubmitResponse{Result: result}, nil
 }
 
-func (f *fakeControl) Read(context.Context, *saddlewire.ReadRequest) (*saddlewire.ReadResponse, error) {
+func (f *fakeControl) Read(_ context.Context, in *saddlewire.ReadRequest) (*saddlewire.ReadResponse, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range f.members {
@@ -97,6 +97,7 @@
 		Drains:      f.state.Drains(),
 		Members:     f.members,
 		Replicas:    f.replicas,
+		History:     f.state.History(in.GetHistoryKind(), in.GetHistoryName()),
 	}, nil
 }
 
--- a/internal/command/saddlectl/flags.go
+++ b/internal/command/saddlectl/flags.go
@@ -47,6 +47,10 @@
 	fs.DurationVar(&s.waitFor, "wait-for", defaultWait, "longest time to wait with -wait")
 }
 
+func showFlags(s *session, fs *flag.FlagSet) {
+	fs.Uint64Var(&s.revision, "revision", 0, "an earlier revision; 0 is the one in force")
+}
+
 func reviseFlags(s *session, fs *flag.FlagSet) {
 	changeFlags(s, fs)
 	fs.Uint64Var(&s.base, "base", 0, "revision that was read; the change is refused when another is in force")
--- a/internal/command/saddlectl/session.go
+++ b/internal/command/saddlectl/session.go
@@ -33,6 +33,8 @@
 	waitFor time.Duration
 	base    uint64
 
+	revision uint64
+
 	template string
 	set      parameters
 	unset    []string
--- a/internal/command/saddlectl/template.go
+++ b/internal/command/saddlectl/template.go
@@ -29,19 +29,31 @@
 }
 
 func runTemplateShow(ctx context.Context, s *session, args []string) error {
-	state, err := s.read(ctx)
+	t, err := s.showable(ctx, args[0])
 	if err != nil {
 		return err
 	}
-	t := find(state, kindTemplate, args[0])
-	if t == nil {
-		return &missingError{kind: kindTemplate, name: args[0]}
-	}
 	return s.print(t, func(w io.Writer) {
 		_, _ = fmt.Fprintf(w, "# revision %d\n%s", t.Revision, t.Body)
 	})
 }
 
+// showable returns the template in force, or the revision asked for.
+func (s *session) showable(ctx context.Context, name string) (*inForce, error) {
+	if s.revision > 0 {
+		return s.pastRevision(ctx, kindTemplate, name)
+	}
+	state, err := s.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	t := find(state, kindTemplate, name)
+	if t == nil {
+		return nil, &missingError{kind: kindTemplate, name: name}
+	}
+	return t, nil
+}
+
 func runTemplateDiff(ctx context.Context, s *session, args []string) error {
 	t, err := readTemplateFile(args[0])
 	if err != nil {
--- a/internal/control/saddlestate/history.go
+++ b/internal/control/saddlestate/history.go
@@ -62,7 +62,8 @@
 
 func (s *State) keepPast(p *saddlewire.PastRevision) {
 	key := historyKey{kind: p.GetKind(), name: p.GetName()}
-	kept := append(s.history[key], p)
+	kept := s.history[key]
+	kept = append(kept, p)
 	s.history[key] = kept[max(0, len(kept)-maxHistory):]
 }
 
