--- a/internal/command/saddlectl/command.go
+++ b/internal/command/saddlectl/command.go
@@ -51,17 +51,20 @@
 		help(out)
 		return ExitOK
 	}
-	for _, c := range commands() {
-		words := strings.Fields(c.name)
-		if len(args) < len(words) || c.name != strings.Join(args[:len(words)], " ") {
-			continue
+	for words := min(len(args), maxWords); words > 0; words-- {
+		name := strings.Join(args[:words], " ")
+		for _, c := range commands() {
+			if c.name == name {
+				return runCommand(ctx, c, args[words:], out, errOut)
+			}
 		}
-		return runCommand(ctx, c, args[len(words):], out, errOut)
 	}
-	_, _ = fmt.Fprintf(errOut, "saddlectl: unknown command %q; see saddlectl help\n", strings.Join(args[:min(len(args), 2)], " "))
+	_, _ = fmt.Fprintf(errOut, "saddlectl: unknown command %q; see saddlectl help\n", strings.Join(args[:min(len(args), maxWords)], " "))
 	return ExitUsage
 }
 
+const maxWords = 2 // of a command's name
+
 func runCommand(ctx context.Context, c command, args []string, out, errOut io.Writer) int {
 	s := newSession(out)
 	fs := flag.NewFlagSet(c.name, flag.ContinueOnError)
--- a/internal/config/saddlesettings/agent.go
+++ b/internal/config/saddlesettings/agent.go
@@ -48,10 +48,12 @@
 	c := &checker{file: file}
 	s.check(c)
 	s.Attend.check(c)
-	c.reachable("listen", s.Listen)
 	c.address("announce", s.Announce)
-	if s.Advertise != "" {
-		c.address("advertise", s.Advertise)
+	if s.Advertise == "" {
+		c.reachable("listen", s.Listen)
+	} else {
+		c.address("listen", s.Listen)
+		c.reachable("advertise", s.Advertise)
 	}
 	c.duration("probe", s.Probe, minProbe, maxProbe)
 	c.duration("lost", s.Lost, s.Probe.Std(), time.Minute)
