--- a/internal/agent/saddleagent/draft.go
+++ b/internal/agent/saddleagent/draft.go
@@ -25,6 +25,7 @@
 	if err != nil {
 		return out.refuse(err)
 	}
+	out.target = b
 	ctx, cancel := context.WithTimeout(stream.Context(), budget(in.GetTicket()))
 	defer cancel()
 	go beats(ctx, out.beat)
@@ -50,6 +51,8 @@
 	}
 	defer s.finish(t, nil)
 	countStarted.Add(1)
+	ctx, done := b.whileAlive(ctx)
+	defer done()
 	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "draft_start", Request: t.GetRequest(), Attempt: t.GetAttempt(), Target: string(b.id())})
 	if len(in.GetChain()) > 1 {
 		return s.stages.Drive(ctx, saddlestage.Draft{
--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -24,6 +24,7 @@
 		return
 	}
 	e.command.NowNs = e.at.UnixNano()
+	e.command.Term = c.replica.Term()
 	data, err := proto.Marshal(e.command)
 	if err != nil {
 		e.reply <- &saddlewire.SubmitResponse{Refused: true}
@@ -163,7 +164,7 @@
 }
 
 // read returns the state if this replica can vouch that it is current.
-func (c *core) read(now time.Time) *saddlewire.ReadResponse {
+func (c *core) read(now time.Time, in *saddlewire.ReadRequest) *saddlewire.ReadResponse {
 	r := &saddlewire.ReadResponse{
 		Current:     c.replica.LeaseValid(now),
 		Leader:      c.leaderAddress(),
@@ -171,8 +172,10 @@
 		Templates:   c.state.Templates(),
 		Deployments: c.state.Deployments(),
 		Drains:      c.state.Drains(),
+		Placements:  c.state.Placements(),
 		Members:     c.members.all(),
 		Term:        c.replica.Term(),
+		History:     c.state.History(in.GetHistoryKind(), in.GetHistoryName()),
 	}
 	for _, p := range c.replica.Members() {
 		r.Replicas = append(r.Replicas, &saddlewire.Replica{
--- a/internal/control/saddlestate/apply.go
+++ b/internal/control/saddlestate/apply.go
@@ -21,6 +21,9 @@
 		return past.GetResult()
 	}
 	result := s.change(index, c)
+	if result.GetAccepted() && s.revision == index {
+		s.noteHistory(index, c)
+	}
 	result.Index = index
 	result.NowNs = c.GetNowNs()
 	window.add(&saddlewire.PastResult{Request: c.GetRequest(), Result: result, Digest: sum})
@@ -35,6 +38,8 @@
 		return s.putDeployment(index, change.PutDeployment)
 	case *saddlewire.Command_PutDrain:
 		return s.putDrain(index, change.PutDrain)
+	case *saddlewire.Command_PutPlacement:
+		return s.putPlacement(index, c.GetTerm(), change.PutPlacement)
 	case *saddlewire.Command_OpenClaim:
 		return s.openClaim(c.GetNowNs(), change.OpenClaim.GetClaim())
 	case *saddlewire.Command_SettleClaim:
--- a/internal/control/saddlestate/state.go
+++ b/internal/control/saddlestate/state.go
@@ -22,9 +22,11 @@
 	templates   map[string]*saddlewire.Template
 	deployments map[string]*saddlewire.Deployment
 	drains      map[string]*saddlewire.Drain
+	placements  map[string]*saddlewire.Placement
 	claims      map[claimKey]*saddlewire.Claim
 	changes     results // of commands that change the configuration
 	settled     results // of commands on claims
+	history     map[historyKey][]*saddlewire.PastRevision
 }
 
 // New returns an empty state.
@@ -33,9 +35,11 @@
 		templates:   map[string]*saddlewire.Template{},
 		deployments: map[string]*saddlewire.Deployment{},
 		drains:      map[string]*saddlewire.Drain{},
+		placements:  map[string]*saddlewire.Placement{},
 		claims:      map[claimKey]*saddlewire.Claim{},
 		changes:     newResults(maxChanges),
 		settled:     newResults(maxSettled),
+		history:     map[historyKey][]*saddlewire.PastRevision{},
 	}
 }
 
@@ -58,6 +62,8 @@
 		Templates:   s.Templates(),
 		Deployments: s.Deployments(),
 		Drains:      s.Drains(),
+		Placements:  s.Placements(),
+		History:     s.allHistory(),
 	}
 	for _, c := range s.claims {
 		out.Claims = append(out.Claims, c)
@@ -83,9 +89,15 @@
 	for _, d := range in.GetDrains() {
 		s.drains[d.GetTarget()] = d
 	}
+	for _, p := range in.GetPlacements() {
+		s.placements[p.GetTarget()] = p
+	}
 	for _, c := range in.GetClaims() {
 		s.claims[claimKey{workspace: c.GetWorkspace(), key: c.GetKey()}] = c
 	}
+	for _, p := range in.GetHistory() {
+		s.keepPast(p)
+	}
 	for _, p := range in.GetResults() {
 		s.window(len(p.GetDigest()) > 0).add(p)
 	}
--- a/internal/entry/saddleentry/attempt.go
+++ b/internal/entry/saddleentry/attempt.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleretry"
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
 	"github.com/fireflysaddle/fireflysaddle/internal/pipeline/saddlechain"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
@@ -42,18 +44,23 @@
 	countAttempts.Add(1)
 	head := a.chain.Head()
 	s.note(time.Now(), "draft_attempt", d.caller, a.number, head.Target)
-	load, err := s.streamDraft(ctx, d, a, take)
+	var pace pace
+	load, err := s.streamDraft(ctx, d, a, func(text string) error {
+		pace.token(time.Now())
+		return take(text)
+	})
 	atFault := culprit(ctx, err, head.Target)
 	if atFault != "" {
 		avoid[atFault] = true
 	}
 	now := time.Now()
 	for _, stage := range a.chain.Stages() {
-		report := load
-		if stage.Target != head.Target {
-			report = nil
+		result := saddleroute.Result{Outcome: outcomeOf(stage.Target, atFault, err)}
+		if stage.Target == head.Target {
+			result.Load = load
+			result.Rate = pace.rate()
 		}
-		s.router.Done(now, stage, stage.Target == atFault && !isRefusal(err), report)
+		s.router.Done(now, stage, result)
 	}
 	return err
 }
@@ -75,6 +82,17 @@
 	return head
 }
 
+// outcomeOf returns what the end of an attempt says about one of its targets.
+func outcomeOf(target, atFault fireflysaddle.TargetID, err error) saddleretry.Outcome {
+	switch {
+	case err == nil:
+		return saddleretry.Succeeded
+	case target == atFault && !isRefusal(err):
+		return saddleretry.Failed
+	}
+	return saddleretry.Neutral
+}
+
 func isRefusal(err error) bool {
 	var refused *fireflysaddle.RefusedError
 	return errors.As(err, &refused)
@@ -123,6 +141,8 @@
 			if err := take(event.Token.GetText()); err != nil {
 				return nil, err
 			}
+		case *saddlewire.DraftEvent_Beat:
+			s.router.Report(time.Now(), head.Target, e.GetLoad())
 		case *saddlewire.DraftEvent_Refusal:
 			return e.GetLoad(), refusedBy(event.Refusal)
 		case *saddlewire.DraftEvent_Fault:
--- a/internal/entry/saddleentry/trycall.go
+++ b/internal/entry/saddleentry/trycall.go
@@ -44,7 +44,7 @@
 	if atFault != "" {
 		avoid[atFault] = true
 	}
-	s.router.Done(time.Now(), stage, atFault == stage.Target && !isRefusal(err), load)
+	s.router.Done(time.Now(), stage, saddleroute.Result{Outcome: outcomeOf(stage.Target, atFault, err), Load: load})
 	return answer, err
 }
 
@@ -80,6 +80,8 @@
 		switch event := e.GetEvent().(type) {
 		case *saddlewire.CallEvent_Answer:
 			return event.Answer, e.GetLoad(), nil
+		case *saddlewire.CallEvent_Beat:
+			s.router.Report(time.Now(), stage.Target, e.GetLoad())
 		case *saddlewire.CallEvent_Refusal:
 			return nil, e.GetLoad(), refusedBy(event.Refusal)
 		case *saddlewire.CallEvent_Fault:
