--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclock"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlereplica"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestate"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestore"
@@ -33,7 +34,8 @@
 	attendees map[*attendee]struct{}
 	pending   map[uint64]pendingCommand // by log index
 	peers     *peerSet
-	clock     *clock
+	clock     *saddleclock.Clock
+	started   time.Time // with a monotonic reading
 
 	applied      uint64
 	lastSnapshot uint64
@@ -57,8 +59,7 @@
 			return nil, err
 		}
 	}
-	clock := newClock(now)
-	replica := saddlereplica.New(clock.read(now), saddlereplica.Config{
+	replica := saddlereplica.New(now.Round(0), saddlereplica.Config{
 		ID:        cfg.Node,
 		Members:   firstMembers(cfg),
 		Heartbeat: cfg.Heartbeat,
@@ -74,7 +75,8 @@
 		attendees:    map[*attendee]struct{}{},
 		pending:      map[uint64]pendingCommand{},
 		peers:        newPeerSet(cfg.Node, cfg.Election),
-		clock:        clock,
+		clock:        saddleclock.New(now, 0),
+		started:      now,
 		applied:      loaded.Snapshot.GetIndex(),
 		lastSnapshot: loaded.Snapshot.GetIndex(),
 	}, nil
@@ -94,7 +96,10 @@
 }
 
 // now returns the core's time, by which leases and silences are judged.
-func (c *core) now() time.Time { return c.clock.read(time.Now()) }
+func (c *core) now() time.Time {
+	now := time.Now()
+	return c.clock.Read(now, now.Sub(c.started))
+}
 
 // run takes in events until the context ends or the store fails.
 func (c *core) run(ctx context.Context, events <-chan event) error {
