Replacement is reported once committed; a node is ready once confirmed

Read, and so control-replace -wait, now report the committed replicas. Ruled out: a fault of the log itself (no entry was lost; the group stood still). Also: a node called itself ready by whatever a replica that is behind sent it first; it now waits for a confirmed configuration, and without a majority serves by the highest known after three silence times.

--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -177,7 +177,7 @@
 		Term:        c.replica.Term(),
 		History:     c.state.History(in.GetHistoryKind(), in.GetHistoryName()),
 	}
-	for _, p := range c.replica.Members() {
+	for _, p := range c.replica.CommittedMembers() {
 		r.Replicas = append(r.Replicas, &saddlewire.Replica{
 			Id:      p.GetId(),
 			Address: p.GetAddress(),
--- a/internal/control/saddlereplica/faultplan_test.go
+++ b/internal/control/saddlereplica/faultplan_test.go
@@ -206,7 +206,7 @@
 }
 
 func member(n *node, id string) bool {
-	for _, m := range n.replica.Members() {
+	for _, m := range n.replica.CommittedMembers() {
 		if m.GetId() == id {
 			return true
 		}
@@ -215,7 +215,7 @@
 }
 
 func voter(n *node, id string) bool {
-	for _, m := range n.replica.Members() {
+	for _, m := range n.replica.CommittedMembers() {
 		if m.GetId() == id {
 			return m.GetVoter()
 		}
--- a/internal/control/saddlereplica/membership.go
+++ b/internal/control/saddlereplica/membership.go
@@ -17,6 +17,14 @@
 // not committed yet.
 func (r *Replica) Members() []*saddlewire.Peer { return r.members.GetReplicas() }
 
+// CommittedMembers returns the replicas as the applied log has them. Only these
+// may be reported: a change that is not committed may still be undone, and a
+// replica that it removes may still be needed.
+func (r *Replica) CommittedMembers() []*saddlewire.Peer {
+	m, _ := r.membershipAt(r.applied)
+	return m.GetReplicas()
+}
+
 // useMembership takes up the latest membership of the log.
 func (r *Replica) useMembership() {
 	r.members, r.membersIndex = r.membershipAt(r.log.last())
--- a/internal/control/saddlereplica/safety_test.go
+++ b/internal/control/saddlereplica/safety_test.go
@@ -102,6 +102,22 @@
 	is.True(again == 0 && (err == nil || errors.As(err, &busy)))
 }
 
+// Operators see a change of the replicas once it is committed. Seen before: a
+// replacement was called done while the removal of the old replica could still
+// be undone, and the loss of another VM then left two of four voters.
+func TestMembersAreReportedOnceCommitted(t *testing.T) {
+	is := is.New(t)
+	r, now := leading(t)
+	_, err := r.AddReplica(now, "d", "d", "c")
+	is.NoErr(err)
+	drive(now, r)
+	is.Equal(len(r.Members()), 4)
+	is.Equal(len(r.CommittedMembers()), 3)
+	r.Step(now, ack("b", 2, 3, now))
+	drive(now, r)
+	is.Equal(len(r.CommittedMembers()), 4)
+}
+
 // A replica without a vote counts towards no majority until it is caught up
 // and promoted; only then the replaced one goes.
 func TestReplacementVotesOnceCaughtUp(t *testing.T) {
--- a/internal/node/saddleattend/attendant.go
+++ b/internal/node/saddleattend/attendant.go
@@ -12,8 +12,10 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-// updateQueue bounds the updates waiting to be merged.
-const updateQueue = 64
+const (
+	updateQueue    = 64 // updates waiting to be merged
+	settleSilences = 3  // silence times that a start waits for a confirmed configuration
+)
 
 // Attendant publishes the node's view. View and Wake are safe for concurrent
 // use.
@@ -70,10 +72,14 @@
 // merge owns the builder.
 func (a *Attendant) merge(ctx context.Context) {
 	b := saddleview.NewBuilder()
+	settle := time.NewTimer(settleSilences * a.cfg.Silence)
+	defer settle.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-settle.C:
+			b.Settle()
 		case e := <-a.events:
 			take(b, e)
 		}
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -20,6 +20,7 @@
 	sources map[string]*source
 	last    *View
 
+	settled            bool
 	staleConfiguration bool // changed since last was built
 	staleMembers       bool
 }
@@ -104,6 +105,10 @@
 	}
 }
 
+// Settle notes that the node has waited for a confirmed configuration for long
+// enough: from now on it serves by the highest revision it knows of.
+func (b *Builder) Settle() { b.settled = true }
+
 // Lost notes that a replica is no longer heard.
 func (b *Builder) Lost(replica string) {
 	if s, ok := b.sources[replica]; ok {
@@ -121,6 +126,7 @@
 		b.mergeConfiguration(v)
 	}
 	b.countSources(v)
+	v.Ready = v.Ready || v.Confirmed || (b.settled && v.Revision > 0)
 	if b.staleMembers && v.Connected > 0 {
 		v.Members = b.mergedMembers()
 		v.Groups = groups(v.Members)
@@ -136,7 +142,6 @@
 	if best == nil {
 		return
 	}
-	v.Ready = true
 	v.Revision = best.revision
 	v.Deployments = cloneMap(best.deployments)
 	v.Drains = cloneMap(best.drains)
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -8,7 +8,7 @@
 type View struct {
 	Revision    uint64 // highest configuration revision known
 	Confirmed   bool   // a majority confirmed it a short while ago
-	Ready       bool   // there is a configuration to serve by
+	Ready       bool   // a configuration was confirmed, or none could be in time and one is known
 	Deployments map[string]*saddlewire.Deployment
 	Keys        map[string]*saddlewire.Deployment // by hex SHA-256 of the key
 	Drains      map[string]*saddlewire.Drain
