--- a/internal/daemon/saddledaemon/fixture_test.go
+++ b/internal/daemon/saddledaemon/fixture_test.go
@@ -26,12 +26,12 @@
 }
 
 // newFixture starts control and an entry with a lame-duck time.
-func newFixture(t *testing.T, lameDuck string) *fixture {
+func newFixture(t testing.TB, lameDuck string) *fixture {
 	t.Helper()
 	return fixtureOn(t, saddleprocess.New(t, 3), lameDuck)
 }
 
-func fixtureOn(t *testing.T, fleet *saddleprocess.Fleet, lameDuck string) *fixture {
+func fixtureOn(t testing.TB, fleet *saddleprocess.Fleet, lameDuck string) *fixture {
 	t.Helper()
 	f := &fixture{Fleet: fleet, journal: &saddlestandin.Journal{}}
 	f.entry = fleet.StartEntry(t, "entry-1", fmt.Sprintf("lame_duck = %q", lameDuck))
@@ -44,7 +44,7 @@
 }
 
 // engine starts a stand-in engine that holds layers [from, to).
-func (f *fixture) engine(t *testing.T, id string, from, to uint32) *saddlestandin.Engine {
+func (f *fixture) engine(t testing.TB, id string, from, to uint32) *saddlestandin.Engine {
 	t.Helper()
 	e, cleanup, err := saddlestandin.NewEngine(saddlestandin.EngineConfig{
 		Address: "127.0.0.1:0", ID: id, Model: "drafting-models", Version: "1",
@@ -59,7 +59,7 @@
 }
 
 // target starts an engine and the agent beside it.
-func (f *fixture) target(t *testing.T, id string, from, to uint32) (*saddlestandin.Engine, *saddleprocess.Agent) {
+func (f *fixture) target(t testing.TB, id string, from, to uint32) (*saddlestandin.Engine, *saddleprocess.Agent) {
 	t.Helper()
 	e := f.engine(t, id, from, to)
 	agent := f.StartAgent(t, "agent-"+id, "")
@@ -69,7 +69,7 @@
 }
 
 // targetBehind is target with a relay before the agent.
-func (f *fixture) targetBehind(t *testing.T, id string, from, to uint32) (*saddleprocess.Agent, *saddlerelay.Relay) {
+func (f *fixture) targetBehind(t testing.TB, id string, from, to uint32) (*saddleprocess.Agent, *saddlerelay.Relay) {
 	t.Helper()
 	e := f.engine(t, id, from, to)
 	agent, relay := f.StartAgentBehind(t, "agent-"+id)
@@ -80,7 +80,7 @@
 
 // awaitTargets waits until the entry serves the model from n targets at least:
 // control lists them, and the entry hears of them with the same update.
-func (f *fixture) awaitTargets(t *testing.T, n int) {
+func (f *fixture) awaitTargets(t testing.TB, n int) {
 	t.Helper()
 	client := f.Client(t)
 	saddleprocess.Await(t, fmt.Sprintf("%d targets", n), awaitTime, func() error {
@@ -104,7 +104,7 @@
 
 // stream asks for the long draft and calls at once its third token is there.
 // It returns the tokens.
-func (f *fixture) stream(t *testing.T, entry string, at func()) []string {
+func (f *fixture) stream(t testing.TB, entry string, at func()) []string {
 	t.Helper()
 	body := fmt.Sprintf(`{"model":"drafting-models","prompt":%q,"max_tokens":%d,"stream":true}`, longPrompt, longTokens)
 	resp, err := post(entry, "/v1/completions", "", body)
--- a/internal/daemon/saddledaemon/leaving_processes_test.go
+++ b/internal/daemon/saddledaemon/leaving_processes_test.go
@@ -103,7 +103,7 @@
 
 // awaitLeft waits until control no longer offers a target, or says that it is
 // leaving.
-func (f *fixture) awaitLeft(t *testing.T, target string) {
+func (f *fixture) awaitLeft(t testing.TB, target string) {
 	t.Helper()
 	client := f.Client(t)
 	saddleprocess.Await(t, target+" to leave", awaitTime, func() error {
@@ -126,18 +126,18 @@
 	t.Parallel()
 	cases := []struct {
 		name  string
-		drain func(t *testing.T, f *fixture, a *saddleprocess.Agent)
-		back  func(t *testing.T, f *fixture)
+		drain func(t testing.TB, f *fixture, a *saddleprocess.Agent)
+		back  func(t testing.TB, f *fixture)
 	}{
 		{
 			"by the operator",
-			func(t *testing.T, f *fixture, _ *saddleprocess.Agent) { f.Ctl(t, "drain", "drafting-1", "-wait") },
-			func(t *testing.T, f *fixture) { f.Ctl(t, "undrain", "drafting-1", "-wait") },
+			func(t testing.TB, f *fixture, _ *saddleprocess.Agent) { f.Ctl(t, "drain", "drafting-1", "-wait") },
+			func(t testing.TB, f *fixture) { f.Ctl(t, "undrain", "drafting-1", "-wait") },
 		},
 		{"by the target", leave, nil},
 		{
 			"by the target while control is lost",
-			func(t *testing.T, f *fixture, a *saddleprocess.Agent) {
+			func(t testing.TB, f *fixture, a *saddleprocess.Agent) {
 				for _, c := range f.Controls {
 					c.Kill()
 				}
@@ -168,7 +168,7 @@
 	}
 }
 
-func leave(t *testing.T, _ *fixture, a *saddleprocess.Agent) {
+func leave(t testing.TB, _ *fixture, a *saddleprocess.Agent) {
 	t.Helper()
 	reply, err := saddleannounce.SendLeave(context.Background(), http.DefaultClient, a.Announce, saddleannounce.Leave{ID: "drafting-1", Incarnation: 1})
 	if err != nil || !reply.Accepted {
@@ -177,7 +177,7 @@
 }
 
 // awaitStartAt sends drafts until one begins at an engine.
-func (f *fixture) awaitStartAt(t *testing.T, engine string) {
+func (f *fixture) awaitStartAt(t testing.TB, engine string) {
 	t.Helper()
 	before := f.startsAt(engine)
 	saddleprocess.Await(t, "a draft at "+engine, awaitTime, func() error {
--- a/internal/daemon/saddledaemon/orders_processes_test.go
+++ b/internal/daemon/saddledaemon/orders_processes_test.go
@@ -58,7 +58,7 @@
 
 const awaitTime = 30 * time.Second
 
-func submit(t *testing.T, client *saddleclient.Client, c *saddlewire.Command) *saddlewire.Result {
+func submit(t testing.TB, client *saddleclient.Client, c *saddlewire.Command) *saddlewire.Result {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), awaitTime)
 	defer cancel()
@@ -73,7 +73,7 @@
 	return result
 }
 
-func announcedVersion(t *testing.T, client *saddleclient.Client, target, version string) error {
+func announcedVersion(t testing.TB, client *saddleclient.Client, target, version string) error {
 	t.Helper()
 	state, err := readState(client)
 	if err != nil {
--- a/internal/daemon/saddledaemon/processes_test.go
+++ b/internal/daemon/saddledaemon/processes_test.go
@@ -62,7 +62,7 @@
 	}
 }
 
-func startStage(t *testing.T, fleet *saddleprocess.Fleet, journal *saddlestandin.Journal, stage uint32) *saddleprocess.Agent {
+func startStage(t testing.TB, fleet *saddleprocess.Fleet, journal *saddlestandin.Journal, stage uint32) *saddleprocess.Agent {
 	t.Helper()
 	id := fmt.Sprintf("drafting-%d", stage+1)
 	engine, cleanup, err := saddlestandin.NewEngine(saddlestandin.EngineConfig{
@@ -79,7 +79,7 @@
 	return agent
 }
 
-func startDesk(t *testing.T, fleet *saddleprocess.Fleet) (*saddlestandin.Service, *saddleprocess.Agent) {
+func startDesk(t testing.TB, fleet *saddleprocess.Fleet) (*saddlestandin.Service, *saddleprocess.Agent) {
 	t.Helper()
 	desk, cleanup, err := saddlestandin.NewService(saddlestandin.ServiceConfig{
 		Address: "127.0.0.1:0", ID: "desk-1", Group: "filing-desk", Version: "1", Slots: 2, Incarnation: 1,
@@ -95,7 +95,7 @@
 
 // awaitDraft asks for a streamed draft; it asks again while the entry says
 // that it was not run.
-func awaitDraft(t *testing.T, entry, prompt string, n int) []string {
+func awaitDraft(t testing.TB, entry, prompt string, n int) []string {
 	t.Helper()
 	var tokens []string
 	saddleprocess.Await(t, "a draft", 20*time.Second, func() error {
@@ -115,13 +115,13 @@
 	return tokens
 }
 
-func readTokens(t *testing.T, r io.Reader) []string {
+func readTokens(t testing.TB, r io.Reader) []string {
 	t.Helper()
 	return readTokensAt(t, r, 0, nil)
 }
 
 // readTokensAt reads a stream and calls at when so many tokens are there.
-func readTokensAt(t *testing.T, r io.Reader, n int, at func()) []string {
+func readTokensAt(t testing.TB, r io.Reader, n int, at func()) []string {
 	t.Helper()
 	var tokens []string
 	lines := bufio.NewScanner(r)
@@ -152,7 +152,7 @@
 	return nil
 }
 
-func awaitPost(t *testing.T, entry, key, body string) string {
+func awaitPost(t testing.TB, entry, key, body string) string {
 	t.Helper()
 	var answer string
 	saddleprocess.Await(t, "an answer", 20*time.Second, func() error {
