--- a/internal/agent/saddleagent/draft.go
+++ b/internal/agent/saddleagent/draft.go
@@ -57,6 +57,7 @@
 			Attempt:   t.GetAttempt(),
 			Priority:  t.GetPriority(),
 			Chain:     in.GetChain(),
+			Spares:    in.GetSpares(),
 			Prompt:    in.GetPrompt(),
 			Given:     in.GetGiven(),
 			MaxTokens: in.GetMaxTokens(),
--- a/internal/agent/saddleagent/server.go
+++ b/internal/agent/saddleagent/server.go
@@ -78,6 +78,9 @@
 		Probe:       cfg.StepTimeout,
 		Silence:     cfg.Silence,
 		Timeline:    cfg.Timeline,
+		ExportEvery: saddlestage.DefaultExportEvery,
+		BufferBytes: saddlestage.DefaultBufferBytes,
+		Dial:        saddlelink.Dial,
 	})
 	cleanup := func() error {
 		_ = announces.Close()
--- /dev/null
+++ b/internal/link/saddlelink/conn.go
@@ -0,0 +1,41 @@
+package saddlelink
+
+import (
+	"context"
+	"net"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+)
+
+// MaxMessageBytes bounds one message. It takes in the activations of a long
+// prompt, which the library's default of 4 MiB does not.
+const MaxMessageBytes = 64 << 20
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes}}
+}
+
+func newServer(handler drpc.Handler) *drpcserver.Server {
+	return drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: managerOptions()})
+}
+
+// Over returns a drpc connection over one that is open. It is for callers that
+// dial by themselves.
+func Over(c net.Conn) *drpcconn.Conn {
+	return drpcconn.NewWithOptions(c, drpcconn.Options{Manager: managerOptions()})
+}
+
+// ServeOne answers calls on one connection until it or the context ends.
+// register adds the services.
+func ServeOne(ctx context.Context, c net.Conn, register func(drpc.Mux) error) error {
+	mux := drpcmux.New()
+	if err := register(mux); err != nil {
+		return err
+	}
+	return newServer(mux).ServeOne(ctx, c)
+}
--- a/internal/link/saddlelink/dial.go
+++ b/internal/link/saddlelink/dial.go
@@ -23,5 +23,5 @@
 	if err != nil {
 		return nil, &fireflysaddle.NotSentError{Address: address, Err: err}
 	}
-	return drpcconn.New(c), nil
+	return Over(c), nil
 }
--- a/internal/link/saddlelink/serve.go
+++ b/internal/link/saddlelink/serve.go
@@ -6,7 +6,6 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 )
 
 // Serve answers calls on a listener until the context ends. register adds the
@@ -16,5 +15,5 @@
 	if err := register(mux); err != nil {
 		return err
 	}
-	return drpcserver.New(mux).Serve(ctx, lis)
+	return newServer(mux).Serve(ctx, lis)
 }
--- /dev/null
+++ b/internal/pipeline/saddlechain/chain_test.go
@@ -0,0 +1,118 @@
+package saddlechain_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/pipeline/saddlechain"
+)
+
+func stage(id string, from, to, of int) saddlechain.Stage {
+	return saddlechain.Stage{
+		Target: fireflysaddle.TargetID(id),
+		Layers: fireflysaddle.LayerRange{
+			From: fireflysaddle.Layer(from), To: fireflysaddle.Layer(to), Of: fireflysaddle.Layer(of),
+		},
+	}
+}
+
+func TestNewRefusesWhatDoesNotCoverTheModel(t *testing.T) {
+	bad := map[string][]saddlechain.Stage{
+		"nothing":          nil,
+		"a gap":            {stage("a", 0, 2, 6), stage("b", 3, 6, 6)},
+		"an overlap":       {stage("a", 0, 3, 6), stage("b", 2, 6, 6)},
+		"a late start":     {stage("a", 1, 6, 6)},
+		"an early end":     {stage("a", 0, 5, 6)},
+		"too much":         {stage("a", 0, 6, 6), stage("b", 6, 8, 6)},
+		"the same twice":   {stage("a", 0, 6, 6), stage("b", 0, 6, 6)},
+		"out of order":     {stage("b", 3, 6, 6), stage("a", 0, 3, 6)},
+		"an empty range":   {stage("a", 0, 0, 6), stage("b", 0, 6, 6)},
+		"different models": {stage("a", 0, 3, 6), stage("b", 3, 8, 8)},
+	}
+	for name, stages := range bad {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := saddlechain.New(stages)
+			var cover *saddlechain.CoverError
+			is.True(errors.As(err, &cover))
+		})
+	}
+}
+
+// covers reports whether each layer is in exactly one stage, in order.
+func covers(stages []saddlechain.Stage, of int) bool {
+	next := 0
+	for _, s := range stages {
+		for l := int(s.Layers.From); l < int(s.Layers.To); l++ {
+			if l != next {
+				return false
+			}
+			next++
+		}
+	}
+	return next == of
+}
+
+func anyStage(of int) *rapid.Generator[saddlechain.Stage] {
+	return rapid.Custom(func(t *rapid.T) saddlechain.Stage {
+		from := rapid.IntRange(0, of).Draw(t, "from")
+		return stage(rapid.StringN(3, 6, -1).Draw(t, "id"), from, rapid.IntRange(0, of+1).Draw(t, "to"), of)
+	})
+}
+
+// New accepts a list if and only if it covers every layer once, in order.
+func TestNewAcceptsExactlyTheExactCovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		of := rapid.IntRange(1, 5).Draw(t, "layers")
+		stages := rapid.SliceOfN(anyStage(of), 0, 4).Draw(t, "stages")
+		if rapid.Bool().Draw(t, "cut") { // most random lists cover nothing
+			stages = nil
+			for from := 0; from < of; {
+				to := rapid.IntRange(from+1, of).Draw(t, "to")
+				stages = append(stages, stage(fmt.Sprint(from), from, to, of))
+				from = to
+			}
+		}
+		want := covers(stages, of)
+		for _, s := range stages {
+			want = want && s.Layers.Check() == nil
+		}
+		if _, err := saddlechain.New(stages); (err == nil) != want {
+			t.Fatalf("New(%v): %v, exact cover: %t", stages, err, want)
+		}
+	})
+}
+
+// Plan builds a chain if and only if there is one, whatever is chosen on the way.
+func TestPlanFindsACoverWhereThereIsOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		of := rapid.IntRange(1, 6).Draw(t, "layers")
+		offered := rapid.SliceOfN(anyStage(of), 0, 8).Draw(t, "offered")
+		chain, ok := saddlechain.Plan(offered, func(candidates []saddlechain.Stage) int {
+			return rapid.IntRange(0, len(candidates)-1).Draw(t, "choice")
+		})
+		if ok != coverExists(offered, of) {
+			t.Fatalf("Plan: %t, offered %v", ok, offered)
+		}
+		if ok && !covers(chain.Stages(), of) {
+			t.Fatalf("the chain %v covers something else", chain.Stages())
+		}
+	})
+}
+
+func coverExists(offered []saddlechain.Stage, of int) bool {
+	reached := map[fireflysaddle.Layer]bool{0: true}
+	for range of {
+		for _, s := range offered {
+			if s.Layers.Check() == nil && reached[s.Layers.From] {
+				reached[s.Layers.To] = true
+			}
+		}
+	}
+	return len(offered) > 0 && reached[fireflysaddle.Layer(of)]
+}
--- a/internal/pipeline/saddlechain/error.go
+++ b/internal/pipeline/saddlechain/error.go
@@ -17,3 +17,14 @@
 func (e *CoverError) Error() string {
 	return fmt.Sprintf("stage %d holds layers %s, expected a range from %d", e.Stage, e.Range, e.Want)
 }
+
+// RepairError says why a chain cannot go on with an attempt.
+type RepairError struct {
+	Target fireflysaddle.TargetID // the stage that cannot be replaced or caught up
+	Reason string
+}
+
+// Error names the target and the reason.
+func (e *RepairError) Error() string {
+	return fmt.Sprintf("stage at target %q cannot be recovered: %s", e.Target, e.Reason)
+}
--- a/internal/pipeline/saddlechain/plan.go
+++ b/internal/pipeline/saddlechain/plan.go
@@ -1,12 +1,17 @@
 package saddlechain
 
-import "github.com/fireflysaddle/fireflysaddle"
+import (
+	"slices"
+
+	"github.com/fireflysaddle/fireflysaddle"
+)
 
 // Plan builds a chain from the stages on offer. At each boundary, choose picks
-// among the stages from which the end of the model can be reached; it returns
+// among the sound stages from which the end of the model can be reached; it returns
 // an index into its argument, or a negative number to give up. ok is false
 // when no chain can be built.
 func Plan(offered []Stage, choose func([]Stage) int) (chain Chain, ok bool) {
+	offered = slices.DeleteFunc(slices.Clone(offered), func(s Stage) bool { return s.Layers.Check() != nil })
 	if len(offered) == 0 {
 		return Chain{}, false
 	}
@@ -41,7 +46,7 @@
 	for changed := true; changed; {
 		changed = false
 		for _, s := range offered {
-			if s.Layers.Check() == nil && s.Layers.Of == of && reaches[s.Layers.To] && !reaches[s.Layers.From] {
+			if s.Layers.Of == of && reaches[s.Layers.To] && !reaches[s.Layers.From] {
 				reaches[s.Layers.From] = true
 				changed = true
 			}
--- a/internal/pipeline/saddlestage/hop.go
+++ b/internal/pipeline/saddlestage/hop.go
@@ -11,13 +11,16 @@
 // as silent.
 const hopBeats = 4
 
-// Hop takes in the frames of another agent's link and sends it heartbeats.
+// Hop takes in the frames of another agent's link and sends it heartbeats. It
+// ends a link on which nothing comes in, heartbeats neither.
 func (r *Runner) Hop(stream saddlewire.DRPCAgent_HopStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
+	silence := time.AfterFunc(r.cfg.Silence, cancel)
+	defer silence.Stop()
 	go func() {
 		defer cancel()
-		r.takeBatches(stream)
+		r.takeBatches(stream, silence)
 	}()
 	tick := time.NewTicker(r.cfg.Silence / hopBeats)
 	defer tick.Stop()
@@ -35,12 +38,13 @@
 	}
 }
 
-func (r *Runner) takeBatches(stream saddlewire.DRPCAgent_HopStream) {
+func (r *Runner) takeBatches(stream saddlewire.DRPCAgent_HopStream, silence *time.Timer) {
 	for {
 		batch, err := stream.Recv()
 		if err != nil {
 			return
 		}
+		silence.Reset(r.cfg.Silence)
 		now := time.Now()
 		r.cfg.Timeline.Observe(now, batch.GetStamp())
 		for _, f := range batch.GetFrames() {
--- a/internal/pipeline/saddlestage/link.go
+++ b/internal/pipeline/saddlestage/link.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
-	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"storj.io/drpc/drpcconn"
+
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -13,20 +15,17 @@
 	address string
 	queue   chan *saddlewire.Frame
 	silence time.Duration
+	dial    func(ctx context.Context, address string) (*drpcconn.Conn, error)
+	heard   atomic.Bool // the present connection carried a heartbeat back
 }
 
 // run sends until the link fails, falls silent, is idle, or the context ends.
-func (l *link) run(ctx context.Context) {
+// It returns nil when the link is idle.
+func (l *link) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	err := l.carry(ctx, cancel)
-	if err != nil && ctx.Err() == nil {
-		countLinksLost.Add(1)
-	}
-}
-
-func (l *link) carry(ctx context.Context, cancel func()) error {
-	conn, err := saddlelink.Dial(ctx, l.address)
+	l.heard.Store(false)
+	conn, err := l.dial(ctx, l.address)
 	if err != nil {
 		return err
 	}
@@ -46,15 +45,19 @@
 			if _, err := stream.Recv(); err != nil {
 				return
 			}
+			l.heard.Store(true)
 			silence.Reset(l.silence)
 		}
 	}()
 	return l.sendAll(ctx, stream)
 }
 
+// sendAll sends what is queued, in batches, and heartbeats.
 func (l *link) sendAll(ctx context.Context, stream saddlewire.DRPCAgent_HopClient) error {
 	idle := time.NewTimer(linkIdle)
 	defer idle.Stop()
+	beat := time.NewTicker(l.silence / hopBeats)
+	defer beat.Stop()
 	for {
 		var batch saddlewire.FrameBatch
 		select {
@@ -62,16 +65,33 @@
 			return ctx.Err()
 		case <-idle.C:
 			return nil
+		case <-beat.C:
 		case f := <-l.queue:
-			batch.Frames = append(batch.Frames, f)
-		}
-		for range min(len(l.queue), frameBatch) {
-			batch.Frames = append(batch.Frames, <-l.queue)
+			batch.Frames = l.gather(f)
+			idle.Reset(linkIdle)
 		}
 		if err := stream.Send(&batch); err != nil {
 			return err
 		}
 		countFrames.Add(int64(len(batch.GetFrames())))
-		idle.Reset(linkIdle)
 	}
 }
+
+// gather adds what is queued behind a frame, up to the size of a batch.
+func (l *link) gather(first *saddlewire.Frame) []*saddlewire.Frame {
+	frames := []*saddlewire.Frame{first}
+	size := frameSize(first)
+	for range min(len(l.queue), frameBatch) {
+		if size > batchBytes {
+			break
+		}
+		f := <-l.queue
+		size += frameSize(f)
+		frames = append(frames, f)
+	}
+	return frames
+}
+
+func frameSize(f *saddlewire.Frame) int {
+	return len(f.GetActivation()) + len(f.GetCache())
+}
--- a/internal/pipeline/saddlestage/runner.go
+++ b/internal/pipeline/saddlestage/runner.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"sync"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -10,8 +10,6 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-const sweepEvery = time.Minute
-
 // Runner is an agent's part of all chains. It is safe for concurrent use.
 type Runner struct {
 	cfg   Config
@@ -19,32 +17,58 @@
 	table *table
 	heads *heads
 	links *links
+
+	mu      sync.Mutex
+	stopped bool
+	wg      sync.WaitGroup
 }
 
-// New returns a runner and its clean-up, which ends its links.
+// New returns a runner and its clean-up, which ends its links and its work.
 func New(cfg Config) (*Runner, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Runner{cfg: cfg, ctx: ctx, table: newTable(), heads: newHeads()}
-	r.links = newLinks(ctx, cfg.Silence, r.linkDown)
-	go r.sweep()
+	r := &Runner{cfg: cfg, ctx: ctx, heads: newHeads()}
+	r.table = newTable(ctx, cfg.BufferBytes, r.sendLater)
+	r.links = newLinks(ctx, cfg, r.linkBroke, r.linkDown)
+	r.spawn(r.watch)
 	return r, func() {
+		r.mu.Lock()
+		r.stopped = true
+		r.mu.Unlock()
 		cancel()
 		r.links.wait()
+		r.wg.Wait()
+	}
+}
+
+// spawn runs a function in a goroutine that the clean-up waits for.
+func (r *Runner) spawn(fn func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.stopped {
+		r.wg.Go(fn)
 	}
 }
 
 // Active returns the number of attempts that have a stage here.
 func (r *Runner) Active() int { return r.table.len() }
 
-// Ping answers a head that asks after one of its stages.
+// Ping answers a head that asks after one of its stages, and a stage that asks
+// after its head.
 func (r *Runner) Ping(request string, attempt uint32) *saddlewire.PingResponse {
-	s, ok := r.table.get(key{request: request, attempt: attempt})
+	k := key{request: request, attempt: attempt}
+	s, ok := r.table.view(k)
 	return &saddlewire.PingResponse{
 		Incarnation: uint64(r.cfg.Incarnation),
 		TargetAlive: r.cfg.Engine() != nil,
 		Known:       ok,
-		Next:        s.next,
-		Busy:        s.busy,
+		Next:        s.done,
+		Busy:        s.running,
+		Accepted:    s.accepted,
+		Failed:      s.failed,
+		Kept:        s.outbox.from,
+		Export:      s.outbox.export.positions,
+		Repair:      s.repair,
+		Accepting:   r.cfg.Accepting() && r.table.mayBegin(k),
 	}
 }
 
@@ -52,86 +76,40 @@
 func (r *Runner) Take(now time.Time, f *saddlewire.Frame) {
 	switch f.GetKind() {
 	case saddlewire.Frame_STEP:
-		r.takeStep(now, f)
+		r.begin(f)(r.table.step(now, f, r.cfg.Accepting()))
+	case saddlewire.Frame_RESTORE:
+		r.begin(f)(r.table.restore(now, f, r.cfg.Accepting()))
 	case saddlewire.Frame_TOKEN, saddlewire.Frame_FAULT:
 		r.heads.deliver(f)
 	case saddlewire.Frame_CLOSE:
-		r.takeClose(f)
+		r.drop(now, keyOf(f))
+	case saddlewire.Frame_REPLAY:
+		if err := r.table.replay(now, f); err != nil {
+			r.fault(keyOf(f), f.GetChain(), r.cfg.Target(), err.Error())
+		}
+	case saddlewire.Frame_EXPORT:
+		r.table.takeExport(f)
 	case saddlewire.Frame_NONE:
 	}
 }
 
-func (r *Runner) takeStep(now time.Time, f *saddlewire.Frame) {
-	s, err := r.table.accept(now, f, r.cfg.Accepting())
-	if err != nil {
-		r.fault(f.GetRequest(), f.GetAttempt(), f.GetChain(), r.cfg.Target(), err.Error())
-		return
-	}
-	go r.runStep(f, s)
-}
-
-// runStep runs this stage's layers and hands the result on.
-func (r *Runner) runStep(f *saddlewire.Frame, s session) {
-	result, err := r.step(fireflysaddle.Step{
-		Request:    fireflysaddle.RequestID(f.GetRequest()),
-		Attempt:    fireflysaddle.Attempt(f.GetAttempt()),
-		Priority:   fireflysaddle.Priority(s.priority),
-		Position:   fireflysaddle.Position(f.GetPosition()),
-		Activation: f.GetActivation(),
-		Count:      f.GetCount(),
-	})
-	if err != nil {
-		r.fault(f.GetRequest(), f.GetAttempt(), s.chain, r.cfg.Target(), err.Error())
-		return
-	}
-	if r.table.done(key{request: f.GetRequest(), attempt: f.GetAttempt()}, f.GetCount()) {
-		r.handOn(f, s, result)
-	}
-}
-
-func (r *Runner) step(step fireflysaddle.Step) (fireflysaddle.StepResult, error) {
-	engine := r.cfg.Engine()
-	if engine == nil {
-		return fireflysaddle.StepResult{}, errors.New("there is no engine")
-	}
-	countSteps.Add(1)
-	return engine.Step(r.ctx, step)
-}
-
-// handOn sends the outcome of a step to the next stage, or to the head.
-func (r *Runner) handOn(f *saddlewire.Frame, s session, result fireflysaddle.StepResult) {
-	out := &saddlewire.Frame{
-		Kind:     saddlewire.Frame_STEP,
-		Request:  f.GetRequest(),
-		Attempt:  f.GetAttempt(),
-		Position: f.GetPosition(),
-		Count:    f.GetCount(),
-	}
-	if s.last() {
-		out.Kind = saddlewire.Frame_TOKEN
-		out.Token = result.Token
-		r.send(s.chain[0].GetAddress(), out)
-		return
-	}
-	out.Index = s.index + 1
-	out.Activation = result.Activation
-	if f.GetPosition() == 0 {
-		out.Chain = s.chain
-		out.BudgetMs = f.GetBudgetMs()
-		out.Priority = s.priority
+// begin starts the worker of a session that took in a frame, or tells the head
+// why it did not.
+func (r *Runner) begin(f *saddlewire.Frame) func(s *session, err error) {
+	return func(s *session, err error) {
+		switch {
+		case err != nil:
+			r.fault(keyOf(f), f.GetChain(), r.cfg.Target(), err.Error())
+		case s != nil:
+			r.spawn(func() { r.work(s) })
+		}
 	}
-	r.send(s.after().GetAddress(), out)
 }
 
-func (r *Runner) takeClose(f *saddlewire.Frame) {
-	k := key{request: f.GetRequest(), attempt: f.GetAttempt()}
-	s, ok := r.table.close(k)
-	if !ok {
-		return
-	}
-	r.forget(k)
-	if !s.last() {
-		r.send(s.after().GetAddress(), f)
+// drop ends a session and lets the engine drop what it holds.
+func (r *Runner) drop(now time.Time, k key) {
+	if s := r.table.close(now, k); s != nil {
+		r.spawn(func() { r.forget(k) })
 	}
 }
 
@@ -141,65 +119,59 @@
 	if engine == nil {
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(r.ctx, r.cfg.Probe)
-		defer cancel()
-		_ = engine.Cancel(ctx, fireflysaddle.RequestID(k.request), fireflysaddle.Attempt(k.attempt))
-	}()
+	ctx, cancel := context.WithTimeout(r.ctx, r.cfg.Probe)
+	defer cancel()
+	_ = engine.Cancel(ctx, fireflysaddle.RequestID(k.request), fireflysaddle.Attempt(k.attempt))
 }
 
-// send hands a frame to an agent, which may be this one.
+// send hands a frame to an agent, which may be this one. It must not be called
+// under the table's lock.
 func (r *Runner) send(address string, f *saddlewire.Frame) {
 	if address == r.cfg.Self {
 		r.Take(time.Now(), f)
 		return
 	}
+	r.sendLater(address, f)
+}
+
+// sendLater queues a frame for another agent. It never calls the table.
+func (r *Runner) sendLater(address string, f *saddlewire.Frame) {
 	if !r.links.send(address, f) {
-		r.linkDown(address)
+		r.spawn(func() { r.linkDown(address) })
 	}
 }
 
-// fault tells the head of a chain that a stage failed.
-func (r *Runner) fault(request string, attempt uint32, chain []*saddlewire.Stage, target fireflysaddle.TargetID, reason string) {
+// fault tells the head of a chain that something is wrong with a stage. The
+// head asks all stages before it decides anything.
+func (r *Runner) fault(k key, chain []*saddlewire.Stage, target fireflysaddle.TargetID, reason string) {
 	countFaults.Add(1)
-	r.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "stage_fault", Request: request, Attempt: attempt, Target: string(target), Detail: reason})
-	if len(chain) == 0 {
-		if s, ok := r.table.get(key{request: request, attempt: attempt}); ok {
-			chain = s.chain
-		}
+	r.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "stage_fault", Request: k.request, Attempt: k.attempt, Target: string(target), Detail: reason})
+	if s, ok := r.table.view(k); ok && len(chain) == 0 {
+		chain = s.chain
 	}
 	if len(chain) == 0 {
 		return
 	}
 	r.send(chain[0].GetAddress(), &saddlewire.Frame{
 		Kind:    saddlewire.Frame_FAULT,
-		Request: request,
-		Attempt: attempt,
+		Request: k.request,
+		Attempt: k.attempt,
 		Fault:   &saddlewire.Fault{Target: string(target), Message: reason},
 	})
 }
 
-// linkDown faults the attempts whose next frame would have taken the link.
-func (r *Runner) linkDown(address string) {
-	for k, s := range r.table.through(address) {
-		if s.last() {
-			continue // the head itself cannot be told; it asks by itself
-		}
-		r.fault(k.request, k.attempt, s.chain, fireflysaddle.TargetID(s.after().GetTarget()), "the link to its agent is lost")
-	}
+// linkBroke makes up for what was under way on a link that works again.
+func (r *Runner) linkBroke(address string) {
+	r.table.resendLast(time.Now(), address)
 }
 
-func (r *Runner) sweep() {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-r.ctx.Done():
-			return
-		case now := <-tick.C:
-			for _, k := range r.table.sweep(now) {
-				r.forget(k)
-			}
+// linkDown tells the heads of the attempts whose next frame would have taken a
+// link that cannot be opened.
+func (r *Runner) linkDown(address string) {
+	for _, s := range r.table.around(address) {
+		if s.head() == address {
+			continue // it cannot be told; it asks by itself
 		}
+		r.fault(s.key, s.chain, fireflysaddle.TargetID(s.after().GetTarget()), "its agent cannot be reached")
 	}
 }
--- a/internal/standin/saddlestandin/engine.go
+++ b/internal/standin/saddlestandin/engine.go
@@ -41,23 +41,27 @@
 
 // NewEngine starts an engine and returns its clean-up.
 func NewEngine(cfg EngineConfig) (*Engine, func(), error) {
+	e := newEngine(cfg)
+	h, err := newHost(cfg.Address, e.routes())
+	if err != nil {
+		return nil, nil, err
+	}
+	e.host = h
+	go func() { _ = h.serve() }()
+	return e, h.Kill, nil
+}
+
+func newEngine(cfg EngineConfig) *Engine {
 	if cfg.Journal == nil {
 		cfg.Journal = &Journal{}
 	}
-	e := &Engine{
+	return &Engine{
 		cfg:      cfg,
 		slots:    newSlots(cfg.Slots),
 		cache:    newPrefixCache(cfg.CacheLimit, cfg.LoseEvents),
 		loads:    &loadHistory{lag: cfg.LoadLag},
 		attempts: map[attemptKey]*attemptState{},
 	}
-	h, err := newHost(cfg.Address, e.routes())
-	if err != nil {
-		return nil, nil, err
-	}
-	e.host = h
-	go func() { _ = h.serve() }()
-	return e, h.Kill, nil
 }
 
 // BeforePosition has a function called before each position is run, for tests
@@ -136,8 +140,20 @@
 	if !decodeBody(w, r, &in) {
 		return
 	}
-	if !e.slots.enter(r.Context(), in.Priority) {
-		return
+	answer, code := e.runStep(r.Context(), in)
+	switch code {
+	case 0: // the caller is gone
+	case http.StatusOK:
+		encodeBody(w, answer)
+	default:
+		http.Error(w, "position out of order", code)
+	}
+}
+
+// runStep runs one step; the code is 0 when the context ended.
+func (e *Engine) runStep(ctx context.Context, in saddleengine.StepBody) (answer saddleengine.StepAnswer, code int) {
+	if !e.slots.enter(ctx, in.Priority) {
+		return answer, 0
 	}
 	defer e.slots.leave()
 	e.count(1)
@@ -145,24 +161,23 @@
 	k := attemptKey{request: in.Request, attempt: in.Attempt}
 	activations := e.stepInput(in)
 	cost := e.cfg.TokenTime
-	if in.Position == 0 {
+	if len(activations) > 1 || in.Position == 0 {
 		cost = time.Duration(len(activations)) * e.cfg.PrefillTime
 	}
-	if !e.pause(r.Context(), cost) {
-		return
+	if !e.pause(ctx, cost) {
+		return answer, 0
 	}
 	out, ok := e.runLayers(k, in.Position, activations)
 	if !ok {
-		http.Error(w, "position out of order", http.StatusConflict)
-		return
+		return answer, http.StatusConflict
 	}
-	answer := saddleengine.StepAnswer{Count: uint32(len(out))}
+	answer.Count = uint32(len(out))
 	if e.cfg.To == e.cfg.Of {
 		answer.Token = sample(out[len(out)-1])
 	} else {
 		answer.Activation = encodeActivations(out)
 	}
-	encodeBody(w, answer)
+	return answer, http.StatusOK
 }
 
 func (e *Engine) stepInput(in saddleengine.StepBody) []uint64 {
--- a/internal/standin/saddlestandin/engineorders.go
+++ b/internal/standin/saddlestandin/engineorders.go
@@ -21,19 +21,26 @@
 	if !decodeBody(w, r, &in) {
 		return
 	}
+	out, code := e.exportState(attemptKey{request: in.Request, attempt: in.Attempt})
+	if code != http.StatusOK {
+		http.Error(w, "no such attempt", code)
+		return
+	}
+	encodeBody(w, out)
+}
+
+func (e *Engine) exportState(k attemptKey) (saddleengine.CacheBody, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	state, ok := e.attempts[attemptKey{request: in.Request, attempt: in.Attempt}]
+	state, ok := e.attempts[k]
 	if !ok {
-		http.Error(w, "no such attempt", http.StatusNotFound)
-		return
+		return saddleengine.CacheBody{}, http.StatusNotFound
 	}
 	data, err := json.Marshal(state)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+		return saddleengine.CacheBody{}, http.StatusInternalServerError
 	}
-	encodeBody(w, saddleengine.CacheBody{Request: in.Request, Attempt: in.Attempt, Positions: state.Next, Data: data})
+	return saddleengine.CacheBody{Request: k.request, Attempt: k.attempt, Positions: state.Next, Data: data}, http.StatusOK
 }
 
 func (e *Engine) importCache(w http.ResponseWriter, r *http.Request) {
@@ -41,14 +48,24 @@
 	if !decodeBody(w, r, &in) {
 		return
 	}
+	if code := e.importState(attemptKey{request: in.Request, attempt: in.Attempt}, in.Data); code != http.StatusOK {
+		http.Error(w, "the cache does not fit this engine's layers", code)
+	}
+}
+
+func (e *Engine) importState(k attemptKey, data []byte) int {
 	state := &attemptState{}
-	if err := json.Unmarshal(in.Data, state); err != nil || len(state.Layers) != int(e.cfg.To-e.cfg.From) {
-		http.Error(w, "the cache does not fit this engine's layers", http.StatusBadRequest)
-		return
+	if err := json.Unmarshal(data, state); err != nil || len(state.Layers) != int(e.cfg.To-e.cfg.From) {
+		return http.StatusBadRequest
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.attempts[attemptKey{request: in.Request, attempt: in.Attempt}] = state
+	e.attempts[k] = state
+	e.cfg.Journal.Add(Execution{
+		Engine: e.cfg.ID, Request: k.request, Attempt: k.attempt,
+		Position: state.Next, From: e.cfg.From, To: e.cfg.To, Imported: true,
+	})
+	return http.StatusOK
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/saddlestandin/host.go
+++ b/internal/standin/saddlestandin/host.go
@@ -30,6 +30,13 @@
 	return h, nil
 }
 
+// newUnlistened returns a host that is frozen and thawed but serves nothing.
+func newUnlistened() *host {
+	h := &host{thawed: make(chan struct{})}
+	close(h.thawed)
+	return h
+}
+
 // hold keeps requests waiting while the host is frozen.
 func (h *host) hold(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
