--- a/internal/command/saddlectl/command.go
+++ b/internal/command/saddlectl/command.go
@@ -26,12 +26,14 @@
 		{"apply", "FILE", "submit what a fleet file lists and control does not have", "saddlectl apply fleet.toml -wait", changeFlags, runApply},
 		{"status", "", "show what is accepted and where it is in force", "saddlectl status -json", nil, runStatus},
 		{"template list", "", "list the templates", "saddlectl template list", nil, runTemplateList},
-		{"template show", "NAME", "print a template's text", "saddlectl template show meet", nil, runTemplateShow},
+		{"template show", "NAME", "print a template's text", "saddlectl template show meet -revision 2", showFlags, runTemplateShow},
+		{"template history", "NAME", "list the latest revisions of a template", "saddlectl template history meet", nil, runTemplateHistory},
 		{"template diff", "FILE", "compare a file with the template in force", "saddlectl template diff meet.toml", nil, runTemplateDiff},
 		{"template submit", "FILE", "create a template", "saddlectl template submit meet.toml", changeFlags, runTemplateSubmit},
 		{"template revise", "FILE", "replace the revision of a template that was read", "saddlectl template revise meet.toml -base 3 -wait", reviseFlags, runTemplateRevise},
 		{"deployment list", "", "list the deployments", "saddlectl deployment list", nil, runDeploymentList},
 		{"deployment show", "WORKSPACE", "show a deployment as it was rendered", "saddlectl deployment show volos", nil, runDeploymentShow},
+		{"deployment history", "WORKSPACE", "list the latest revisions of a deployment", "saddlectl deployment history volos -json", nil, runDeploymentHistory},
 		{"deployment diff", "WORKSPACE", "show what new parameters would change", "saddlectl deployment diff volos -set weight=3", deploymentDiffFlags, runDeploymentDiff},
 		{"deployment submit", "WORKSPACE", "create a deployment from a template", "saddlectl deployment submit volos -template meet -set weight=2", deploymentFlags, runDeploymentSubmit},
 		{"deployment revise", "WORKSPACE", "change parameters of the revision that was read", "saddlectl deployment revise volos -base 4 -set weight=3", deploymentReviseFlags, runDeploymentRevise},
@@ -49,17 +51,20 @@
 		help(out)
 		return ExitOK
 	}
-	for _, c := range commands() {
-		words := strings.Fields(c.name)
-		if len(args) < len(words) || c.name != strings.Join(args[:len(words)], " ") {
-			continue
+	for words := min(len(args), maxWords); words > 0; words-- {
+		name := strings.Join(args[:words], " ")
+		for _, c := range commands() {
+			if c.name == name {
+				return runCommand(ctx, c, args[words:], out, errOut)
+			}
 		}
-		return runCommand(ctx, c, args[len(words):], out, errOut)
 	}
-	_, _ = fmt.Fprintf(errOut, "saddlectl: unknown command %q; see saddlectl help\n", strings.Join(args[:min(len(args), 2)], " "))
+	_, _ = fmt.Fprintf(errOut, "saddlectl: unknown command %q; see saddlectl help\n", strings.Join(args[:min(len(args), maxWords)], " "))
 	return ExitUsage
 }
 
+const maxWords = 2 // of a command's name
+
 func runCommand(ctx context.Context, c command, args []string, out, errOut io.Writer) int {
 	s := newSession(out)
 	fs := flag.NewFlagSet(c.name, flag.ContinueOnError)
--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -164,7 +164,7 @@
 }
 
 // read returns the state if this replica can vouch that it is current.
-func (c *core) read(now time.Time) *saddlewire.ReadResponse {
+func (c *core) read(now time.Time, in *saddlewire.ReadRequest) *saddlewire.ReadResponse {
 	r := &saddlewire.ReadResponse{
 		Current:     c.replica.LeaseValid(now),
 		Leader:      c.leaderAddress(),
@@ -175,6 +175,7 @@
 		Placements:  c.state.Placements(),
 		Members:     c.members.all(),
 		Term:        c.replica.Term(),
+		History:     c.state.History(in.GetHistoryKind(), in.GetHistoryName()),
 	}
 	for _, p := range c.replica.Members() {
 		r.Replicas = append(r.Replicas, &saddlewire.Replica{
--- a/internal/control/saddlestate/apply.go
+++ b/internal/control/saddlestate/apply.go
@@ -21,6 +21,9 @@
 		return past.GetResult()
 	}
 	result := s.change(index, c)
+	if result.GetAccepted() && s.revision == index {
+		s.noteHistory(index, c)
+	}
 	result.Index = index
 	result.NowNs = c.GetNowNs()
 	window.add(&saddlewire.PastResult{Request: c.GetRequest(), Result: result, Digest: sum})
--- a/internal/control/saddlestate/state.go
+++ b/internal/control/saddlestate/state.go
@@ -26,6 +26,7 @@
 	claims      map[claimKey]*saddlewire.Claim
 	changes     results // of commands that change the configuration
 	settled     results // of commands on claims
+	history     map[historyKey][]*saddlewire.PastRevision
 }
 
 // New returns an empty state.
@@ -38,6 +39,7 @@
 		claims:      map[claimKey]*saddlewire.Claim{},
 		changes:     newResults(maxChanges),
 		settled:     newResults(maxSettled),
+		history:     map[historyKey][]*saddlewire.PastRevision{},
 	}
 }
 
@@ -61,6 +63,7 @@
 		Deployments: s.Deployments(),
 		Drains:      s.Drains(),
 		Placements:  s.Placements(),
+		History:     s.allHistory(),
 	}
 	for _, c := range s.claims {
 		out.Claims = append(out.Claims, c)
@@ -92,6 +95,9 @@
 	for _, c := range in.GetClaims() {
 		s.claims[claimKey{workspace: c.GetWorkspace(), key: c.GetKey()}] = c
 	}
+	for _, p := range in.GetHistory() {
+		s.keepPast(p)
+	}
 	for _, p := range in.GetResults() {
 		s.window(len(p.GetDigest()) > 0).add(p)
 	}
