--- a/admitter.go
+++ b/admitter.go
@@ -18,14 +18,19 @@
 	// Offer queues a request or returns a *RefusedError.
 	Offer(now time.Time, d Demand) error
 	// Next takes the next request to start; ok is false when none can start.
+	// It never returns one that Expired would.
 	Next(now time.Time) (id RequestID, ok bool)
 	// Finish frees the slot of a started request.
 	Finish(now time.Time, id RequestID)
 	// Withdraw removes a queued request; it reports whether it was queued.
 	Withdraw(now time.Time, id RequestID) bool
-	// Expired removes and returns the queued requests past their deadline.
+	// Expired removes and returns the queued requests that are predicted to
+	// miss their deadline even if they started now.
 	Expired(now time.Time) []RequestID
-	// Wait predicts the wait of a new request.
+	// Expiry returns when Expired will next have something to return if
+	// nothing else happens; ok is false when it will not.
+	Expiry() (at time.Time, ok bool)
+	// Wait predicts the wait of a new request behind all that are queued.
 	Wait(now time.Time) time.Duration
 	// Counts returns the numbers of running and queued requests.
 	Counts() (running, queued int)
--- a/internal/agent/saddleagent/backend.go
+++ b/internal/agent/saddleagent/backend.go
@@ -27,7 +27,7 @@
 	b := &backend{
 		announced: a,
 		info:      a.Target(),
-		gate:      saddlegate.New(saddlequeue.New(int(a.Slots), queueWait)),
+		gate:      saddlegate.New(saddlequeue.New(int(a.Slots), queueWait, a.Rate)),
 	}
 	id := fireflysaddle.TargetID(a.ID)
 	if fireflysaddle.TargetKind(a.Kind) == fireflysaddle.KindEngine {
--- /dev/null
+++ b/internal/agent/saddlequeue/queue_test.go
@@ -0,0 +1,265 @@
+package saddlequeue_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/agent/saddlequeue"
+)
+
+var epoch = time.Date(2026, time.May, 1, 8, 0, 0, 0, time.UTC)
+
+const (
+	rate    = 100.0 // tokens a second in a slot
+	maxWait = 10 * time.Second
+)
+
+// demand returns a demand of one second in a slot.
+func demand(id string, w fireflysaddle.Workspace) fireflysaddle.Demand {
+	return fireflysaddle.Demand{Request: fireflysaddle.RequestID(id), Workspace: w, Weight: 1, Tokens: rate}
+}
+
+func offer(t *testing.T, q fireflysaddle.Admitter, now time.Time, demands ...fireflysaddle.Demand) {
+	t.Helper()
+	for _, d := range demands {
+		if err := q.Offer(now, d); err != nil {
+			t.Fatalf("offer %s: %v", d.Request, err)
+		}
+	}
+}
+
+// started runs a queue of one slot and returns the requests in their order.
+func started(q fireflysaddle.Admitter, now time.Time, n int) []string {
+	var out []string
+	for range n {
+		id, ok := q.Next(now)
+		if !ok {
+			return out
+		}
+		out = append(out, string(id))
+		now = now.Add(time.Second)
+		q.Finish(now, id)
+	}
+	return out
+}
+
+func refusal(t *testing.T, err error) *fireflysaddle.RefusedError {
+	t.Helper()
+	var refused *fireflysaddle.RefusedError
+	if !errors.As(err, &refused) {
+		t.Fatalf("got %v, expected a refusal", err)
+	}
+	return refused
+}
+
+func TestWorkspacesShareATargetByWeightAndTokens(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		weight uint32 // of the first workspace
+		tokens int    // of each of its requests
+		want   int    // of its requests among the first twelve started
+	}{
+		{"alike", 1, rate, 6},
+		{"twice the weight", 2, rate, 8},
+		{"requests of half the size", 1, rate / 2, 8},
+		{"requests of twice the size", 1, 2 * rate, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			q := saddlequeue.New(1, time.Hour, rate)
+			for n := range 24 {
+				d := demand(fmt.Sprintf("first-%d", n), "first")
+				d.Weight, d.Tokens = c.weight, c.tokens
+				offer(t, q, epoch, d)
+			}
+			for n := range 24 {
+				offer(t, q, epoch, demand(fmt.Sprintf("second-%d", n), "second"))
+			}
+			got := 0
+			for _, id := range started(q, epoch, 12) {
+				if id[0] == 'f' {
+					got++
+				}
+			}
+			is.True(got >= c.want-1 && got <= c.want+1)
+		})
+	}
+}
+
+func TestASmallWorkspaceGoesBeforeTheBacklogOfALargeOne(t *testing.T) {
+	is := is.New(t)
+	q := saddlequeue.New(1, time.Hour, rate)
+	for n := range 50 {
+		offer(t, q, epoch, demand(fmt.Sprintf("large-%d", n), "large"))
+	}
+	started(q, epoch, 10)
+	offer(t, q, epoch.Add(10*time.Second), demand("small-1", "small"), demand("small-2", "small"))
+	is.Equal(started(q, epoch.Add(10*time.Second), 2), []string{"small-1", "small-2"}) // two, since it was idle
+}
+
+func TestAnIdleWorkspaceSavesUpNoMoreThanABound(t *testing.T) {
+	is := is.New(t)
+	q := saddlequeue.New(1, time.Hour, rate)
+	for n := range 100 {
+		offer(t, q, epoch, demand(fmt.Sprintf("large-%d", n), "large"))
+	}
+	started(q, epoch, 50)
+	for n := range 20 {
+		offer(t, q, epoch.Add(time.Minute), demand(fmt.Sprintf("small-%d", n), "small"))
+	}
+	small := 0
+	for _, id := range started(q, epoch.Add(time.Minute), 10) {
+		if id[0] == 's' {
+			small++
+		}
+	}
+	is.True(small >= 5)
+	is.True(small <= 7) // its half and the two seconds that it may be ahead
+}
+
+func TestWithinAWorkspacePriorityGoesBeforeDeadlineBeforeArrival(t *testing.T) {
+	is := is.New(t)
+	q := saddlequeue.New(1, time.Hour, rate)
+	plain, plainToo := demand("plain", "w"), demand("plain-too", "w")
+	soon, later, urgent := demand("soon", "w"), demand("later", "w"), demand("urgent", "w")
+	soon.Deadline = epoch.Add(time.Minute)
+	later.Deadline = epoch.Add(2 * time.Minute)
+	urgent.Priority = 1
+	offer(t, q, epoch, plain, plainToo, later, soon, urgent)
+	is.Equal(started(q, epoch, 9), []string{"urgent", "soon", "later", "plain", "plain-too"})
+}
+
+func TestAQueueIsBoundedByThePredictedWait(t *testing.T) {
+	is := is.New(t)
+	q := saddlequeue.New(2, maxWait, rate)
+	accepted := 0
+	var err error
+	for ; err == nil && accepted < 100; accepted++ {
+		err = q.Offer(epoch, demand(fmt.Sprint(accepted), "w"))
+		q.Next(epoch)
+	}
+	refused := refusal(t, err)
+	is.Equal(refused.Code, fireflysaddle.CodeOverloaded)
+	is.True(accepted >= 20 && accepted <= 23) // two slots for ten seconds, and the two that run
+	is.True(refused.RetryAfter > 0)
+	is.True(refused.RetryAfter <= time.Second) // one request too many
+}
+
+func TestARefusedCallerIsAcceptedWhenItReturnsAsTold(t *testing.T) {
+	is := is.New(t)
+	q := saddlequeue.New(1, 2*time.Second, rate)
+	offer(t, q, epoch, demand("a", "w"), demand("b", "w"))
+	id, ok := q.Next(epoch)
+	is.True(ok)
+	offer(t, q, epoch, demand("c", "w"))
+	refused := refusal(t, q.Offer(epoch, demand("d", "w")))
+	is.Equal(refused.RetryAfter, time.Second) // three before it, two allowed
+	q.Finish(epoch.Add(time.Second), id)
+	_, ok = q.Next(epoch.Add(time.Second))
+	is.True(ok)
+	offer(t, q, epoch.Add(refused.RetryAfter), demand("d", "w"))
+}
+
+func TestRefusedCallersAreToldToReturnOneAfterAnother(t *testing.T) {
+	is := is.New(t)
+	q := saddlequeue.New(1, time.Second, rate)
+	offer(t, q, epoch, demand("a", "w"))
+	q.Next(epoch)
+	offer(t, q, epoch, demand("b", "w"))
+	last := time.Duration(0)
+	for n := range 5 {
+		refused := refusal(t, q.Offer(epoch, demand(fmt.Sprint(n), "w")))
+		is.True(refused.RetryAfter >= last+time.Second || n == 0)
+		last = refused.RetryAfter
+	}
+}
+
+func TestARequestThatWouldMissItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		ahead    int // requests that run or wait before it
+		deadline time.Duration
+		code     fireflysaddle.Code // empty: accepted
+	}{
+		{"enough time", 2, 4 * time.Second, ""},
+		{"too long a queue", 5, 4 * time.Second, fireflysaddle.CodeOverloaded},
+		{"too short a deadline for any queue", 0, 500 * time.Millisecond, fireflysaddle.CodeDeadline},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			q := saddlequeue.New(1, time.Hour, rate)
+			for n := range c.ahead {
+				before := demand(fmt.Sprint(n), "w")
+				before.Priority = 1
+				offer(t, q, epoch, before)
+				q.Next(epoch)
+			}
+			d := demand("last", "w")
+			d.Deadline = epoch.Add(c.deadline)
+			err := q.Offer(epoch, d)
+			if c.code == "" {
+				is.NoErr(err)
+				return
+			}
+			is.Equal(refusal(t, err).Code, c.code)
+		})
+	}
+}
+
+func TestAQueuedRequestThatCanNoLongerMeetItsDeadlineIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	q := saddlequeue.New(1, time.Hour, rate)
+	offer(t, q, epoch, demand("runs", "w"))
+	_, ok := q.Next(epoch)
+	is.True(ok)
+	d := demand("waits", "w")
+	d.Deadline = epoch.Add(3 * time.Second)
+	offer(t, q, epoch, d)
+	at, ok := q.Expiry()
+	is.True(ok)
+	is.True(at.Sub(epoch) < 2100*time.Millisecond) // a second before its deadline
+	is.Equal(q.Expired(at.Add(-1)), nil)
+	q.Finish(at, "runs")
+	_, ok = q.Next(at)
+	is.True(!ok) // it is not started in vain
+	is.Equal(q.Expired(at), []fireflysaddle.RequestID{"waits"})
+	_, ok = q.Expiry()
+	is.True(!ok)
+}
+
+func TestThePredictedWaitFollowsTheTimesSeen(t *testing.T) {
+	is := is.New(t)
+	q := saddlequeue.New(1, time.Hour, rate)
+	now := epoch
+	for n := range 30 { // ten times slower than announced
+		offer(t, q, now, demand(fmt.Sprint(n), "w"))
+		id, _ := q.Next(now)
+		now = now.Add(10 * time.Second)
+		q.Finish(now, id)
+	}
+	offer(t, q, now, demand("runs", "w"))
+	q.Next(now)
+	is.True(q.Wait(now) > 9*time.Second)
+	is.True(q.Wait(now) < 11*time.Second)
+	is.True(q.Wait(now.Add(5*time.Second)) < 6*time.Second) // it has run for half
+}
+
+func TestAWithdrawnRequestLeavesNothingBehind(t *testing.T) {
+	is := is.New(t)
+	q := saddlequeue.New(1, time.Hour, rate)
+	d := demand("a", "w")
+	d.Deadline = epoch.Add(time.Minute)
+	offer(t, q, epoch, d)
+	is.True(q.Withdraw(epoch, "a"))
+	is.True(!q.Withdraw(epoch, "a"))
+	running, queued := q.Counts()
+	is.Equal(running+queued, 0)
+	_, ok := q.Next(epoch)
+	is.True(!ok)
+	is.Equal(q.Expired(epoch.Add(time.Hour)), nil)
+}
--- a/internal/bench/saddlebench/run.go
+++ b/internal/bench/saddlebench/run.go
@@ -25,6 +25,7 @@
 func commands() []command {
 	return []command{
 		{"choice", "compare the ways of choosing a target, in virtual time", runChoice},
+		{"admission", "measure the agents' queue under overload, in virtual time", runAdmission},
 	}
 }
 
--- a/internal/bench/saddlesim/target.go
+++ b/internal/bench/saddlesim/target.go
@@ -45,7 +45,7 @@
 func (t *target) restart() {
 	t.starts++
 	t.lost = false
-	t.queue = saddlequeue.New(t.spec.Slots, t.fleet.cfg.QueueWait)
+	t.queue = saddlequeue.New(t.spec.Slots, t.fleet.cfg.QueueWait, t.spec.Rate)
 	t.cache = newCache(t.spec.CacheLimit)
 	t.tries = map[fireflysaddle.RequestID]*try{}
 }
