--- a/internal/agent/saddleagent/backend.go
+++ b/internal/agent/saddleagent/backend.go
@@ -8,8 +8,6 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/agent/saddlegate"
 	"github.com/fireflysaddle/fireflysaddle/internal/agent/saddlequeue"
 	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleannounce"
-	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleengine"
-	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleservice"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -25,7 +23,7 @@
 	loss      *lossSignal
 }
 
-func newBackend(a saddleannounce.Announcement, queueWait time.Duration) *backend {
+func newBackend(a saddleannounce.Announcement, queueWait time.Duration, targets Targets) *backend {
 	b := &backend{
 		announced: a,
 		info:      a.Target(),
@@ -34,9 +32,9 @@
 	}
 	id := fireflysaddle.TargetID(a.ID)
 	if fireflysaddle.TargetKind(a.Kind) == fireflysaddle.KindEngine {
-		b.engine, b.close = saddleengine.New(id, a.Address)
+		b.engine, b.close = targets.Engine(id, a.Address)
 	} else {
-		b.service, b.close = saddleservice.New(id, a.Address)
+		b.service, b.close = targets.Service(id, a.Address)
 	}
 	return b
 }
--- a/internal/agent/saddleagent/call.go
+++ b/internal/agent/saddleagent/call.go
@@ -11,10 +11,15 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
+// outcomeGrace is how long past its deadline a call that may not be repeated is
+// waited for, so that its outcome can be recorded.
+const outcomeGrace = 30 * time.Second
+
 // Call passes a request to the plain service beside the agent.
 //
-// A call that was sent goes on to its end even when the entry's stream breaks
-// off: its outcome is kept in the ledger, where Seal finds it.
+// A call that may not be repeated and was sent goes on to its end even when the
+// entry's stream breaks off or the deadline passes: its outcome is kept in the
+// ledger, where Seal finds it.
 func (s *Server) Call(in *saddlewire.CallRequest, stream saddlewire.DRPCAgent_CallStream) error {
 	s.active.Add(1)
 	defer s.active.Add(-1)
@@ -24,8 +29,11 @@
 	s.cfg.Timeline.Observe(now, t.GetStamp())
 	out := &callStream{server: s, ticket: t, stream: stream}
 	b, err := s.admit(now, t, fireflysaddle.KindService, Repeatable(in.GetMethod()))
-	if err != nil {
+	switch {
+	case refusalOf(err) != nil:
 		return out.refuse(err)
+	case err != nil:
+		return out.end(b, nil, err)
 	}
 	ctx, cancel := context.WithTimeout(stream.Context(), budget(t))
 	defer cancel()
@@ -47,6 +55,16 @@
 	return false
 }
 
+// outlasting returns the context of a call to the service. One that may not be
+// repeated outlasts its caller.
+func outlasting(ctx context.Context, repeatable bool) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if repeatable || !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(outcomeGrace))
+}
+
 func (s *Server) runCall(ctx context.Context, b *backend, in *saddlewire.CallRequest) (*fireflysaddle.Answer, error) {
 	t := in.GetTicket()
 	leave, err := b.gate.Enter(ctx, demand(time.Now(), t, 1))
@@ -59,7 +77,7 @@
 	}
 	countStarted.Add(1)
 	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "call_start", Request: t.GetRequest(), Attempt: t.GetAttempt(), Target: string(b.id())})
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), budget(t))
+	ctx, cancel := outlasting(ctx, Repeatable(in.GetMethod()))
 	defer cancel()
 	answer, err := b.service.Call(ctx, fireflysaddle.Call{
 		Request:     fireflysaddle.RequestID(t.GetRequest()),
@@ -68,6 +86,9 @@
 		ContentType: in.GetContentType(),
 		Body:        in.GetBody(),
 	})
+	if refusalOf(err) != nil {
+		return nil, err // nothing was sent
+	}
 	if err != nil {
 		s.finish(t, nil)
 		return nil, err
--- a/internal/agent/saddleagent/draft.go
+++ b/internal/agent/saddleagent/draft.go
@@ -22,8 +22,11 @@
 	s.cfg.Timeline.Observe(now, in.GetTicket().GetStamp())
 	out := newDraftStream(s, in.GetTicket(), stream)
 	b, err := s.admit(now, in.GetTicket(), fireflysaddle.KindEngine, true)
-	if err != nil {
+	switch {
+	case refusalOf(err) != nil:
 		return out.refuse(err)
+	case err != nil:
+		return out.end(b, err)
 	}
 	ctx, cancel := context.WithTimeout(stream.Context(), budget(in.GetTicket()))
 	defer cancel()
--- a/internal/agent/saddleagent/seal.go
+++ b/internal/agent/saddleagent/seal.go
@@ -11,7 +11,7 @@
 )
 
 // maxSealKeep bounds how long a tombstone may be asked for.
-const maxSealKeep = 2 * time.Hour
+const maxSealKeep = 48 * time.Hour
 
 // Seal makes sure that a request that was not sent to the target never will
 // be, and says what became of it. An agent that was started anew cannot vouch
@@ -23,8 +23,9 @@
 	}
 	now := time.Now()
 	keep := min(time.Duration(in.GetKeepMs())*time.Millisecond, maxSealKeep)
+	age := time.Duration(in.GetAgeMs()) * time.Millisecond
 	s.ledgerMu.Lock()
-	state, answer := s.ledger.Seal(now, fireflysaddle.RequestID(in.GetRequest()), keep)
+	state, answer := s.ledger.Seal(now, fireflysaddle.RequestID(in.GetRequest()), fireflysaddle.Attempt(in.GetAttempt()), age, keep)
 	s.ledgerMu.Unlock()
 	out := &saddlewire.SealResponse{Answer: wireAnswer(answer)}
 	switch {
--- a/internal/agent/saddleagent/server.go
+++ b/internal/agent/saddleagent/server.go
@@ -46,11 +46,15 @@
 
 // New opens the listeners. The clean-up closes them.
 func New(cfg Config) (*Server, func() error, error) {
-	lis, err := net.Listen("tcp", cfg.Listen)
+	cfg.Network = saddlelink.Or(cfg.Network)
+	if cfg.Targets == nil {
+		cfg.Targets = httpTargets{}
+	}
+	lis, err := cfg.Network.Listen(cfg.Listen)
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Listen)
 	}
-	announces, err := net.Listen("tcp", cfg.Announce)
+	announces, err := cfg.Network.Listen(cfg.Announce)
 	if err != nil {
 		_ = lis.Close()
 		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Announce)
@@ -59,7 +63,7 @@
 		cfg:       cfg,
 		lis:       lis,
 		announces: announces,
-		slot:      &slot{queueWait: cfg.QueueWait},
+		slot:      &slot{queueWait: cfg.QueueWait, targets: cfg.Targets},
 		ledger:    saddleledger.New(),
 	}
 	s.attendant = saddleattend.New(saddleattend.Config{
@@ -68,6 +72,7 @@
 		Silence:  cfg.Silence,
 		Member:   s.member,
 		Timeline: cfg.Timeline,
+		Network:  cfg.Network,
 	}, nil)
 	s.stages, s.stopStage = saddlestage.New(saddlestage.Config{
 		Self:        cfg.Advertise,
--- a/internal/agent/saddleagent/slot.go
+++ b/internal/agent/saddleagent/slot.go
@@ -17,6 +17,7 @@
 	leaving   bool   // the target asked to leave
 	loading   string // subject of the order that an engine carries out
 	queueWait time.Duration
+	targets   Targets
 }
 
 // conflictError says why an announcement was not accepted.
@@ -54,7 +55,7 @@
 	if old != nil {
 		old.close()
 	}
-	s.backend = newBackend(a, s.queueWait)
+	s.backend = newBackend(a, s.queueWait, s.targets)
 	s.answered = now
 	s.alive = true
 	s.leaving = false
--- a/internal/agent/saddleagent/ticket.go
+++ b/internal/agent/saddleagent/ticket.go
@@ -9,7 +9,8 @@
 )
 
 // admit checks a request's ticket against what the agent knows and enters it
-// into the ledger. An error is a *fireflysaddle.RefusedError.
+// into the ledger. An error is a *fireflysaddle.RefusedError, or a
+// *saddleledger.DuplicateError: then the request may have been run.
 func (s *Server) admit(now time.Time, t *saddlewire.Ticket, kind fireflysaddle.TargetKind, repeatable bool) (*backend, error) {
 	b, err := s.checkTicket(t, kind)
 	if err != nil {
@@ -26,6 +27,9 @@
 	if t.GetIncarnation() != uint64(s.cfg.Incarnation) {
 		return nil, refused(fireflysaddle.CodeIncarnation, "the request is meant for incarnation %d of this agent", t.GetIncarnation())
 	}
+	if budget(t) <= 0 {
+		return nil, refused(fireflysaddle.CodeDeadline, "the deadline passed before the request came")
+	}
 	if s.stopping.Load() {
 		return nil, refused(fireflysaddle.CodeLeaving, "this agent is stopping")
 	}
@@ -52,7 +56,7 @@
 func (s *Server) start(t *saddlewire.Ticket) error {
 	s.ledgerMu.Lock()
 	defer s.ledgerMu.Unlock()
-	return s.ledger.Start(fireflysaddle.RequestID(t.GetRequest()), fireflysaddle.Attempt(t.GetAttempt()))
+	return s.ledger.Start(time.Now(), fireflysaddle.RequestID(t.GetRequest()), fireflysaddle.Attempt(t.GetAttempt()))
 }
 
 // finish notes in the ledger that a request ended.
@@ -69,9 +73,12 @@
 	s.ledger.Refuse(fireflysaddle.RequestID(t.GetRequest()), fireflysaddle.Attempt(t.GetAttempt()))
 }
 
+// demand describes one attempt to the queue. Each attempt has a place of its
+// own: an earlier one may still hold a slot, on a connection that has gone
+// silent.
 func demand(now time.Time, t *saddlewire.Ticket, tokens int) fireflysaddle.Demand {
 	return fireflysaddle.Demand{
-		Request:   fireflysaddle.RequestID(t.GetRequest()),
+		Request:   fireflysaddle.RequestID(fmt.Sprintf("%s#%d", t.GetRequest(), t.GetAttempt())),
 		Workspace: fireflysaddle.Workspace(t.GetWorkspace()),
 		Weight:    t.GetWeight(),
 		Priority:  fireflysaddle.Priority(t.GetPriority()),
--- a/internal/agent/saddleledger/ledger.go
+++ b/internal/agent/saddleledger/ledger.go
@@ -6,9 +6,18 @@
 	"github.com/fireflysaddle/fireflysaddle"
 )
 
-// margin is how long a record is kept past its request's deadline, so that a
-// late copy is still known.
-const margin = 2 * time.Minute
+const (
+	// RanRetention is how long a request that may not be repeated is
+	// remembered after it was sent to the target.
+	RanRetention = 24 * time.Hour
+	// margin is how long a record is kept past its request's deadline, so that
+	// a late copy is still known.
+	margin = 2 * time.Minute
+	// answerRetention is how long a small answer is kept past the deadline.
+	answerRetention = time.Hour
+	smallAnswer     = 64 << 10 // bytes
+	sweepEvery      = margin / 4
+)
 
 // Ledger holds the records. It is used under one lock.
 type Ledger struct {
@@ -21,34 +30,35 @@
 	return &Ledger{records: map[fireflysaddle.RequestID]*record{}}
 }
 
-// Receive takes in an attempt. It returns a *fireflysaddle.RefusedError for a
-// sealed request, for an attempt seen before, and for a later attempt of a
+// Receive takes in an attempt. It returns a *fireflysaddle.RefusedError for one
+// that was sealed or refused, which is proved not to have been run, and a
+// *DuplicateError for one that was seen before, and for a later attempt of a
 // request that may not be repeated and may have been run.
 func (l *Ledger) Receive(now time.Time, id fireflysaddle.RequestID, attempt fireflysaddle.Attempt, repeatable bool, deadline time.Time) error {
 	l.sweep(now)
-	rec, ok := l.records[id]
-	switch {
-	case !ok:
-	case rec.state == Sealed:
-		return refused(fireflysaddle.CodeSealed, "the request was sealed")
-	case attempt <= rec.attempt:
-		return refused(fireflysaddle.CodeDuplicate, "the attempt was seen before")
-	case !repeatable && rec.state != Refused:
-		return refused(fireflysaddle.CodeDuplicate, "the request may have been run and may not be repeated")
+	keep := deadline.Add(margin)
+	if rec, ok := l.records[id]; ok {
+		if err := rec.accepts(id, attempt, repeatable); err != nil {
+			return err
+		}
+		keep = later(keep, rec.keep)
 	}
-	l.records[id] = &record{attempt: attempt, state: Received, keep: deadline.Add(margin).UnixNano()}
+	l.records[id] = &record{attempt: attempt, state: Received, repeatable: repeatable, deadline: deadline, keep: keep}
 	return nil
 }
 
 // Start notes that the attempt is about to be sent to the target. It returns a
 // *fireflysaddle.RefusedError when the request was sealed or overtaken by a
 // later attempt meanwhile.
-func (l *Ledger) Start(id fireflysaddle.RequestID, attempt fireflysaddle.Attempt) error {
+func (l *Ledger) Start(now time.Time, id fireflysaddle.RequestID, attempt fireflysaddle.Attempt) error {
 	rec := l.current(id, attempt)
 	if rec == nil || rec.state != Received {
 		return refused(fireflysaddle.CodeSealed, "the request was sealed or overtaken while it waited")
 	}
 	rec.state = Running
+	if !rec.repeatable {
+		rec.keep = later(rec.keep, now.Add(RanRetention))
+	}
 	return nil
 }
 
@@ -67,19 +77,25 @@
 	}
 }
 
-// Seal makes sure that a request that has not started never will, and returns
-// its state: Sealed, Running or Done, the last with the answer if it is known.
-func (l *Ledger) Seal(now time.Time, id fireflysaddle.RequestID, keep time.Duration) (State, *fireflysaddle.Answer) {
+// Seal makes sure that an attempt that has not started never will, nor any
+// before it, and returns the request's state: Sealed, Running or Done, the last
+// with the answer if it is known. A request that may be so old that its record
+// is gone is Forgotten: age is an upper bound of the time since it was sent.
+func (l *Ledger) Seal(now time.Time, id fireflysaddle.RequestID, attempt fireflysaddle.Attempt, age, keep time.Duration) (State, *fireflysaddle.Answer) {
 	l.sweep(now)
 	rec, ok := l.records[id]
 	if ok && (rec.state == Running || rec.state == Done) {
 		return rec.state, rec.answer
 	}
-	sealed := &record{state: Sealed, keep: now.Add(keep + margin).UnixNano()}
+	sealed := &record{state: Sealed, attempt: attempt, keep: now.Add(keep + margin)}
 	if ok {
-		sealed.attempt = rec.attempt
+		sealed.attempt = max(attempt, rec.attempt)
+		sealed.keep = later(sealed.keep, rec.keep)
 	}
 	l.records[id] = sealed
+	if !ok && age >= RanRetention/2 {
+		return Forgotten, nil
+	}
 	return Sealed, nil
 }
 
@@ -94,14 +110,20 @@
 	return rec
 }
 
-// sweep drops the records past their time, now and then.
+// sweep drops the records and the answers past their time, now and then.
 func (l *Ledger) sweep(now time.Time) {
-	if now.Sub(l.swept) < margin/4 {
+	if now.Sub(l.swept) < sweepEvery {
 		return
 	}
 	l.swept = now
 	for id, rec := range l.records {
-		if rec.state != Running && rec.keep < now.UnixNano() {
+		if rec.state == Running {
+			continue
+		}
+		if rec.answer != nil && now.After(rec.answerUntil()) {
+			rec.answer = nil
+		}
+		if now.After(rec.keep) {
 			delete(l.records, id)
 		}
 	}
@@ -110,3 +132,10 @@
 func refused(code fireflysaddle.Code, message string) error {
 	return &fireflysaddle.RefusedError{Code: code, Message: message}
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/control/saddleclient/client.go
+++ b/internal/control/saddleclient/client.go
@@ -30,7 +30,12 @@
 // New returns a client of the replicas at these addresses, and its clean-up.
 // The time line may be nil.
 func New(addresses []string, timeline *saddletimeline.Ring) (*Client, func() error) {
-	pool, cleanup := saddlelink.NewPool()
+	return NewOver(saddlelink.TCP{}, addresses, timeline)
+}
+
+// NewOver is New over another network.
+func NewOver(network saddlelink.Network, addresses []string, timeline *saddletimeline.Ring) (*Client, func() error) {
+	pool, cleanup := saddlelink.NewPoolOver(network)
 	return &Client{addresses: addresses, pool: pool, timeline: timeline}, cleanup
 }
 
--- a/internal/control/saddlestate/apply.go
+++ b/internal/control/saddlestate/apply.go
@@ -14,13 +14,27 @@
 	if past, ok := s.results[c.GetRequest()]; ok && c.GetRequest() != "" {
 		return past
 	}
+	s.now = max(s.now, c.GetNowNs())
 	result := s.change(index, c)
 	result.Index = index
-	result.NowNs = c.GetNowNs()
-	s.remember(c.GetRequest(), result)
+	result.NowNs = s.now
+	if result.GetAccepted() || !onClaims(c) {
+		s.remember(c.GetRequest(), result)
+	}
 	return result
 }
 
+// onClaims reports whether a command is on claims. The refused ones are not
+// remembered: carried out again they are refused again, and their results would
+// keep the answers of claims that are long gone.
+func onClaims(c *saddlewire.Command) bool {
+	switch c.GetChange().(type) {
+	case *saddlewire.Command_OpenClaim, *saddlewire.Command_SettleClaim, *saddlewire.Command_FindClaim:
+		return true
+	}
+	return false
+}
+
 func (s *State) change(index uint64, c *saddlewire.Command) *saddlewire.Result {
 	switch change := c.GetChange().(type) {
 	case *saddlewire.Command_PutTemplate:
@@ -32,9 +46,11 @@
 	case *saddlewire.Command_PutPlacement:
 		return s.putPlacement(index, c.GetTerm(), change.PutPlacement)
 	case *saddlewire.Command_OpenClaim:
-		return s.openClaim(c.GetNowNs(), change.OpenClaim.GetClaim())
+		return s.openClaim(change.OpenClaim)
 	case *saddlewire.Command_SettleClaim:
 		return s.settleClaim(change.SettleClaim)
+	case *saddlewire.Command_FindClaim:
+		return s.findClaim(change.FindClaim)
 	}
 	return refuse(fireflysaddle.CodeInvalid, "the command asks for no known change")
 }
--- a/internal/control/saddlestate/state.go
+++ b/internal/control/saddlestate/state.go
@@ -22,6 +22,8 @@
 // that it hands out must not be changed.
 type State struct {
 	revision    uint64 // log index of the last change of configuration
+	now         int64  // latest time of a command, Unix nanoseconds
+	swept       int64  // when expired claims were last removed; not replicated
 	templates   map[string]*saddlewire.Template
 	deployments map[string]*saddlewire.Deployment
 	drains      map[string]*saddlewire.Drain
@@ -59,6 +61,7 @@
 func (s *State) Encode() ([]byte, error) {
 	out := &saddlewire.State{
 		Revision:    s.revision,
+		NowNs:       s.now,
 		Templates:   s.Templates(),
 		Deployments: s.Deployments(),
 		Drains:      s.Drains(),
@@ -81,6 +84,7 @@
 	}
 	s := New()
 	s.revision = in.GetRevision()
+	s.now = in.GetNowNs()
 	for _, t := range in.GetTemplates() {
 		s.templates[t.GetName()] = t
 	}
--- a/internal/entry/saddleentry/claims.go
+++ b/internal/entry/saddleentry/claims.go
@@ -8,141 +8,115 @@
 	"github.com/google/uuid"
 
 	"github.com/fireflysaddle/fireflysaddle"
-	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestate"
-	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
 const (
 	claimTimeout  = 2 * time.Second // for control to commit a claim
-	recordTimeout = time.Second     // for control to record an outcome
+	recordTimeout = time.Second     // for control to record an outcome while the caller waits
+	followTime    = 2 * time.Minute // for an outcome to be learned and recorded after that
+	followPause   = time.Second     // between tries to learn or record it
+	maxRecorded   = 64 << 10        // bytes of an answer that are kept under its claim
 )
 
-// runClaimed runs a call that may not be repeated and has a key: the claim is
-// committed first, then the call is dispatched, and its outcome is recorded
-// under the claim. A resend through any entry finds the claim.
-func (s *Server) runClaimed(ctx context.Context, c call) (reply, error) {
-	need := c.need()
-	var last error
-	number := uint32(1)
-	for range maxAttempts {
-		stage, err := s.awaitService(ctx, need, last)
-		if err != nil {
-			return reply{}, callFailure(err)
-		}
-		claim := claimOf(c, number, stage)
-		earlier, err := s.openClaim(ctx, claim)
-		if err != nil || earlier != nil {
-			s.router.Done(time.Now(), stage, saddleroute.Result{})
-		}
-		switch {
-		case err != nil:
-			return reply{}, callFailure(err)
-		case earlier.GetState() == saddlestate.ClaimDone:
-			return reply{answer: earlier.GetAnswer(), replayed: true}, nil
-		case earlier != nil:
-			answer, err := s.takeOver(ctx, earlier)
-			if err == nil {
-				return reply{answer: answer, replayed: true}, nil
-			}
-			if !isNotRun(err) {
-				return reply{}, callFailure(err)
-			}
-			number = earlier.GetAttempt() + 1
-			last = err
-			continue
-		}
-		answer, err := s.tryCall(ctx, c, number, stage, need.Avoid)
-		if err != nil {
-			answer, err = s.settle(ctx, c, claim, err)
-		}
-		if err == nil {
-			s.record(ctx, claim, answer)
-			return reply{answer: answer}, nil
-		}
-		last = err
-		if !isNotRun(err) {
-			return reply{}, callFailure(err)
-		}
-		if !s.mayRetry(ctx, err) {
-			return reply{}, s.drop(ctx, claim, err)
-		}
-		number++
-	}
-	return reply{}, callFailure(last)
+// standingClaim is a claim that stands in a request's way.
+type standingClaim struct {
+	*saddlewire.Claim
+	age time.Duration // since its last change
 }
 
-// openClaim commits a claim. It returns the claim that stands in its way, if
-// any. When control cannot commit, the call is refused: it was not dispatched.
-func (s *Server) openClaim(ctx context.Context, claim *saddlewire.Claim) (*saddlewire.Claim, error) {
+// openClaim commits a claim that moves on after another request's, if one is
+// named. It returns the claim that stands in its way, if any. When control
+// cannot commit, the call is refused: it was not dispatched.
+func (s *Server) openClaim(ctx context.Context, claim *saddlewire.Claim, after string) (*standingClaim, error) {
 	countClaims.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	result, err := s.control.Submit(ctx, &saddlewire.Command{
-		Request: uuid.NewString(),
-		Change:  &saddlewire.Command_OpenClaim{OpenClaim: &saddlewire.OpenClaim{Claim: claim}},
+	result, err := s.command(ctx, claimTimeout, &saddlewire.Command{
+		Change: &saddlewire.Command_OpenClaim{OpenClaim: &saddlewire.OpenClaim{Claim: claim, After: after}},
 	})
-	var refused *fireflysaddle.RefusedError
-	switch {
-	case errors.As(err, &refused):
-		return nil, refused
-	case err != nil:
-		return nil, notRun(fireflysaddle.CodeNoMajority, "the claim could not be committed in time", noTargetRetry)
-	case result.GetAccepted():
+	if err != nil {
+		return nil, uncommitted(err)
+	}
+	return standing(result)
+}
+
+// findClaim returns the claim of a call's key, or nil.
+func (s *Server) findClaim(ctx context.Context, c call) (*standingClaim, error) {
+	result, err := s.command(ctx, claimTimeout, &saddlewire.Command{
+		Change: &saddlewire.Command_FindClaim{FindClaim: &saddlewire.FindClaim{
+			Workspace: c.deployment.GetWorkspace(),
+			Key:       c.key,
+			Digest:    c.digest(),
+		}},
+	})
+	if err != nil {
+		return nil, uncommitted(err)
+	}
+	if result.GetCode() == string(fireflysaddle.CodeNotFound) {
 		return nil, nil
-	case result.GetClaim() != nil:
-		return result.GetClaim(), nil
 	}
-	return nil, notRun(fireflysaddle.Code(result.GetCode()), result.GetMessage(), 0)
+	return standing(result)
+}
+
+func (s *Server) command(ctx context.Context, timeout time.Duration, command *saddlewire.Command) (*saddlewire.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	command.Request = uuid.NewString()
+	return s.control.Submit(ctx, command)
 }
 
-// takeOver settles a claim that another request opened. It returns the answer
-// if there is one, a *RefusedError if that request was not run and never will
-// be, and else a *failure.
-func (s *Server) takeOver(ctx context.Context, claim *saddlewire.Claim) (*saddlewire.Answer, error) {
-	answer, err := s.sealed(ctx, claim)
-	switch {
-	case err == nil:
-		s.record(ctx, claim, answer)
-		return answer, nil
-	case isNotRun(err):
-		return nil, err
+// uncommitted refuses a request whose claim control could not commit.
+func uncommitted(err error) error {
+	var refused *fireflysaddle.RefusedError
+	if errors.As(err, &refused) {
+		return refused
 	}
-	return nil, &failure{
-		Code:       fireflysaddle.CodeInProgress,
-		Message:    "a request with this key was dispatched and its outcome is not known",
-		Ran:        fireflysaddle.RanUnknown,
+	return &fireflysaddle.RefusedError{
+		Code:       fireflysaddle.CodeNoMajority,
+		Message:    "the claim could not be committed in time",
 		RetryAfter: noTargetRetry,
 	}
 }
 
-// record notes the outcome under the claim. Where that fails the caller gets
-// its answer all the same, and a resend finds it at the agent.
+func standing(result *saddlewire.Result) (*standingClaim, error) {
+	switch claim := result.GetClaim(); {
+	case result.GetAccepted():
+		return nil, nil
+	case claim != nil:
+		return &standingClaim{Claim: claim, age: time.Duration(result.GetNowNs() - claim.GetOpenedNs())}, nil
+	}
+	return nil, &fireflysaddle.RefusedError{Code: fireflysaddle.Code(result.GetCode()), Message: result.GetMessage()}
+}
+
+// record notes the outcome under the claim. The caller waits for it a moment
+// only; until it is recorded a resend finds the answer at the agent.
 func (s *Server) record(ctx context.Context, claim *saddlewire.Claim, answer *saddlewire.Answer) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
 	defer cancel()
-	_, err := s.control.Submit(ctx, &saddlewire.Command{
-		Request: uuid.NewString(),
-		Change: &saddlewire.Command_SettleClaim{SettleClaim: &saddlewire.SettleClaim{
-			Workspace: claim.GetWorkspace(),
-			Key:       claim.GetKey(),
-			Request:   claim.GetRequest(),
-			Answer:    answer,
-		}},
-	})
-	if err != nil {
-		s.cfg.Log.Warn().Err(err).Str("request", claim.GetRequest()).Msg("outcome not recorded under its claim")
+	if err := s.recordOnce(ctx, claim, answer); err == nil {
+		return
 	}
+	s.follow(func(ctx context.Context) bool { return s.recordOnce(ctx, claim, answer) == nil })
+}
+
+func (s *Server) recordOnce(ctx context.Context, claim *saddlewire.Claim, answer *saddlewire.Answer) error {
+	settle := &saddlewire.SettleClaim{
+		Workspace: claim.GetWorkspace(),
+		Key:       claim.GetKey(),
+		Request:   claim.GetRequest(),
+		Answer:    answer,
+	}
+	if len(answer.GetBody()) > maxRecorded {
+		settle.Answer = nil // it ran; that is what must not be forgotten
+	}
+	_, err := s.command(ctx, recordTimeout, &saddlewire.Command{Change: &saddlewire.Command_SettleClaim{SettleClaim: settle}})
+	return err
 }
 
 // drop gives up a claim whose latest attempt was not run, so that a resend
-// starts anew, and returns the caller's answer. When the claim has moved on,
-// another request may run it.
-func (s *Server) drop(ctx context.Context, claim *saddlewire.Claim, cause error) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
-	defer cancel()
-	result, err := s.control.Submit(ctx, &saddlewire.Command{
-		Request: uuid.NewString(),
+// starts anew. It reports false when that is not known to have happened: then
+// another request may have moved the claim on, and may run.
+func (s *Server) drop(ctx context.Context, claim *saddlewire.Claim) (dropped bool, err error) {
+	result, err := s.command(context.WithoutCancel(ctx), recordTimeout, &saddlewire.Command{
 		Change: &saddlewire.Command_SettleClaim{SettleClaim: &saddlewire.SettleClaim{
 			Workspace: claim.GetWorkspace(),
 			Key:       claim.GetKey(),
@@ -151,13 +125,5 @@
 			Attempt:   claim.GetAttempt(),
 		}},
 	})
-	if err == nil && result.GetAccepted() {
-		return callFailure(cause)
-	}
-	return &failure{
-		Code:       fireflysaddle.CodeInProgress,
-		Message:    "this attempt was not run, but another request with the same key may have been",
-		Ran:        fireflysaddle.RanUnknown,
-		RetryAfter: noTargetRetry,
-	}
+	return err == nil && result.GetAccepted(), err
 }
--- /dev/null
+++ b/internal/entry/saddleentry/control_test.go
@@ -0,0 +1,175 @@
+package saddleentry_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestate"
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+const (
+	controlAddress = "control:1"
+	updateEvery    = 100 * time.Millisecond
+	memberSilence  = time.Second
+	workspace      = "head-office"
+	callerKey      = "head-office-key"
+)
+
+// control serves the control replicas' interface from one replicated state.
+type control struct {
+	saddlewire.DRPCControlUnimplementedServer
+	w *world
+
+	mu       sync.Mutex
+	state    *saddlestate.State
+	index    uint64
+	majority bool
+	skew     time.Duration // of the leader's clock
+	members  map[string]*saddlewire.Member
+	heard    map[string]time.Time
+}
+
+func newControl(w *world) *control {
+	return &control{w: w, state: saddlestate.New(), majority: true, members: map[string]*saddlewire.Member{}, heard: map[string]time.Time{}}
+}
+
+func (c *control) start() {
+	lis, _ := c.w.net.of("control").Listen(controlAddress)
+	c.w.run(func(ctx context.Context) {
+		_ = saddlelink.Serve(ctx, lis, func(mux drpc.Mux) error { return saddlewire.DRPCRegisterControl(mux, c) })
+	})
+}
+
+// Submit applies a command if there is a majority.
+func (c *control) Submit(_ context.Context, in *saddlewire.SubmitRequest) (*saddlewire.SubmitResponse, error) {
+	command, _ := proto.Clone(in.GetCommand()).(*saddlewire.Command)
+	claim := command.GetOpenClaim().GetClaim()
+	settled := command.GetSettleClaim()
+	switch {
+	case claim != nil:
+		c.w.at(stepReceived, claim.GetKey())
+	case settled != nil && !settled.GetNotRun():
+		c.w.at(stepEnded, settled.GetKey())
+	}
+	out := c.apply(command)
+	switch {
+	case out.GetRefused():
+	case claim != nil:
+		c.w.at(stepClaimed, claim.GetKey())
+	case settled != nil && !settled.GetNotRun():
+		c.w.at(stepRecorded, settled.GetKey())
+	}
+	return out, nil
+}
+
+func (c *control) apply(command *saddlewire.Command) *saddlewire.SubmitResponse {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.majority {
+		return &saddlewire.SubmitResponse{Refused: true}
+	}
+	c.index++
+	command.NowNs = time.Now().Add(c.skew).UnixNano()
+	return &saddlewire.SubmitResponse{Result: c.state.Apply(c.index, command)}
+}
+
+func (c *control) setMajority(majority bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.majority = majority
+}
+
+// member returns what a node last said of itself, nil when it is lost.
+func (c *control) member(node string) *saddlewire.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.heard[node]) > memberSilence {
+		return nil
+	}
+	return c.members[node]
+}
+
+// Attend takes in heartbeats and sends the configuration and the members.
+func (c *control) Attend(stream saddlewire.DRPCControl_AttendStream) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	go func() {
+		defer cancel()
+		for {
+			b, err := stream.Recv()
+			if err != nil {
+				return
+			}
+			c.beat(b.GetMember())
+		}
+	}()
+	for {
+		if err := stream.Send(c.update()); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(updateEvery):
+		}
+	}
+}
+
+func (c *control) beat(m *saddlewire.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m.GetIncarnation() < c.members[m.GetNode()].GetIncarnation() {
+		return
+	}
+	c.members[m.GetNode()] = m
+	c.heard[m.GetNode()] = time.Now()
+}
+
+func (c *control) update() *saddlewire.Update {
+	sum := sha256.Sum256([]byte(callerKey))
+	u := &saddlewire.Update{
+		Snapshot:  true,
+		Revision:  1,
+		Confirmed: true,
+		Deployments: []*saddlewire.Deployment{{
+			Workspace: workspace,
+			Revision:  1,
+			KeyHashes: []string{hex.EncodeToString(sum[:])},
+			Weight:    1,
+			Grants:    []*saddlewire.Grant{{Group: deskGroup, Kind: "service"}, {Group: modelGroup, Kind: "engine"}},
+			TimeoutMs: 20_000,
+		}},
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for node, m := range c.members {
+		if time.Since(c.heard[node]) > memberSilence {
+			continue
+		}
+		m, _ = proto.Clone(m).(*saddlewire.Member)
+		if address := c.w.relayed(node); address != "" {
+			m.Address = address
+		}
+		u.Members = append(u.Members, m)
+	}
+	return u
+}
+
+// size returns the bytes of the replicated state.
+func (c *control) size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	data, err := c.state.Encode()
+	if err != nil {
+		c.w.t.Error(err)
+	}
+	return len(data)
+}
--- /dev/null
+++ b/internal/entry/saddleentry/network_test.go
@@ -0,0 +1,332 @@
+package saddleentry_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+)
+
+var (
+	errNoListener = errors.New("connection refused")
+	errReset      = errors.New("connection reset")
+)
+
+// network connects processes in memory. Links can be cut, silenced and reset.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener // by address
+	links     []*link
+	ports     []*port
+	silent    map[[2]string]bool // pairs of processes between which nothing passes
+	dialled   func(from, to string)
+}
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*listener{}, silent: map[[2]string]bool{}}
+}
+
+// of returns the network as one process sees it, until the process is killed.
+func (n *network) of(process string) saddlelink.Network {
+	p := &port{network: n, process: process}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ports = append(n.ports, p)
+	return p
+}
+
+// port is the network as one process sees it.
+type port struct {
+	network *network
+	process string
+	dead    bool // under the network's lock
+}
+
+func (p *port) Listen(address string) (net.Listener, error) {
+	l := &listener{network: p.network, process: p.process, address: address, conns: make(chan net.Conn, 64), done: make(chan struct{})}
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	p.network.listeners[address] = l
+	return l, nil
+}
+
+func (p *port) Dial(ctx context.Context, address string) (net.Conn, error) {
+	n := p.network
+	n.mu.Lock()
+	l := n.listeners[address]
+	dialled := n.dialled
+	dead := p.dead
+	n.mu.Unlock()
+	if l == nil || dead {
+		return nil, errNoListener
+	}
+	n.mu.Lock()
+	if n.listeners[address] != l || p.dead {
+		n.mu.Unlock()
+		return nil, errNoListener
+	}
+	if n.cut(p.process, l.process) {
+		n.mu.Unlock()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	there, back := newFlow(), newFlow()
+	k := &link{from: p.process, to: l.process, there: there, back: back}
+	n.links = append(n.links, k)
+	n.mu.Unlock()
+	l.conns <- &conn{in: there, out: back, address: address}
+	if dialled != nil {
+		dialled(p.process, l.process)
+	}
+	return &conn{in: back, out: there, address: address}, nil
+}
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+func (n *network) cut(a, b string) bool { return n.silent[pair(a, b)] }
+
+// between calls f with each link between two processes.
+func (n *network) between(a, b string, f func(*link)) {
+	for _, k := range n.links {
+		if pair(k.from, k.to) == pair(a, b) {
+			f(k)
+		}
+	}
+}
+
+// setSilent holds or releases what passes on the open connections between two
+// processes; new connections work.
+func (n *network) setSilent(a, b string, silent bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.between(a, b, func(k *link) {
+		k.there.setSilent(silent)
+		k.back.setSilent(silent)
+	})
+}
+
+// setCut silences the open connections between two processes, and new ones.
+func (n *network) setCut(a, b string, cut bool) {
+	n.setSilent(a, b, cut)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[pair(a, b)] = cut
+}
+
+// reset breaks the open connections between two processes.
+func (n *network) reset(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.between(a, b, func(k *link) {
+		k.there.breakOff(errReset)
+		k.back.breakOff(errReset)
+	})
+}
+
+// kill breaks all connections of a process and closes its listeners.
+func (n *network) kill(process string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, k := range n.links {
+		if k.from == process || k.to == process {
+			k.there.breakOff(errReset)
+			k.back.breakOff(errReset)
+		}
+	}
+	for _, p := range n.ports {
+		p.dead = p.dead || p.process == process
+	}
+	for address, l := range n.listeners {
+		if l.process == process {
+			delete(n.listeners, address)
+		}
+	}
+}
+
+// link is one connection.
+type link struct {
+	from, to    string
+	there, back *flow
+}
+
+// listener takes in connections.
+type listener struct {
+	network *network
+	process string
+	address string
+	conns   chan net.Conn
+	once    sync.Once
+	done    chan struct{}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.done)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[l.address] == l {
+			delete(l.network.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return memAddr(l.address) }
+
+type memAddr string
+
+func (memAddr) Network() string  { return "memory" }
+func (a memAddr) String() string { return string(a) }
+
+// conn is one end of a connection.
+type conn struct {
+	in, out *flow
+	address string
+}
+
+func (c *conn) Read(p []byte) (int, error)  { return c.in.read(p) }
+func (c *conn) Write(p []byte) (int, error) { return c.out.write(p) }
+
+func (c *conn) Close() error {
+	c.in.breakOff(net.ErrClosed)
+	c.out.breakOff(io.EOF)
+	return nil
+}
+
+func (c *conn) LocalAddr() net.Addr  { return memAddr(c.address) }
+func (c *conn) RemoteAddr() net.Addr { return memAddr(c.address) }
+
+func (c *conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.in.setDeadline(t)
+	return nil
+}
+
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+
+// flow is one direction of a connection. Writing never waits.
+type flow struct {
+	mu       sync.Mutex
+	data     []byte
+	err      error // after data
+	silent   bool
+	deadline time.Time
+	changed  chan struct{}
+	tap      func() // called once, when the first half of a write is in
+}
+
+func newFlow() *flow { return &flow{changed: make(chan struct{})} }
+
+func (f *flow) change(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *flow) setSilent(silent bool)   { f.change(func() { f.silent = silent }) }
+func (f *flow) setDeadline(t time.Time) { f.change(func() { f.deadline = t }) }
+
+func (f *flow) breakOff(err error) {
+	f.change(func() {
+		if f.err == nil || err == errReset { //nolint:errorlint // it is set as it is
+			f.err = err
+		}
+	})
+}
+
+// onWrite has a function called in the middle of the next write.
+func (f *flow) onWrite(tap func()) { f.change(func() { f.tap = tap }) }
+
+func (f *flow) write(p []byte) (int, error) {
+	f.mu.Lock()
+	tap := f.tap
+	f.tap = nil
+	f.mu.Unlock()
+	if tap == nil {
+		return f.append(p)
+	}
+	half := len(p) / 2
+	n, err := f.append(p[:half])
+	if err != nil {
+		return n, err
+	}
+	tap()
+	m, err := f.append(p[half:])
+	return n + m, err
+}
+
+func (f *flow) append(p []byte) (int, error) {
+	var err error
+	f.change(func() {
+		if err = f.err; f.silent && err != errReset { //nolint:errorlint // it is set as it is
+			err = nil // the writer cannot know
+		}
+		if err == nil {
+			f.data = append(f.data, p...)
+		}
+	})
+	if err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+func (f *flow) read(p []byte) (int, error) {
+	for {
+		f.mu.Lock()
+		n, err := f.take(p)
+		changed, deadline := f.changed, f.deadline
+		f.mu.Unlock()
+		if n > 0 || err != nil {
+			return n, err
+		}
+		if deadline.IsZero() {
+			<-changed
+			continue
+		}
+		timer := time.NewTimer(time.Until(deadline))
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (f *flow) take(p []byte) (int, error) {
+	switch {
+	case !f.deadline.IsZero() && !time.Now().Before(f.deadline):
+		return 0, os.ErrDeadlineExceeded
+	case f.err == net.ErrClosed || f.err == errReset: //nolint:errorlint // these are set as they are
+		return 0, f.err
+	case f.silent:
+		return 0, nil
+	case len(f.data) > 0:
+		n := copy(p, f.data)
+		f.data = f.data[n:]
+		return n, nil
+	}
+	return 0, f.err
+}
--- /dev/null
+++ b/internal/entry/saddleentry/relay_test.go
@@ -0,0 +1,122 @@
+package saddleentry_test
+
+import (
+	"context"
+	"sync"
+
+	"storj.io/drpc"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+const relayAddress = "relay:1"
+
+// relayMode is what a relay does with what passes.
+type relayMode int
+
+const (
+	relayPass         relayMode = iota
+	relayAnswerTwice            // each answer goes out twice
+	relayOtherFirst             // another request's answer goes out first
+	relayRequestTwice           // each request goes out twice, the copy first
+)
+
+// relay stands between the entries and an agent.
+type relay struct {
+	saddlewire.DRPCAgentUnimplementedServer
+	w      *world
+	behind string // the agent's address
+
+	mu   sync.Mutex
+	mode relayMode
+}
+
+func (r *relay) start() {
+	lis, _ := r.w.net.of("relay").Listen(relayAddress)
+	r.w.run(func(ctx context.Context) {
+		_ = saddlelink.Serve(ctx, lis, func(mux drpc.Mux) error { return saddlewire.DRPCRegisterAgent(mux, r) })
+	})
+}
+
+func (r *relay) set(mode relayMode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mode = mode
+}
+
+func (r *relay) is(mode relayMode) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mode == mode
+}
+
+func (r *relay) client(ctx context.Context) (saddlewire.DRPCAgentClient, func(), error) {
+	conn, err := saddlelink.DialOver(ctx, r.w.net.of("relay"), r.behind)
+	if err != nil {
+		return nil, nil, err
+	}
+	return saddlewire.NewDRPCAgentClient(conn), func() { _ = conn.Close() }, nil
+}
+
+func (r *relay) Call(in *saddlewire.CallRequest, stream saddlewire.DRPCAgent_CallStream) error {
+	ctx := stream.Context()
+	agent, done, err := r.client(ctx)
+	if err != nil {
+		return err
+	}
+	defer done()
+	var copied saddlewire.DRPCAgent_CallClient
+	if r.is(relayRequestTwice) {
+		again, done, err := r.client(ctx)
+		if err != nil {
+			return err
+		}
+		defer done()
+		if copied, err = again.Call(ctx, in); err != nil {
+			return err
+		}
+		if _, err := copied.Recv(); err != nil { // it is admitted
+			return err
+		}
+	}
+	from, err := agent.Call(ctx, in)
+	if err != nil {
+		return err
+	}
+	for {
+		e, err := from.Recv()
+		if err != nil {
+			return err
+		}
+		if e.GetAnswer() != nil && r.is(relayOtherFirst) {
+			if err := stream.Send(otherAnswer(e)); err != nil {
+				return err
+			}
+		}
+		if err := stream.Send(e); err != nil {
+			return err
+		}
+		if e.GetAnswer() != nil && r.is(relayAnswerTwice) {
+			_ = stream.Send(e)
+		}
+	}
+}
+
+func otherAnswer(e *saddlewire.CallEvent) *saddlewire.CallEvent {
+	return &saddlewire.CallEvent{
+		Request:     "another-request",
+		Attempt:     e.GetAttempt(),
+		Incarnation: e.GetIncarnation(),
+		Event:       &saddlewire.CallEvent_Answer{Answer: &saddlewire.Answer{Status: 201, Body: []byte("another's")}},
+	}
+}
+
+func (r *relay) Seal(ctx context.Context, in *saddlewire.SealRequest) (*saddlewire.SealResponse, error) {
+	agent, done, err := r.client(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	return agent.Seal(ctx, in)
+}
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -51,21 +51,41 @@
 		return nil
 	}
 	var last error
+	ran := fireflysaddle.RanNo
 	for n := uint32(1); n <= maxAttempts; n++ {
 		chain, err := s.awaitChain(ctx, need, last)
 		if err != nil {
-			return draftFailure(err, len(given))
+			return draftFailure(err, ran)
 		}
 		last = s.tryDraft(ctx, d, attempt{number: n, chain: chain, given: given}, need.Avoid, take)
-		if last == nil {
+		if last == nil || s.isWhole(last, d, given) {
 			return nil
 		}
-		if final := s.finalDraft(ctx, last, len(given)); final != nil {
+		ran = ranBy(ran, last, len(given))
+		if final := s.finalDraft(ctx, last, ran); final != nil {
 			return final
 		}
 		countRetries.Add(1)
 	}
-	return draftFailure(last, len(given))
+	return draftFailure(last, ran)
+}
+
+// isWhole reports whether the caller has every token though the attempt failed:
+// then only the mark of its end was lost.
+func (s *Server) isWhole(err error, d draft, given []string) bool {
+	var gone *callerGoneError
+	return uint32(len(given)) >= d.maxTokens && !errors.As(err, &gone)
+}
+
+// ranBy returns what is known of a draft after one more failed attempt.
+func ranBy(before fireflysaddle.Ran, err error, given int) fireflysaddle.Ran {
+	switch {
+	case given > 0:
+		return fireflysaddle.RanYes
+	case isNotRun(err):
+		return before
+	}
+	return fireflysaddle.RanUnknown
 }
 
 // awaitChain picks a chain. A first attempt is refused at once where there is
@@ -108,10 +128,10 @@
 
 // finalDraft returns the final answer after a failed attempt, or nil where
 // another attempt is due.
-func (s *Server) finalDraft(ctx context.Context, err error, given int) error {
+func (s *Server) finalDraft(ctx context.Context, err error, ran fireflysaddle.Ran) error {
 	var gone *callerGoneError
 	if errors.As(err, &gone) || ctx.Err() != nil {
-		return draftFailure(err, given)
+		return draftFailure(err, ran)
 	}
 	var refused *fireflysaddle.RefusedError
 	if errors.As(err, &refused) && refused.Code == fireflysaddle.CodeStale {
@@ -121,7 +141,7 @@
 	if s.takeRetry() {
 		return nil
 	}
-	return draftFailure(err, given)
+	return draftFailure(err, ran)
 }
 
 // awaitRevision gives the newer configuration a moment to arrive.
@@ -133,24 +153,19 @@
 	}
 }
 
-// draftFailure turns the last error of a draft into the caller's answer.
-func draftFailure(err error, given int) error {
+// draftFailure turns the last error of a draft into the caller's answer. ran
+// says what is known of all its attempts.
+func draftFailure(err error, ran fireflysaddle.Ran) error {
 	var f *failure
 	if errors.As(err, &f) {
 		return f
 	}
-	ran := fireflysaddle.RanUnknown
-	if given > 0 {
-		ran = fireflysaddle.RanYes
-	}
 	var refused *fireflysaddle.RefusedError
 	switch {
-	case errors.As(err, &refused) && given == 0:
-		return notRunBy(refused)
 	case errors.As(err, &refused):
 		return &failure{Code: refused.Code, Message: refused.Message, Ran: ran, RetryAfter: refused.RetryAfter}
 	case errors.Is(err, context.DeadlineExceeded):
-		return &failure{Code: fireflysaddle.CodeDeadline, Message: "the deadline passed", Ran: ran}
+		return &failure{Code: fireflysaddle.CodeDeadline, Message: "the deadline passed", Ran: ran, RetryAfter: noTargetRetry}
 	}
 	return &failure{Code: fireflysaddle.CodeTargetFailed, Message: err.Error(), Ran: ran, RetryAfter: noTargetRetry}
 }
--- a/internal/entry/saddleentry/server.go
+++ b/internal/entry/saddleentry/server.go
@@ -41,6 +41,8 @@
 	control   *saddleclient.Client
 	pool      *saddlelink.Pool
 	stopping  atomic.Bool
+	following sync.WaitGroup  // work that goes on after its caller was answered
+	life      context.Context //nolint:containedctx // ends with the server, for that work
 
 	budgetMu sync.Mutex
 	budget   *saddleretry.Budget
@@ -49,7 +51,8 @@
 // New opens the listener. The clean-up closes it and the connections to other
 // processes.
 func New(cfg Config) (*Server, func() error, error) {
-	lis, err := net.Listen("tcp", cfg.Listen)
+	cfg.Network = saddlelink.Or(cfg.Network)
+	lis, err := cfg.Network.Listen(cfg.Listen)
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Listen)
 	}
@@ -65,11 +68,16 @@
 		Silence:  cfg.Silence,
 		Member:   s.member,
 		Timeline: cfg.Timeline,
+		Network:  cfg.Network,
 	}, s.router.Prune)
 	var closeControl, closePool func() error
-	s.control, closeControl = saddleclient.New(cfg.Controls, cfg.Timeline)
-	s.pool, closePool = saddlelink.NewPool()
+	var endLife context.CancelFunc
+	s.life, endLife = context.WithCancel(context.Background())
+	s.control, closeControl = saddleclient.NewOver(cfg.Network, cfg.Controls, cfg.Timeline)
+	s.pool, closePool = saddlelink.NewPoolOver(cfg.Network)
 	cleanup := func() error {
+		endLife()
+		s.following.Wait()
 		_ = lis.Close()
 		return errors.Join(closeControl(), closePool())
 	}
@@ -138,6 +146,7 @@
 	if err := srv.Shutdown(ctx); err != nil {
 		return eris.Wrap(err, "requests were still in progress at the end of the shutdown time")
 	}
+	s.awaitFollowing(ctx)
 	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "drain_end"})
 	return nil
 }
--- a/internal/entry/saddleentry/services.go
+++ b/internal/entry/saddleentry/services.go
@@ -133,21 +133,34 @@
 func (s *Server) runRepeatable(ctx context.Context, c call) (reply, error) {
 	need := c.need()
 	var last error
+	ran := false // an attempt may have been run
 	for n := uint32(1); n <= maxAttempts; n++ {
 		stage, err := s.awaitService(ctx, need, last)
 		if err != nil {
-			return reply{}, callFailure(err)
+			return reply{}, lookupFailure(err, ran)
 		}
 		answer, err := s.tryCall(ctx, c, n, stage, need.Avoid)
 		if err == nil {
 			return reply{answer: answer}, nil
 		}
 		last = err
+		ran = ran || !isNotRun(err)
 		if ctx.Err() != nil || !s.mayRetry(ctx, err) {
 			break
 		}
 	}
-	return reply{}, callFailure(last)
+	return reply{}, lookupFailure(last, ran)
+}
+
+// lookupFailure turns the last error of a call that may be repeated into the
+// caller's answer: the call was not run only if none of its attempts was.
+func lookupFailure(err error, ran bool) error {
+	f := asFailure(callFailure(err))
+	if ran {
+		f.Ran = fireflysaddle.RanUnknown
+		f.RetryAfter = max(f.RetryAfter, noTargetRetry)
+	}
+	return f
 }
 
 // runOnce runs a call that may not be repeated and has no key. Only an attempt
@@ -160,9 +173,10 @@
 		if err != nil {
 			return reply{}, callFailure(err)
 		}
+		sent := time.Now()
 		answer, err := s.tryCall(ctx, c, n, stage, need.Avoid)
 		if err != nil {
-			answer, err = s.settle(ctx, c, claimOf(c, n, stage), err)
+			answer, err = s.settle(ctx, c, claimOf(c, n, stage), sent, err)
 		}
 		if err == nil {
 			return reply{answer: answer}, nil
--- a/internal/entry/saddleentry/settle.go
+++ b/internal/entry/saddleentry/settle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -15,11 +16,15 @@
 	sealTimeout = time.Second            // of one question to an agent
 	sealPoll    = 200 * time.Millisecond // between questions while a call runs
 	sealTries   = 3                      // questions to an agent that does not answer
-	sealKeep    = time.Hour              // how long a tombstone must last
+	sealKeep    = 24 * time.Hour         // how long a tombstone must last
 )
 
-// errOpen says that the outcome of an attempt could not be learned.
-var errOpen = errors.New("the agent cannot say whether the request was run")
+// Why the outcome of an attempt is not known.
+var (
+	errForgotten  = errors.New("its agent was started anew or its target broke off, and nobody can say whether it was run")
+	errNotReached = errors.New("its agent does not answer")
+	errRuns       = errors.New("it runs")
+)
 
 // claimOf describes one attempt of a call.
 func claimOf(c call, number uint32, stage saddlechain.Stage) *saddlewire.Claim {
@@ -36,52 +41,80 @@
 }
 
 // settle finds out, after an attempt of a call that may not be repeated
-// failed, whether it was run. It returns the answer if the agent has it, a
-// *RefusedError if the request was not run and never will be, and any other
-// error if that cannot be known. A caller that is gone is not waited for.
-func (s *Server) settle(ctx context.Context, c call, claim *saddlewire.Claim, err error) (*saddlewire.Answer, error) {
+// failed, whether it was run. It returns the answer if the agent has it, an
+// error for which isNotRun holds if the request was not run and never will be,
+// and any other error if that cannot be known.
+func (s *Server) settle(ctx context.Context, c call, claim *saddlewire.Claim, sent time.Time, err error) (*saddlewire.Answer, error) {
 	if isNotRun(err) {
 		return nil, err
 	}
 	s.note(time.Now(), "settle", c.caller, claim.GetAttempt(), fireflysaddle.TargetID(claim.GetTarget()))
-	return s.sealed(ctx, claim)
+	answer, open := s.sealed(ctx, claim, sent)
+	if open != nil && !isNotRun(open) {
+		return nil, fmt.Errorf("%w (%w)", open, err)
+	}
+	return answer, open
 }
 
-// sealed asks the agent named in a claim until it knows the outcome.
-func (s *Server) sealed(ctx context.Context, claim *saddlewire.Claim) (*saddlewire.Answer, error) {
-	for unanswered := 0; unanswered < sealTries; {
-		out, err := seal(ctx, claim)
+// sealed asks the agent named in a claim until it knows the outcome. sent is
+// not after the time when the attempt was sent. Without time left it asks once.
+func (s *Server) sealed(ctx context.Context, claim *saddlewire.Claim, sent time.Time) (*saddlewire.Answer, error) {
+	for unanswered := 0; ; {
+		answer, err := s.askOnce(ctx, claim, sent)
 		switch {
-		case err != nil:
+		case errors.Is(err, errNotReached):
 			unanswered++
-		case out.GetState() == saddlewire.SealResponse_DONE:
-			return out.GetAnswer(), nil
-		case out.GetState() == saddlewire.SealResponse_SEALED:
-			return nil, &fireflysaddle.RefusedError{Code: fireflysaddle.CodeSealed, Message: "the request was sealed before it was run", RetryAfter: noTargetRetry}
-		case out.GetState() == saddlewire.SealResponse_UNKNOWN:
-			return nil, errOpen
+		case !errors.Is(err, errRuns):
+			return answer, err
+		}
+		if unanswered == sealTries {
+			return nil, err
 		}
 		select {
 		case <-ctx.Done():
-			return nil, errOpen
+			return nil, err
 		case <-time.After(sealPoll):
 		}
 	}
-	return nil, errOpen
 }
 
+// askOnce asks the agent named in a claim once for the outcome. An error is a
+// *RefusedError where the request was not run and never will be, else one of
+// errForgotten, errNotReached and errRuns.
+func (s *Server) askOnce(ctx context.Context, claim *saddlewire.Claim, sent time.Time) (*saddlewire.Answer, error) {
+	out, err := s.seal(ctx, claim, time.Since(sent))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotReached, opaque(err))
+	}
+	switch out.GetState() {
+	case saddlewire.SealResponse_DONE:
+		return out.GetAnswer(), nil
+	case saddlewire.SealResponse_SEALED:
+		return nil, &fireflysaddle.RefusedError{Code: fireflysaddle.CodeSealed, Message: "the request was sealed before it was run", RetryAfter: noTargetRetry}
+	case saddlewire.SealResponse_RUNNING:
+		return nil, errRuns
+	}
+	return nil, errForgotten
+}
+
+// opaque hides an error's kind: that the question was not sent does not say
+// that the request was not.
+func opaque(err error) error { return errors.New(err.Error()) }
+
 // seal asks over a new connection: the one that the request took may be silent.
-func seal(ctx context.Context, claim *saddlewire.Claim) (*saddlewire.SealResponse, error) {
+func (s *Server) seal(ctx context.Context, claim *saddlewire.Claim, age time.Duration) (*saddlewire.SealResponse, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sealTimeout)
 	defer cancel()
-	conn, err := saddlelink.Dial(ctx, claim.GetAddress())
+	conn, err := saddlelink.DialOver(ctx, s.cfg.Network, claim.GetAddress())
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
 	return saddlewire.NewDRPCAgentClient(conn).Seal(ctx, &saddlewire.SealRequest{
 		Request:     claim.GetRequest(),
+		Attempt:     claim.GetAttempt(),
 		Incarnation: claim.GetIncarnation(),
 		KeepMs:      sealKeep.Milliseconds(),
+		AgeMs:       age.Milliseconds(),
 	})
 }
--- /dev/null
+++ b/internal/entry/saddleentry/target_test.go
@@ -0,0 +1,218 @@
+package saddleentry_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleannounce"
+)
+
+const (
+	deskGroup  = "filing-desk"
+	modelGroup = "drafting-models"
+	callTime   = 100 * time.Millisecond
+	tokenTime  = 50 * time.Millisecond
+)
+
+var errTargetGone = errors.New("the target was restarted")
+
+// execution is one call that a desk ran, or one draft that an engine began.
+type execution struct {
+	request string
+	body    string
+}
+
+// journal gathers what all targets ran.
+type journal struct {
+	mu  sync.Mutex
+	all []execution
+}
+
+func (j *journal) add(e execution) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.all = append(j.all, e)
+	return len(j.all)
+}
+
+// ofBody returns how often a body ran, ofRequest how often a request did.
+func (j *journal) ofBody(body string) int {
+	return j.count(func(e execution) bool { return e.body == body })
+}
+
+func (j *journal) ofRequest(request string) int {
+	return j.count(func(e execution) bool { return e.request == request })
+}
+
+func (j *journal) count(is func(execution) bool) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := 0
+	for _, e := range j.all {
+		if is(e) {
+			n++
+		}
+	}
+	return n
+}
+
+// targets is the target beside one incarnation of an agent, a desk or an
+// engine. It outlives its agent.
+type targets struct {
+	w *world
+
+	mu     sync.Mutex
+	dead   bool          // the agent's process is gone: nothing it does counts
+	thawed chan struct{} // nil: the agent's process is not frozen
+	reset  chan struct{} // closed when the target is restarted
+	answer []byte        // answered in place of a receipt
+	delay  time.Duration // of each call, on top of callTime
+}
+
+func newTargets(w *world) *targets { return &targets{w: w, reset: make(chan struct{})} }
+
+func (g *targets) Service(id fireflysaddle.TargetID, _ string) (fireflysaddle.Service, func()) {
+	return &desk{targets: g, id: id}, func() {}
+}
+
+func (g *targets) Engine(id fireflysaddle.TargetID, _ string) (fireflysaddle.Engine, func()) {
+	return &engine{targets: g, id: id}, func() {}
+}
+
+func (g *targets) kill() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dead = true
+}
+
+func (g *targets) freeze() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.thawed = make(chan struct{})
+}
+
+func (g *targets) thaw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.thawed != nil {
+		close(g.thawed)
+	}
+	g.thawed = nil
+}
+
+func (g *targets) restart() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.reset)
+	g.reset = make(chan struct{})
+}
+
+func (g *targets) restarted() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reset
+}
+
+// reaches waits while the agent is frozen; it reports whether its bytes still
+// reach the target.
+func (g *targets) reaches() bool {
+	g.mu.Lock()
+	thawed := g.thawed
+	g.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.dead
+}
+
+// desk is a plain service that runs whatever reaches it.
+type desk struct {
+	*targets
+	id fireflysaddle.TargetID
+}
+
+func (d *desk) Alive(context.Context) error { return nil }
+
+func (d *desk) Call(ctx context.Context, c fireflysaddle.Call) (fireflysaddle.Answer, error) {
+	reset := d.restarted()
+	body := string(c.Body)
+	d.w.at(stepFirstByte, body)
+	if !d.reaches() {
+		return fireflysaddle.Answer{}, d.fail(errTargetGone)
+	}
+	select {
+	case <-reset:
+		return fireflysaddle.Answer{}, d.fail(errTargetGone)
+	default:
+	}
+	n := d.w.journal.add(execution{request: string(c.Request), body: body})
+	d.w.at(stepRunning, body)
+	select {
+	case <-time.After(callTime + d.delay):
+	case <-reset:
+		return fireflysaddle.Answer{}, d.fail(errTargetGone)
+	case <-ctx.Done():
+		return fireflysaddle.Answer{}, d.fail(ctx.Err())
+	case <-d.w.occupied(body):
+	}
+	d.reaches()
+	d.w.answering(body)
+	if d.answer != nil {
+		return fireflysaddle.Answer{Status: 201, ContentType: "application/json", Body: d.answer}, nil
+	}
+	return fireflysaddle.Answer{Status: 201, ContentType: "application/json", Body: fmt.Appendf(nil, "receipt %d for %s", n, body)}, nil
+}
+
+func (d *desk) fail(err error) error { return &fireflysaddle.TargetError{Target: d.id, Err: err} }
+
+// engine generates the tokens "PROMPT/0", "PROMPT/1" and so on.
+type engine struct {
+	fireflysaddle.Engine
+	*targets
+	id fireflysaddle.TargetID
+}
+
+func (e *engine) Alive(context.Context) error { return nil }
+
+func (e *engine) Generate(ctx context.Context, g fireflysaddle.Generation, emit func(string) error) error {
+	reset := e.restarted()
+	e.w.at(stepFirstByte, g.Prompt)
+	if !e.reaches() {
+		return &fireflysaddle.TargetError{Target: e.id, Err: errTargetGone}
+	}
+	e.w.journal.add(execution{request: string(g.Request), body: g.Prompt})
+	e.w.at(stepRunning, g.Prompt)
+	for n := range int(g.MaxTokens) {
+		select {
+		case <-time.After(tokenTime):
+		case <-reset:
+			return &fireflysaddle.TargetError{Target: e.id, Err: errTargetGone}
+		case <-ctx.Done():
+			return &fireflysaddle.TargetError{Target: e.id, Err: ctx.Err()}
+		}
+		if err := emit(token(g.Prompt, len(g.Given)+n)); err != nil {
+			return err
+		}
+		e.w.emitted(g.Prompt, len(g.Given)+n)
+	}
+	return nil
+}
+
+func token(prompt string, n int) string { return fmt.Sprintf("%s/%d ", prompt, n) }
+
+func announcement(process, kind, group string, incarnation uint64) saddleannounce.Announcement {
+	a := saddleannounce.Announcement{
+		ID: "target-of-" + process, Kind: kind, Group: group, Version: "1",
+		Slots: 1, Address: "127.0.0.1:1", Incarnation: incarnation,
+	}
+	if kind == string(fireflysaddle.KindEngine) {
+		a.To, a.Of = 4, 4
+	}
+	return a
+}
--- a/internal/link/saddlelink/dial.go
+++ b/internal/link/saddlelink/dial.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"storj.io/drpc/drpcconn"
@@ -13,15 +12,19 @@
 // dialTimeout bounds the opening of one connection.
 const dialTimeout = time.Second
 
-// Dial opens a connection that the caller closes. An error is a
+// Dial opens a TCP connection that the caller closes. An error is a
 // *fireflysaddle.NotSentError.
 func Dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	return DialOver(ctx, TCP{}, address)
+}
+
+// DialOver is Dial over another network.
+func DialOver(ctx context.Context, network Network, address string) (*drpcconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := network.Dial(ctx, address)
 	if err != nil {
 		return nil, &fireflysaddle.NotSentError{Address: address, Err: err}
 	}
-	return drpcconn.New(c), nil
+	return drpcconn.NewWithOptions(c, drpcconn.Options{Manager: managerOptions()}), nil
 }
--- /dev/null
+++ b/internal/link/saddlelink/network.go
@@ -0,0 +1,46 @@
+package saddlelink
+
+import (
+	"context"
+	"net"
+
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
+)
+
+// Network opens listeners and connections. Implementations are safe for
+// concurrent use.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// TCP is the network of the operating system.
+type TCP struct{}
+
+// Listen listens on IP:port.
+func (TCP) Listen(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
+// Dial connects to IP:port.
+func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Or returns the network, or TCP where it is nil.
+func Or(n Network) Network {
+	if n == nil {
+		return TCP{}
+	}
+	return n
+}
+
+// maxMessage bounds one message, bytes: the largest body that the settings
+// allow and what goes with it.
+const maxMessage = 80 << 20
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
+}
--- a/internal/link/saddlelink/pool.go
+++ b/internal/link/saddlelink/pool.go
@@ -19,25 +19,29 @@
 // so each call in progress has a connection of its own. It is safe for
 // concurrent use.
 type Pool struct {
-	pool *drpcpool.Pool[string, drpcpool.Conn]
+	network Network
+	pool    *drpcpool.Pool[string, drpcpool.Conn]
 }
 
-// NewPool returns an empty pool and its clean-up, which closes the idle
-// connections.
-func NewPool() (*Pool, func() error) {
+// NewPool returns an empty pool of TCP connections and its clean-up, which
+// closes the idle ones.
+func NewPool() (*Pool, func() error) { return NewPoolOver(TCP{}) }
+
+// NewPoolOver is NewPool over another network.
+func NewPoolOver(network Network) (*Pool, func() error) {
 	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  poolExpiration,
 		Capacity:    poolCapacity,
 		KeyCapacity: poolKeyCapacity,
 	})
-	return &Pool{pool: pool}, pool.Close
+	return &Pool{network: network, pool: pool}, pool.Close
 }
 
 // Conn returns a connection to an address, dialled when first used. Closing it
 // hands the connection back.
 func (p *Pool) Conn(ctx context.Context, address string) drpc.Conn {
 	return p.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		return Dial(ctx, address)
+		return DialOver(ctx, p.network, address)
 	})
 }
 
--- a/internal/link/saddlelink/serve.go
+++ b/internal/link/saddlelink/serve.go
@@ -16,5 +16,5 @@
 	if err := register(mux); err != nil {
 		return err
 	}
-	return drpcserver.New(mux).Serve(ctx, lis)
+	return drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}).Serve(ctx, lis)
 }
--- a/internal/target/saddleservice/service.go
+++ b/internal/target/saddleservice/service.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	maxAnswerBytes = 16 << 20
+	// MaxAnswerBytes is the largest answer passed on.
+	MaxAnswerBytes = 16 << 20
 	// RequestHeader carries the request id to the service.
 	RequestHeader = "X-Request-Id"
 )
@@ -64,10 +65,13 @@
 		return fireflysaddle.Answer{}, s.fail(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
 	if err != nil {
 		return fireflysaddle.Answer{}, s.fail(err)
 	}
+	if len(body) > MaxAnswerBytes {
+		return fireflysaddle.Answer{}, s.fail(&AnswerTooLargeError{Limit: MaxAnswerBytes})
+	}
 	return fireflysaddle.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
