--- a/internal/control/saddlestate/digest.go
+++ b/internal/control/saddlestate/digest.go
@@ -32,6 +32,11 @@
 		if put.GetActive() {
 			d.number(1)
 		}
+	case *saddlewire.Command_PutPlacement:
+		put := change.PutPlacement
+		d.text("placement", put.GetTarget(), put.GetGroup(), put.GetVersion(), put.GetRole())
+		d.text(put.GetAdapters()...)
+		d.number(put.GetBase())
 	default:
 		return nil
 	}
--- a/internal/link/saddlelink/conn.go
+++ b/internal/link/saddlelink/conn.go
@@ -13,8 +13,9 @@
 )
 
 // MaxMessageBytes bounds one message. It takes in the activations of a long
-// prompt, which the library's default of 4 MiB does not.
-const MaxMessageBytes = 64 << 20
+// prompt, and the largest body that the settings allow with what goes with it;
+// the library's default of 4 MiB does not.
+const MaxMessageBytes = 80 << 20
 
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes}}
