--- a/internal/entry/saddleroute/spares_test.go
+++ b/internal/entry/saddleroute/spares_test.go
@@ -11,7 +11,7 @@
 
 func TestSparesHoldTheLayersOfTheLaterStages(t *testing.T) {
 	is := is.New(t)
-	router := router(2)
+	router := router()
 	other := engine("other-version", 1, 2)
 	other.Target.Version = "0"
 	leaving := engine("leaving", 1, 2)
