--- a/internal/command/saddlectl/replace.go
+++ b/internal/command/saddlectl/replace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"time"
 
@@ -12,6 +13,11 @@
 // replacePoll is the time between looks at a replacement under way.
 const replacePoll = 200 * time.Millisecond
 
+func replaceFlags(s *session, fs *flag.FlagSet) {
+	fs.BoolVar(&s.wait, "wait", false, "wait until the new replica votes and the old one is gone")
+	fs.DurationVar(&s.waitFor, "wait-for", defaultWait, "longest time to wait with -wait")
+}
+
 // runControlReplace adds, removes or replaces a control replica. An empty old
 // or new one is written "-".
 func runControlReplace(ctx context.Context, s *session, args []string) error {
