--- a/internal/bench/saddlebench/admission.go
+++ b/internal/bench/saddlebench/admission.go
@@ -152,7 +152,7 @@
 	t := &saddlefigure.Table{
 		Name:     "admission, overload",
 		Settings: fmt.Sprintf("%s, deadline %v, good answers a second", stationSettings(seed), deadline),
-		Columns:  []string{"way", "0.5", "1", "2", "4", "least at 1 and more by peak", "work in them 0.5", "1", "2", "4", "least by peak", "late at 4"},
+		Columns:  []string{"way", "0.5", "1", "2", "4", "least at 1 and more by peak", "work 0.5", "work 1", "work 2", "work 4", "least work by peak", "late at 4"},
 	}
 	for _, q := range queues() {
 		var good, work []float64
--- a/internal/bench/saddlebench/choice.go
+++ b/internal/bench/saddlebench/choice.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddlefigure"
@@ -14,7 +16,7 @@
 
 const (
 	choiceLength = 240 * time.Second
-	choiceWarm   = 60 * time.Second
+	warmShare    = 4 // the first part of so many is not measured
 	workspaces   = 10
 	templates    = 200
 	plainShare   = 0.05
@@ -29,6 +31,9 @@
 	lag     time.Duration
 	beat    time.Duration
 	all     bool
+	length  time.Duration
+	only    string
+	ways    string
 }
 
 // runChoice compares the ways of choosing a target under a steady load, bursts
@@ -43,6 +48,9 @@
 		fs.DurationVar(&s.lag, "lag", 0, "added lag of load reports")
 		fs.DurationVar(&s.beat, "beat", saddlesim.Default().Beat, "between load reports on requests in progress, 0: reports come with answers only")
 		fs.BoolVar(&s.all, "all", false, "compare variants too")
+		fs.DurationVar(&s.length, "length", choiceLength, "virtual length of each run")
+		fs.StringVar(&s.only, "scenario", "", "steady, bursts or saturated only")
+		fs.StringVar(&s.ways, "ways", "", "these ways only, separated by commas")
 	})
 	if err != nil {
 		return err
@@ -51,6 +59,9 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if s.only != "" && s.only != scenario {
+			continue
+		}
 		if err := s.table(scenario).Write(out, s.json); err != nil {
 			return err
 		}
@@ -63,7 +74,7 @@
 	t := &saddlefigure.Table{
 		Name: "choice, " + scenario,
 		Settings: fmt.Sprintf("seed %d, %d engines, %d entries, load %.2f, %.1f callers a slot, lag %v, beat %v, %v from %v on",
-			s.seed, s.engines, saddlesim.Default().Entries, s.load, s.callers, s.lag, s.beat, choiceLength, choiceWarm),
+			s.seed, s.engines, saddlesim.Default().Entries, s.load, s.callers, s.lag, s.beat, s.length, s.length/warmShare),
 		Columns: []string{"way", "tokens by bound", "first p50 ms", "p95", "p99", "between p95 ms", "prefix hits", "attempts", "refused"},
 	}
 	for _, c := range s.compared() {
@@ -80,10 +91,15 @@
 }
 
 func (s choiceSettings) compared() []namedChooser {
-	if s.all {
-		return append(baselines(), predictions()...)
+	compared := append(baselines(), predictions()...)
+	switch {
+	case s.ways != "":
+		ways := strings.Split(s.ways, ",")
+		return slices.DeleteFunc(compared, func(c namedChooser) bool { return !slices.Contains(ways, c.name) })
+	case s.all:
+		return compared
 	}
-	return append(baselines(), predictions()[:2]...)
+	return compared[:len(baselines())+2]
 }
 
 func (s choiceSettings) run(scenario string, fleet []saddleload.Engine, c namedChooser) *saddlesim.Figures {
@@ -93,13 +109,13 @@
 	cfg.NewChooser = c.make
 	cfg.ReportLag = s.lag
 	cfg.Beat = s.beat
-	cfg.Warm = choiceWarm
-	cfg.Length = choiceLength
+	cfg.Warm = s.length / warmShare
+	cfg.Length = s.length
 	load := saddleload.Config{
 		Seed:       s.seed,
 		Shape:      saddleload.Shape(scenario),
 		Rate:       s.load * saddleload.Bound(fleet) / saddleload.MeanTokens / (1 - plainShare),
-		Length:     choiceLength,
+		Length:     s.length,
 		Workspaces: workspaces,
 		Templates:  templates,
 		PlainShare: plainShare,
--- a/internal/bench/saddlesim/entry.go
+++ b/internal/bench/saddlesim/entry.go
@@ -55,7 +55,7 @@
 	j.sent = e.fleet.clock.Now()
 	j.avoid = map[fireflysaddle.TargetID]bool{}
 	e.budget.First()
-	e.fleet.figures.Requests++
+	e.fleet.figures.request()
 	e.attempt(j)
 }
 
@@ -74,10 +74,10 @@
 		return
 	}
 	j.Attempts++
-	e.fleet.figures.Attempts++
+	e.fleet.figures.attempt()
 	e.busy[stage.Target]++
 	t := e.fleet.byID[stage.Target]
-	y := &try{job: j, stage: stage, at: t}
+	y := &try{job: j, stage: stage, at: t, sent: now}
 	e.fleet.clock.After(t.spec.Link, func() { t.receive(y) })
 	e.watch(y)
 }
@@ -93,13 +93,23 @@
 	return chain.Head(), true
 }
 
-// watch fails an attempt whose target has fallen silent.
+// watch fails an attempt one silence time after its target last sent
+// something. Targets send heartbeats until they are lost.
 func (e *entry) watch(y *try) {
 	e.fleet.clock.After(e.fleet.cfg.Silence, func() {
+		now := e.fleet.clock.Now()
+		silent := y.at.lost || y.at.starts != uint64(y.stage.Incarnation)
+		heard := later(y.at.lostAt, y.sent)
 		switch {
 		case y.over:
-		case y.at.lost || y.at.starts != uint64(y.stage.Incarnation):
+		case silent && now.Sub(heard) >= e.fleet.cfg.Silence:
 			e.answered(y, &fireflysaddle.TargetError{Target: y.stage.Target, Err: errSilent}, nil)
+		case silent:
+			e.fleet.clock.After(heard.Add(e.fleet.cfg.Silence).Sub(now), func() {
+				if !y.over {
+					e.answered(y, &fireflysaddle.TargetError{Target: y.stage.Target, Err: errSilent}, nil)
+				}
+			})
 		default:
 			e.watch(y)
 		}
--- a/internal/bench/saddlesim/figures.go
+++ b/internal/bench/saddlesim/figures.go
@@ -12,8 +12,8 @@
 	Gap   *saddlefigure.Times // between tokens
 	Plain *saddlefigure.Times // whole plain calls
 
-	Requests int // of the whole run
-	Attempts int // of the whole run
+	Requests int // sent after the warm-up
+	Attempts int // sent after the warm-up
 	Answered int
 	Refused  int
 	Failed   int
@@ -63,6 +63,18 @@
 	return !now.Before(f.from) && now.Before(f.to)
 }
 
+func (f *Figures) request() {
+	if f.counting() {
+		f.Requests++
+	}
+}
+
+func (f *Figures) attempt() {
+	if f.counting() {
+		f.Attempts++
+	}
+}
+
 func (f *Figures) hit(tokens int) {
 	if f.counting() {
 		f.hits += tokens
--- a/internal/bench/saddlesim/job.go
+++ b/internal/bench/saddlesim/job.go
@@ -40,7 +40,7 @@
 	job     *Job
 	stage   saddlechain.Stage
 	at      *target
-	begun   time.Time // when it left the queue
+	sent    time.Time
 	first   time.Time // when its first token left the target
 	ends    time.Time
 	rate    float64 // tokens a second
--- a/internal/bench/saddlesim/target.go
+++ b/internal/bench/saddlesim/target.go
@@ -30,6 +30,7 @@
 	cache  *cache
 	tries  map[fireflysaddle.RequestID]*try
 	lost   bool
+	lostAt time.Time
 	slow   float64 // divisor of the rate
 	starts uint64  // incarnations of the agent
 	listed bool    // control knows it
@@ -123,7 +124,6 @@
 	now := t.fleet.clock.Now()
 	q := y.job.Request
 	y.running = true
-	y.begun = now
 	y.rate = max(t.spec.Rate/t.slow, minServedRate)
 	if t.plain {
 		y.first = now.Add(serviceTime)
@@ -172,6 +172,7 @@
 func (t *target) lose() {
 	now := t.fleet.clock.Now()
 	t.lost = true
+	t.lostAt = now
 	for _, y := range t.tries {
 		if y.running && !t.plain {
 			t.fleet.figures.produced(y, now)
--- a/internal/entry/saddleroute/router.go
+++ b/internal/entry/saddleroute/router.go
@@ -181,7 +181,7 @@
 }
 
 // of returns what is known of a target. A new incarnation of its agent starts
-// with an unknown cache and rate.
+// with a closed circuit and an unknown cache and rate.
 func (r *Router) of(id fireflysaddle.TargetID, group string, incarnation fireflysaddle.Incarnation, load *saddlewire.Load) *local {
 	l, ok := r.local[id]
 	if !ok {
@@ -192,6 +192,8 @@
 		l.incarnation = incarnation
 		l.epoch++
 		l.rate = 0
+		l.group.Forget(&l.circuit)
+		l.circuit = saddleretry.Circuit{}
 	}
 	return l
 }
--- a/internal/entry/saddleroute/router_test.go
+++ b/internal/entry/saddleroute/router_test.go
@@ -186,3 +186,21 @@
 	}
 	is.Equal(len(left), 4)
 }
+
+func TestARestartedAgentIsTriedAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := router()
+	v := view(engine("one", 0, 2), engine("two", 0, 2))
+	chain, ok := r.Chain(epoch, v, draft())
+	is.True(ok)
+	failed := chain.Head().Target
+	r.Done(epoch, chain.Head(), saddleroute.Result{Outcome: saddleretry.Failed})
+	need := draft()
+	need.Avoid = map[fireflysaddle.TargetID]bool{"one": failed != "one", "two": failed != "two"}
+	_, ok = r.Chain(epoch, v, need)
+	is.True(!ok) // the only one left has an open circuit
+	restarted := view(engine("one", 0, 2), engine("two", 0, 2))
+	restarted.Members["agent-"+string(failed)].Incarnation = 2
+	_, ok = r.Chain(epoch, restarted, need)
+	is.True(ok)
+}
