--- a/internal/control/saddleclient/client.go
+++ b/internal/control/saddleclient/client.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	callTimeout = time.Second            // of one try at one replica
+	callTimeout = time.Second // of one try at one replica
+	changeName  = "change of the control replicas"
 	pause       = 100 * time.Millisecond // between rounds over the replicas
 )
 
@@ -38,11 +39,24 @@
 // may be a refusal by the state. An error is a *fireflysaddle.RefusedError when
 // nothing was proposed, else an *UnknownError.
 func (c *Client) Submit(ctx context.Context, command *saddlewire.Command) (*saddlewire.Result, error) {
+	outcome, err := c.SubmitOutcome(ctx, command)
+	return outcome.Result, err
+}
+
+// SubmitOutcome is Submit, and says whether an answer was lost on the way.
+func (c *Client) SubmitOutcome(ctx context.Context, command *saddlewire.Command) (Outcome, error) {
+	return c.propose(ctx, command.GetRequest(), func(ctx context.Context, address string) (*saddlewire.SubmitResponse, error) {
+		in := &saddlewire.SubmitRequest{Command: command, Stamp: c.timeline.Stamp(time.Now())}
+		return saddlewire.NewDRPCControlClient(c.pool.Conn(ctx, address)).Submit(ctx, in)
+	})
+}
+
+// propose calls one replica after another until one answers with a result.
+func (c *Client) propose(ctx context.Context, request string, call func(context.Context, string) (*saddlewire.SubmitResponse, error)) (Outcome, error) {
 	var result *saddlewire.Result
 	maybe := false
 	err := c.rounds(ctx, func(ctx context.Context, address string) (string, error) {
-		in := &saddlewire.SubmitRequest{Command: command, Stamp: c.timeline.Stamp(time.Now())}
-		out, err := saddlewire.NewDRPCControlClient(c.pool.Conn(ctx, address)).Submit(ctx, in)
+		out, err := call(ctx, address)
 		var unsent *fireflysaddle.NotSentError
 		if err != nil {
 			maybe = maybe || !errors.As(err, &unsent)
@@ -58,18 +72,32 @@
 	})
 	switch {
 	case err == nil:
-		return result, nil
+		return Outcome{Result: result, Resent: maybe}, nil
 	case maybe:
-		return nil, &UnknownError{Request: command.GetRequest(), Err: err}
+		return Outcome{}, &UnknownError{Request: request, Err: err}
 	}
-	return nil, noMajority(err)
+	return Outcome{}, noMajority(err)
+}
+
+// Change adds, removes or replaces a control replica. Asking again for what was
+// done is accepted and changes nothing. Errors are as of Submit.
+func (c *Client) Change(ctx context.Context, change *saddlewire.ReplicaChange) (*saddlewire.Result, error) {
+	outcome, err := c.propose(ctx, changeName, func(ctx context.Context, address string) (*saddlewire.SubmitResponse, error) {
+		return saddlewire.NewDRPCControlClient(c.pool.Conn(ctx, address)).Change(ctx, change)
+	})
+	return outcome.Result, err
 }
 
 // Read returns the state as a leader vouches for it.
 func (c *Client) Read(ctx context.Context) (*saddlewire.ReadResponse, error) {
+	return c.ReadWith(ctx, &saddlewire.ReadRequest{})
+}
+
+// ReadWith is Read, and asks for a history if the request names one.
+func (c *Client) ReadWith(ctx context.Context, in *saddlewire.ReadRequest) (*saddlewire.ReadResponse, error) {
 	var state *saddlewire.ReadResponse
 	err := c.rounds(ctx, func(ctx context.Context, address string) (string, error) {
-		out, err := saddlewire.NewDRPCControlClient(c.pool.Conn(ctx, address)).Read(ctx, &saddlewire.ReadRequest{})
+		out, err := saddlewire.NewDRPCControlClient(c.pool.Conn(ctx, address)).Read(ctx, in)
 		if err != nil {
 			return "", err
 		}
--- a/internal/entry/saddleentry/attempt.go
+++ b/internal/entry/saddleentry/attempt.go
@@ -17,7 +17,8 @@
 type attempt struct {
 	number uint32
 	chain  saddlechain.Chain
-	given  []string // tokens that the caller has
+	spares []saddlechain.Stage // for the chain's head to replace lost stages with
+	given  []string            // tokens that the caller has
 }
 
 // callerGoneError says that the caller takes no more of its answer.
@@ -109,6 +110,7 @@
 		Ticket:    s.ticket(time.Now(), d.caller, a.number, head.Incarnation),
 		Model:     d.model,
 		Chain:     wireChain(a.chain),
+		Spares:    wireStages(a.spares),
 		Prompt:    d.prompt,
 		Given:     a.given,
 		MaxTokens: d.maxTokens - uint32(len(a.given)),
@@ -167,8 +169,12 @@
 }
 
 func wireChain(chain saddlechain.Chain) []*saddlewire.Stage {
-	out := make([]*saddlewire.Stage, 0, chain.Len())
-	for _, s := range chain.Stages() {
+	return wireStages(chain.Stages())
+}
+
+func wireStages(stages []saddlechain.Stage) []*saddlewire.Stage {
+	out := make([]*saddlewire.Stage, 0, len(stages))
+	for _, s := range stages {
 		out = append(out, &saddlewire.Stage{
 			Target:      string(s.Target),
 			Address:     s.Address,
--- a/internal/entry/saddleroute/router.go
+++ b/internal/entry/saddleroute/router.go
@@ -21,6 +21,8 @@
 	share   share
 	index   *index
 	pool    pool // of the choice in progress
+	// spareTurn is where the next search for spares begins.
+	spareTurn int
 }
 
 // New returns a router that asks the chooser, which it owns.
