--- a/internal/agent/saddleagent/draftstream.go
+++ b/internal/agent/saddleagent/draftstream.go
@@ -19,6 +19,10 @@
 	mu       sync.Mutex
 	position uint32
 	ended    bool
+
+	event      saddlewire.DraftEvent // of each token; Send does not keep it
+	tokenEvent saddlewire.DraftEvent_Token
+	tokenBody  saddlewire.Token
 }
 
 func newDraftStream(s *Server, t *saddlewire.Ticket, stream saddlewire.DRPCAgent_DraftStream) *draftStream {
@@ -35,10 +39,13 @@
 func (d *draftStream) token(text string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := &saddlewire.DraftEvent{Event: &saddlewire.DraftEvent_Token{Token: &saddlewire.Token{Position: d.position, Text: text}}}
+	d.tokenEvent.Token = &d.tokenBody
+	d.tokenBody.Position = d.position
+	d.tokenBody.Text = text
+	d.event.Event = &d.tokenEvent
 	d.position++
 	countTokens.Add(1)
-	return d.send(e)
+	return d.send(&d.event)
 }
 
 func (d *draftStream) beat() error {
--- /dev/null
+++ b/internal/bench/saddlebench/path.go
@@ -0,0 +1,116 @@
+package saddlebench
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddlefigure"
+	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddlepath"
+)
+
+// pathSettings are the flags of the path command.
+type pathSettings struct {
+	options
+	callers   int
+	drafts    int
+	tokens    int
+	tokenTime time.Duration
+}
+
+// pathTimes are the times of the drafts of one way.
+type pathTimes struct {
+	mu    sync.Mutex
+	first *saddlefigure.Times
+	token *saddlefigure.Times // mean time between the tokens of a draft
+	err   error
+}
+
+func newPathTimes() *pathTimes {
+	return &pathTimes{first: saddlefigure.NewTimes(), token: saddlefigure.NewTimes()}
+}
+
+func (p *pathTimes) add(d saddlepath.Draft, tokens int, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.err = err
+		return
+	}
+	p.first.Add(d.First, 1)
+	p.token.Add((d.Took-d.First)/time.Duration(max(tokens-1, 1)), 1)
+}
+
+// runPath measures what entry and agent add to the calls of an engine, with
+// both kinds of call mixed in one run.
+func runPath(ctx context.Context, args []string, out io.Writer) error {
+	var s pathSettings
+	var err error
+	s.options, err = parse("path", args, out, func(fs *flag.FlagSet) {
+		fs.IntVar(&s.callers, "callers", 4, "callers at the same time")
+		fs.IntVar(&s.drafts, "drafts", 200, "drafts of each caller and way")
+		fs.IntVar(&s.tokens, "tokens", 20, "tokens of a draft")
+		fs.DurationVar(&s.tokenTime, "token-time", 2*time.Millisecond, "time that the engine takes for a token")
+	})
+	if err != nil {
+		return err
+	}
+	f, cleanup, err := saddlepath.New(ctx, s.tokenTime)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	direct, through := newPathTimes(), newPathTimes()
+	var wg sync.WaitGroup
+	for i := range s.callers {
+		wg.Go(func() { s.call(ctx, rand.New(rand.NewPCG(s.seed, uint64(i))), f, direct, through) })
+	}
+	wg.Wait()
+	for _, p := range []*pathTimes{direct, through} {
+		if p.err != nil {
+			return p.err
+		}
+	}
+	return s.table(direct, through).Write(out, s.json)
+}
+
+// call sends the drafts of one caller, the two ways in a random order.
+func (s pathSettings) call(ctx context.Context, r *rand.Rand, f *saddlepath.Fleet, direct, through *pathTimes) {
+	for n := range 2 * s.drafts {
+		prompt := strings.Repeat("wall ", 1+r.IntN(100)) + fmt.Sprint(n)
+		if r.IntN(2) == 0 {
+			d, err := f.Direct(ctx, prompt, s.tokens)
+			direct.add(d, s.tokens, err)
+			continue
+		}
+		d, err := f.Through(ctx, prompt, s.tokens)
+		through.add(d, s.tokens, err)
+	}
+}
+
+func (s pathSettings) table(direct, through *pathTimes) *saddlefigure.Table {
+	t := &saddlefigure.Table{
+		Name: "path",
+		Settings: fmt.Sprintf("seed %d, %d callers, about %d drafts each way and caller, %d tokens of %v, loopback, times by those of the engine called directly",
+			s.seed, s.callers, s.drafts, s.tokens, s.tokenTime),
+		Columns: []string{"figure", "p50 through by direct", "p99 through by direct", "added p50 by token time", "added p99 by token time"},
+	}
+	add := func(name string, through, direct *saddlefigure.Times) {
+		cells := []string{name}
+		for _, q := range []float64{50, 99} {
+			cells = append(cells, saddlefigure.Share(float64(through.At(q))/float64(max(direct.At(q), 1))))
+		}
+		for _, q := range []float64{50, 99} {
+			cells = append(cells, saddlefigure.Share(float64(through.At(q)-direct.At(q))/float64(max(s.tokenTime, 1))))
+		}
+		t.Add(cells...)
+	}
+	add("first token", through.first, direct.first)
+	add("time between tokens", through.token, direct.token)
+	return t
+}
--- a/internal/bench/saddlebench/run.go
+++ b/internal/bench/saddlebench/run.go
@@ -27,6 +27,7 @@
 		{"choice", "compare the ways of choosing a target, in virtual time", runChoice},
 		{"admission", "measure the agents' queue under overload, in virtual time", runAdmission},
 		{"recovery", "measure retries while a third of the engines fail, in virtual time", runRecovery},
+		{"path", "measure what entry and agent add to an engine's answers, over loopback", runPath},
 	}
 }
 
--- a/internal/entry/saddleentry/writer.go
+++ b/internal/entry/saddleentry/writer.go
@@ -1,6 +1,7 @@
 package saddleentry
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -20,8 +21,12 @@
 	begun   bool
 	tokens  int
 	text    strings.Builder
+	buf     bytes.Buffer // of one event
+	choices [1]choice    // of one event
 }
 
+const eventStart = "data: "
+
 func newWriter(c echo.Context, now time.Time, id string, body completionRequest, chat bool) *writer {
 	return &writer{c: c, created: now, id: id, model: body.Model, stream: body.Stream, chat: chat}
 }
@@ -34,7 +39,8 @@
 		return nil
 	}
 	w.begin()
-	return w.event(w.chunk(w.delta(text), nil))
+	chunk := w.chunk(w.delta(text), nil)
+	return w.event(&chunk)
 }
 
 // end ends the answer.
@@ -98,19 +104,31 @@
 	if w.chat {
 		object = "chat.completion"
 	}
-	return completion{ID: w.id, Object: object, Created: w.created.Unix(), Model: w.model, Choices: []choice{ch}}
+	w.choices[0] = ch
+	return completion{ID: w.id, Object: object, Created: w.created.Unix(), Model: w.model, Choices: w.choices[:]}
 }
 
+// event writes a server-sent event in a buffer that is used for each of them.
 func (w *writer) event(body any) error {
-	data, err := json.Marshal(body)
-	if err != nil {
+	w.buf.Reset()
+	w.buf.WriteString(eventStart)
+	if err := json.NewEncoder(&w.buf).Encode(body); err != nil { // ends the line
 		return err
 	}
-	return w.line(string(data))
+	w.buf.WriteByte('\n')
+	return w.flush()
 }
 
 func (w *writer) line(data string) error {
-	if _, err := w.c.Response().Write([]byte("data: " + data + "\n\n")); err != nil {
+	w.buf.Reset()
+	w.buf.WriteString(eventStart)
+	w.buf.WriteString(data)
+	w.buf.WriteString("\n\n")
+	return w.flush()
+}
+
+func (w *writer) flush() error {
+	if _, err := w.c.Response().Write(w.buf.Bytes()); err != nil {
 		return err
 	}
 	w.c.Response().Flush()
