--- a/internal/agent/saddleagent/draft.go
+++ b/internal/agent/saddleagent/draft.go
@@ -25,6 +25,7 @@
 	if err != nil {
 		return out.refuse(err)
 	}
+	out.target = b
 	ctx, cancel := context.WithTimeout(stream.Context(), budget(in.GetTicket()))
 	defer cancel()
 	go beats(ctx, out.beat)
@@ -59,6 +60,7 @@
 			Attempt:   t.GetAttempt(),
 			Priority:  t.GetPriority(),
 			Chain:     in.GetChain(),
+			Spares:    in.GetSpares(),
 			Prompt:    in.GetPrompt(),
 			Given:     in.GetGiven(),
 			MaxTokens: in.GetMaxTokens(),
--- a/internal/command/saddlectl/command.go
+++ b/internal/command/saddlectl/command.go
@@ -42,6 +42,7 @@
 		{"undrain", "TARGET", "give a target work again", "saddlectl undrain mastori-07", changeFlags, runUndrain},
 		{"control", "", "list the control replicas", "saddlectl control", nil, runControl},
 		{"timeline", "", "merge the time lines of all processes", "saddlectl timeline -request 6f0c -since 10m", timelineFlags, runTimeline},
+		{"control-replace", "OLD NEW ADDRESS", "replace a control replica whose disk or VM is lost (- for none)", "saddlectl control-replace control-2 control-2b 10.1.2.11:7100 -wait", changeFlags, runControlReplace},
 	}
 }
 
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return draftFailure(err, len(given))
 		}
-		last = s.tryDraft(ctx, d, attempt{number: n, chain: chain, given: given}, need.Avoid, take)
+		last = s.tryDraft(ctx, d, attempt{number: n, chain: chain, spares: s.spares(chain, need), given: given}, need.Avoid, take)
 		if last == nil {
 			return nil
 		}
