--- /dev/null
+++ b/docs/doc.go
@@ -0,0 +1,2 @@
+// Package docs holds the pages for users, operators and developers.
+package docs
