--- a/internal/agent/saddleagent/orders.go
+++ b/internal/agent/saddleagent/orders.go
@@ -30,17 +30,29 @@
 			return nil
 		case <-tick.C:
 		}
-		b, _ := s.slot.current()
-		if b == nil || b.engine == nil {
-			continue
-		}
-		view := s.attendant.View()
-		p, ok := view.Placements[string(b.id())]
-		if !ok || !view.Confirmed {
-			continue
-		}
-		s.giveOrder(ctx, &r, b, p)
+		s.lookForOrder(ctx, &r)
+	}
+}
+
+// lookForOrder gives the order that is due, if any. One that fetches weights
+// waits until the leader lets the engine load.
+func (s *Server) lookForOrder(ctx context.Context, r *saddleorder.Reconciler) {
+	s.needsLoad.Store(false)
+	b, _ := s.slot.current()
+	if b == nil || b.engine == nil {
+		return
+	}
+	view := s.attendant.View()
+	p, ok := view.Placements[string(b.id())]
+	if !ok || !view.Confirmed {
+		return
+	}
+	needs := saddleorder.NeedsLoad(wantedOf(p), s.actual(b))
+	s.needsLoad.Store(needs)
+	if needs && !view.MayLoad {
+		return
 	}
+	s.giveOrder(ctx, r, b, p)
 }
 
 func (s *Server) giveOrder(ctx context.Context, r *saddleorder.Reconciler, b *backend, p *saddlewire.Placement) {
--- a/internal/agent/saddleagent/server.go
+++ b/internal/agent/saddleagent/server.go
@@ -40,8 +40,9 @@
 	ledgerMu sync.Mutex
 	ledger   *saddleledger.Ledger
 
-	stopping atomic.Bool
-	active   atomic.Int64 // requests in progress
+	stopping  atomic.Bool
+	needsLoad atomic.Bool  // the engine is to load something
+	active    atomic.Int64 // requests in progress
 }
 
 // New opens the listeners. The clean-up closes them.
@@ -173,6 +174,8 @@
 		Leaving:     s.stopping.Load(),
 		Revision:    view.Revision,
 		Confirmed:   view.Confirmed,
+		NeedsLoad:   s.needsLoad.Load(),
+		Loading:     s.slot.carriesOut() != "",
 	}
 	if b, leaving := s.slot.current(); b != nil {
 		m.Target = b.info
--- a/internal/agent/saddleorder/reconciler.go
+++ b/internal/agent/saddleorder/reconciler.go
@@ -56,6 +56,13 @@
 	return order, true, nil
 }
 
+// NeedsLoad reports whether an engine has to fetch weights to hold what is
+// wanted.
+func NeedsLoad(wanted, actual Holding) bool {
+	order, differs := difference(wanted, actual)
+	return differs && order.Action != ActionUnload && order.Action != ActionRole
+}
+
 // difference returns the first order that brings actual nearer to wanted.
 func difference(wanted, actual Holding) (fireflysaddle.Order, bool) {
 	switch {
--- a/internal/command/saddlectl/command.go
+++ b/internal/command/saddlectl/command.go
@@ -40,6 +40,8 @@
 		{"targets", "", "list the targets", "saddlectl targets", nil, runTargets},
 		{"drain", "TARGET", "give a target no new work", "saddlectl drain mastori-07 -wait", changeFlags, runDrain},
 		{"undrain", "TARGET", "give a target work again", "saddlectl undrain mastori-07", changeFlags, runUndrain},
+		{"placements", "", "list what engines are wanted to hold", "saddlectl placements", nil, runPlacements},
+		{"place", "TARGET", "say what an engine is wanted to hold", "saddlectl place mastori-07 -group mastori -version 2 -wait", placeFlags, runPlace},
 		{"control", "", "list the control replicas", "saddlectl control", nil, runControl},
 		{"control-replace", "OLD NEW ADDRESS", "replace a control replica whose disk or VM is lost (- for none)", "saddlectl control-replace control-2 control-2b 10.1.2.11:7100 -wait", replaceFlags, runControlReplace},
 		{"timeline", "", "merge the time lines of all processes", "saddlectl timeline -request 6f0c -since 10m", timelineFlags, runTimeline},
--- a/internal/command/saddlectl/inforce.go
+++ b/internal/command/saddlectl/inforce.go
@@ -22,6 +22,7 @@
 	kindTemplate   = "template"
 	kindDeployment = "deployment"
 	kindTarget     = "target"
+	kindPlacement  = "placement"
 )
 
 // String gives it in one line, without a template's text.
@@ -36,7 +37,7 @@
 	return text
 }
 
-// find returns a template or deployment of a state, nil when it has none.
+// find returns a template, deployment or placement of a state, nil when it has none.
 func find(state *saddlewire.ReadResponse, kind, name string) *inForce {
 	if kind == kindTemplate {
 		if t := findTemplate(state, name); t != nil {
@@ -44,6 +45,12 @@
 		}
 		return nil
 	}
+	if kind == kindPlacement {
+		if p := placementOf(state, name); p != nil {
+			return &inForce{Kind: kind, Name: name, Revision: p.GetRevision()}
+		}
+		return nil
+	}
 	if d := findDeployment(state, name); d != nil {
 		return &inForce{Kind: kind, Name: name, Revision: d.GetRevision(), Template: d.GetTemplate(), Parameters: d.GetParameters()}
 	}
--- a/internal/command/saddlectl/session.go
+++ b/internal/command/saddlectl/session.go
@@ -32,6 +32,7 @@
 	wait    bool
 	waitFor time.Duration
 	base    uint64
+	placing placing
 
 	revision uint64
 
--- a/internal/config/saddlesettings/control.go
+++ b/internal/config/saddlesettings/control.go
@@ -26,6 +26,9 @@
 	Silence Duration `toml:"silence"`
 	// SnapshotEvery is the number of log entries between snapshots.
 	SnapshotEvery int `toml:"snapshot_every"`
+	// Loads is the number of engines that load at the same time, so that they
+	// share the weight store's rate; 0 sets no bound.
+	Loads int `toml:"loads"`
 }
 
 // Replica names one control replica.
@@ -40,6 +43,8 @@
 	defaultNodeLost      = 2 * time.Second
 	defaultNodeSilence   = 30 * time.Second // three times the longest time between beats
 	defaultSnapshotEvery = 4096
+	defaultLoads         = 8
+	maxLoads             = 1 << 16
 	minHeartbeat         = 5 * time.Millisecond
 	maxElection          = time.Minute
 	maxSnapshotEvery     = 1 << 20
@@ -55,6 +60,7 @@
 		Lost:          Duration(defaultNodeLost),
 		Silence:       Duration(defaultNodeSilence),
 		SnapshotEvery: defaultSnapshotEvery,
+		Loads:         defaultLoads,
 	}
 }
 
@@ -69,6 +75,9 @@
 	c.duration("lost", s.Lost, minCallSilence, time.Minute)
 	c.duration("silence", s.Silence, s.Lost.Std(), maxSilence)
 	c.count("snapshot_every", s.SnapshotEvery, maxSnapshotEvery)
+	if s.Loads != 0 {
+		c.count("loads", s.Loads, maxLoads)
+	}
 	c.count("replicas (count)", len(s.Replicas), maxReplicas)
 	for i, r := range s.Replicas {
 		c.required("replicas.node", r.Node)
--- a/internal/control/saddlecontrol/attend.go
+++ b/internal/control/saddlecontrol/attend.go
@@ -7,7 +7,6 @@
 	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcctx"
 
-	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -36,7 +35,7 @@
 		return err
 	}
 	silence.Reset(s.cfg.Silence)
-	a := newAttendee(fireflysaddle.Role(first.GetMember().GetRole()))
+	a := newAttendee(first.GetMember())
 	if err := s.post(ctx, joinEvent{who: a}); err != nil {
 		return err
 	}
--- a/internal/control/saddlecontrol/attendee.go
+++ b/internal/control/saddlecontrol/attendee.go
@@ -9,6 +9,7 @@
 
 // attendee is a node that attends. Its sent fields belong to the core.
 type attendee struct {
+	node   string
 	role   fireflysaddle.Role
 	notify chan struct{} // of capacity 1: there is something to pull
 
@@ -17,8 +18,8 @@
 	version  uint64 // member version sent
 }
 
-func newAttendee(role fireflysaddle.Role) *attendee {
-	return &attendee{role: role, notify: make(chan struct{}, 1)}
+func newAttendee(m *saddlewire.Member) *attendee {
+	return &attendee{node: m.GetNode(), role: fireflysaddle.Role(m.GetRole()), notify: make(chan struct{}, 1)}
 }
 
 func (a *attendee) wake() {
@@ -41,6 +42,9 @@
 		u.Deployments, u.Drains = c.state.Since(a.revision)
 		u.Placements = c.state.PlacementsSince(a.revision)
 	}
+	if a.role == fireflysaddle.RoleAgent {
+		u.MayLoad = c.mayLoad(now, a.node)
+	}
 	if a.role == fireflysaddle.RoleEntry {
 		u.Members, u.Gone = c.members.since(a.version)
 	}
@@ -50,3 +54,12 @@
 	countUpdates.Add(1)
 	return u
 }
+
+// mayLoad reports whether the engine beside an agent may begin a load. Only a
+// leader with a lease grants one, so that there is one count.
+func (c *core) mayLoad(now time.Time, node string) bool {
+	if !c.members.needsLoad(node) || !c.replica.LeaseValid(now) {
+		return false
+	}
+	return c.grants.Allow(now, node)
+}
--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -191,6 +191,7 @@
 
 func (c *core) beat(now time.Time, m *saddlewire.Member) {
 	countBeats.Add(1)
+	c.grants.Note(now, m.GetNode(), m.GetNeedsLoad(), m.GetLoading())
 	if !c.members.beat(now, m) {
 		return
 	}
--- a/internal/control/saddlecontrol/config.go
+++ b/internal/control/saddlecontrol/config.go
@@ -23,6 +23,7 @@
 	Election      time.Duration
 	Lost          time.Duration // silence after which a node is taken for lost
 	SnapshotEvery int           // log entries between snapshots
+	Loads         int           // engines that load at the same time, 0: without bound
 	Log           zerolog.Logger
 	Timeline      *saddletimeline.Ring
 }
--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlegrant"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlereplica"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestate"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestore"
@@ -29,6 +30,7 @@
 	replica *saddlereplica.Replica
 	state   *saddlestate.State
 	members *memberTable
+	grants  *saddlegrant.Table
 
 	attendees map[*attendee]struct{}
 	pending   map[uint64]pendingCommand // by log index
@@ -71,6 +73,7 @@
 		replica:      replica,
 		state:        state,
 		members:      newMemberTable(),
+		grants:       saddlegrant.New(cfg.Loads, cfg.Lost),
 		attendees:    map[*attendee]struct{}{},
 		pending:      map[uint64]pendingCommand{},
 		peers:        newPeerSet(cfg.Node, cfg.Election),
@@ -213,6 +216,9 @@
 	if c.wasRole == saddlereplica.Leader {
 		c.dropPending()
 	}
+	if role == saddlereplica.Leader {
+		c.grants.Lead(now)
+	}
 	c.wasRole = role
 	c.wasTerm = term
 }
--- a/internal/control/saddlecontrol/members.go
+++ b/internal/control/saddlecontrol/members.go
@@ -105,6 +105,12 @@
 	return members, gone
 }
 
+// needsLoad reports whether a member's engine is to load something.
+func (t *memberTable) needsLoad(node string) bool {
+	rec, ok := t.members[node]
+	return ok && rec.member.GetNeedsLoad()
+}
+
 // all returns the members by name.
 func (t *memberTable) all() []*saddlewire.Member {
 	out := make([]*saddlewire.Member, 0, len(t.members))
--- a/internal/daemon/saddledaemon/control.go
+++ b/internal/daemon/saddledaemon/control.go
@@ -36,6 +36,7 @@
 		Election:      settings.Election.Std(),
 		Lost:          settings.Lost.Std(),
 		SnapshotEvery: settings.SnapshotEvery,
+		Loads:         settings.Loads,
 		Log:           p.log,
 		Timeline:      p.timeline,
 	})
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -28,6 +28,7 @@
 type source struct {
 	connected   bool
 	confirmed   bool
+	mayLoad     bool
 	revision    uint64
 	deployments map[string]*saddlewire.Deployment
 	drains      map[string]*saddlewire.Drain
@@ -60,6 +61,7 @@
 	b.note(s, u)
 	s.connected = true
 	s.confirmed = u.GetConfirmed()
+	s.mayLoad = u.GetMayLoad()
 	if u.GetSnapshot() {
 		s.members = map[string]*saddlewire.Member{}
 	}
@@ -149,11 +151,13 @@
 func (b *Builder) countSources(v *View) {
 	v.Connected = 0
 	v.Confirmed = false
+	v.MayLoad = false
 	for _, s := range b.sources {
 		if !s.connected {
 			continue
 		}
 		v.Connected++
+		v.MayLoad = v.MayLoad || s.mayLoad
 		v.Confirmed = v.Confirmed || (s.confirmed && s.revision == v.Revision)
 	}
 }
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -15,7 +15,8 @@
 	Placements  map[string]*saddlewire.Placement // by target
 	Members     map[string]*saddlewire.Member    // by node
 	Groups      map[string][]*saddlewire.Member
-	Connected   int // replicas heard
+	Connected   int  // replicas heard
+	MayLoad     bool // agents: the leader lets the engine begin a load
 }
 
 // Drained reports whether an operator ordered a target to take no new work.
