--- a/internal/control/saddlestate/claims.go
+++ b/internal/control/saddlestate/claims.go
@@ -35,7 +35,7 @@
 
 // openClaim opens a claim. A claim that exists is returned as it stands, not
 // accepted. Only the next attempt moves an open claim on, and only after the
-// very request that the claim names: whoever asks has the proof that that
+// very request that the claim names: whoever asks has the proof that this
 // request was not run and never will be. Of two that ask at once, the second
 // finds the claim moved. Without a claim any attempt may open one.
 func (s *State) openClaim(open *saddlewire.OpenClaim) *saddlewire.Result {
--- a/internal/entry/saddleentry/attempt.go
+++ b/internal/entry/saddleentry/attempt.go
@@ -29,6 +29,25 @@
 
 func (e *callerGoneError) Unwrap() error { return e.err }
 
+// event is an event of an attempt of a draft or a call.
+type event interface {
+	GetRequest() string
+	GetAttempt() uint32
+	GetIncarnation() uint64
+	GetRefusal() *saddlewire.Refusal
+}
+
+// belongs reports whether an event belongs to an attempt. A later incarnation
+// of the agent may only say that the attempt was meant for the one before: that
+// copy, the only one sent, was not run.
+func belongs(e event, request string, attempt uint32, incarnation fireflysaddle.Incarnation) bool {
+	if e.GetRequest() != request || e.GetAttempt() != attempt {
+		return false
+	}
+	return e.GetIncarnation() == uint64(incarnation) ||
+		e.GetRefusal().GetCode() == string(fireflysaddle.CodeIncarnation)
+}
+
 // strayError says that an event does not belong to the attempt it came for.
 type strayError struct {
 	request string
@@ -119,7 +138,7 @@
 		}
 		watch.heard()
 		s.cfg.Timeline.Observe(time.Now(), e.GetStamp())
-		if e.GetRequest() != d.request || e.GetAttempt() != a.number || e.GetIncarnation() != uint64(head.Incarnation) {
+		if !belongs(e, d.request, a.number, head.Incarnation) {
 			countStrays.Add(1)
 			return nil, &strayError{request: e.GetRequest(), attempt: e.GetAttempt()}
 		}
--- a/internal/entry/saddleentry/claims_test.go
+++ b/internal/entry/saddleentry/claims_test.go
@@ -31,7 +31,7 @@
 		is := is.New(t)
 		first := w.post(t.Context(), "entry-1", "case-1", "case-1", nil)
 		is.Equal(first.kind, "answer")
-		w.killAgent("agent-1")
+		w.killAgent()
 		time.Sleep(5 * time.Second)
 		again := w.post(t.Context(), "entry-2", "case-1", "case-1", nil)
 		is.Equal(again.kind, "answer")
@@ -53,7 +53,7 @@
 		w.on(stepRunning, hangUp)
 		is.Equal(w.post(ctx, "entry-1", "case-1", "case-1", nil).kind, "gone")
 		time.Sleep(5 * time.Second)
-		w.killAgent("agent-1") // only the record is left
+		w.killAgent() // only the record is left
 		time.Sleep(5 * time.Second)
 		is.Equal(w.post(t.Context(), "entry-2", "case-1", "case-1", nil).kind, "answer")
 		is.Equal(w.journal.ofBody("case-1"), 1)
@@ -105,7 +105,7 @@
 	inWorld(t, fireflysaddle.KindService, func(t *testing.T, w *world) {
 		is := is.New(t)
 		w.watch("case-1")
-		w.on(stepClaimed, func() { w.killAgent("agent-1") })
+		w.on(stepClaimed, func() { w.killAgent() })
 		is.Equal(w.post(t.Context(), "entry-1", "case-1", "case-1", nil).kind, "no")
 		w.startAgent("agent-2", 1, fireflysaddle.KindService)
 		time.Sleep(settleWorld)
@@ -120,7 +120,7 @@
 	inWorld(t, fireflysaddle.KindService, func(t *testing.T, w *world) {
 		is := is.New(t)
 		w.watch("case-1")
-		w.on(stepRunning, func() { w.killAgent("agent-1") })
+		w.on(stepRunning, func() { w.killAgent() })
 		is.Equal(w.post(t.Context(), "entry-1", "case-1", "case-1", nil).kind, "unknown")
 		w.startAgent("agent-2", 1, fireflysaddle.KindService)
 		time.Sleep(settleWorld)
@@ -145,7 +145,7 @@
 		is.True(first.took < 2500*time.Millisecond) // answered at its deadline, virtual time
 		is.True(first.retry != "")
 		time.Sleep(10 * time.Second)
-		w.killAgent("agent-1") // only the record is left
+		w.killAgent() // only the record is left
 		time.Sleep(5 * time.Second)
 		is.Equal(w.post(t.Context(), "entry-2", "case-1", "case-1", nil).kind, "answer")
 		is.Equal(w.journal.ofBody("case-1"), 1)
--- a/internal/entry/saddleentry/drafts_test.go
+++ b/internal/entry/saddleentry/drafts_test.go
@@ -40,7 +40,7 @@
 	inWorld(t, fireflysaddle.KindEngine, func(t *testing.T, w *world) {
 		is := is.New(t)
 		w.watch("form")
-		w.on(stepRunning, func() { w.killAgent("agent-1") })
+		w.on(stepRunning, func() { w.killAgent() })
 		out, _ := w.draft(t.Context(), "entry-1", "form", 4, nil)
 		is.Equal(w.journal.ofBody("form"), 1)
 		is.Equal(out.kind, "unknown")
@@ -53,7 +53,7 @@
 	inWorld(t, fireflysaddle.KindService, func(t *testing.T, w *world) {
 		is := is.New(t)
 		w.watch("case-1")
-		w.on(stepRunning, func() { w.killAgent("agent-1") })
+		w.on(stepRunning, func() { w.killAgent() })
 		out := w.do(t.Context(), "entry-1", "GET", "/services/"+deskGroup+"/cases", "", "case-1", nil)
 		is.Equal(w.journal.ofBody("case-1"), 1)
 		is.Equal(out.kind, "unknown")
--- a/internal/entry/saddleentry/failure.go
+++ b/internal/entry/saddleentry/failure.go
@@ -50,9 +50,25 @@
 	return &failure{Code: code, Message: message, Ran: fireflysaddle.RanNo, RetryAfter: retry}
 }
 
-// notRunBy turns a refusal into the caller's answer.
+// notRunBy turns a refusal into the caller's answer. It says when to come back
+// wherever waiting helps.
 func notRunBy(err *fireflysaddle.RefusedError) *failure {
-	return notRun(err.Code, err.Message, err.RetryAfter)
+	f := notRun(err.Code, err.Message, err.RetryAfter)
+	if f.RetryAfter == 0 && waitingHelps(err.Code) {
+		f.RetryAfter = noTargetRetry
+	}
+	return f
+}
+
+func waitingHelps(code fireflysaddle.Code) bool {
+	switch code {
+	case fireflysaddle.CodeDeadline, fireflysaddle.CodeDuplicate, fireflysaddle.CodeIncarnation,
+		fireflysaddle.CodeLeaving, fireflysaddle.CodeNoMajority, fireflysaddle.CodeNoTarget,
+		fireflysaddle.CodeNotReady, fireflysaddle.CodeOverloaded, fireflysaddle.CodeSealed,
+		fireflysaddle.CodeStale, fireflysaddle.CodeUnreachable, fireflysaddle.CodeWrongTarget:
+		return true
+	}
+	return false
 }
 
 // status returns the HTTP status of a failure.
--- a/internal/entry/saddleentry/target_test.go
+++ b/internal/entry/saddleentry/target_test.go
@@ -153,13 +153,13 @@
 	}
 	n := d.w.journal.add(execution{request: string(c.Request), body: body})
 	d.w.at(stepRunning, body)
+	d.w.awaitRelease(body)
 	select {
 	case <-time.After(callTime + d.delay):
 	case <-reset:
 		return fireflysaddle.Answer{}, d.fail(errTargetGone)
 	case <-ctx.Done():
 		return fireflysaddle.Answer{}, d.fail(ctx.Err())
-	case <-d.w.occupied(body):
 	}
 	d.reaches()
 	d.w.answering(body)
--- a/internal/entry/saddleentry/trycall.go
+++ b/internal/entry/saddleentry/trycall.go
@@ -73,7 +73,7 @@
 		}
 		watch.heard()
 		s.cfg.Timeline.Observe(time.Now(), e.GetStamp())
-		if e.GetRequest() != c.request || e.GetAttempt() != number || e.GetIncarnation() != uint64(stage.Incarnation) {
+		if !belongs(e, c.request, number, stage.Incarnation) {
 			countStrays.Add(1)
 			return nil, nil, &strayError{request: e.GetRequest(), attempt: e.GetAttempt()}
 		}
--- a/internal/entry/saddleentry/watch.go
+++ b/internal/entry/saddleentry/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
 )
 
 // errSilent says that an agent sent nothing, not even a heartbeat, for the
@@ -31,8 +33,13 @@
 // heard notes that the other side sent something.
 func (w *watch) heard() { w.timer.Reset(w.silence) }
 
-// cause returns why a call ended: silence, the deadline, or the given error.
+// cause returns why a call ended: silence, the deadline, or the given error. A
+// proof that nothing was sent goes before.
 func (w *watch) cause(err error) error {
+	var unsent *fireflysaddle.NotSentError
+	if errors.As(err, &unsent) {
+		return err
+	}
 	if cause := context.Cause(w.ctx); cause != nil {
 		return cause
 	}
--- a/internal/entry/saddleentry/world_test.go
+++ b/internal/entry/saddleentry/world_test.go
@@ -17,7 +17,6 @@
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/agent/saddleagent"
 	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleentry"
-	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleannounce"
 )
 
@@ -59,7 +58,6 @@
 	mu       sync.Mutex
 	hooks    map[step]func() // called once
 	watched  string          // key and body of the request under test
-	answered bool            // its target has answered
 	onToken  func(n int)
 	occupant chan struct{}
 }
@@ -180,10 +178,11 @@
 	return w.agents[name]
 }
 
-func (w *world) killAgent(name string) {
-	a := w.agent(name)
+// killAgent kills the process of agent-1.
+func (w *world) killAgent() {
+	a := w.agent("agent-1")
 	a.targets.kill()
-	w.net.kill(name)
+	w.net.kill("agent-1")
 	a.cancel()
 	a.targets.thaw()
 }
@@ -291,16 +290,14 @@
 	return sync.OnceFunc(func() { close(w.occupant) })
 }
 
-// occupied returns a channel that keeps an occupant's call running, or one that
-// never ends another's.
-func (w *world) occupied(body string) <-chan struct{} {
+// awaitRelease keeps the occupant's call running until it is released.
+func (w *world) awaitRelease(body string) {
 	w.mu.Lock()
 	occupant := w.occupant
 	w.mu.Unlock()
 	if body == occupantKey && occupant != nil {
 		<-occupant
 	}
-	return nil
 }
 
 // awaitQueued waits until agent-1's heartbeats say that a request waits.
@@ -369,4 +366,13 @@
 	return out
 }
 
-var _ saddlelink.Network = (*port)(nil)
+// later calls a function after some time, unless the world has ended.
+func (w *world) later(after time.Duration, do func()) {
+	w.run(func(ctx context.Context) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(after):
+			do()
+		}
+	})
+}
