--- a/internal/agent/saddleagent/draft.go
+++ b/internal/agent/saddleagent/draft.go
@@ -28,6 +28,7 @@
 	case err != nil:
 		return out.end(b, err)
 	}
+	out.target = b
 	ctx, cancel := context.WithTimeout(stream.Context(), budget(in.GetTicket()))
 	defer cancel()
 	go beats(ctx, out.beat)
@@ -62,6 +63,7 @@
 			Attempt:   t.GetAttempt(),
 			Priority:  t.GetPriority(),
 			Chain:     in.GetChain(),
+			Spares:    in.GetSpares(),
 			Prompt:    in.GetPrompt(),
 			Given:     in.GetGiven(),
 			MaxTokens: in.GetMaxTokens(),
--- a/internal/entry/saddleentry/attempt.go
+++ b/internal/entry/saddleentry/attempt.go
@@ -17,7 +17,8 @@
 type attempt struct {
 	number uint32
 	chain  saddlechain.Chain
-	given  []string // tokens that the caller has
+	spares []saddlechain.Stage // for the chain's head to replace lost stages with
+	given  []string            // tokens that the caller has
 }
 
 // callerGoneError says that the caller takes no more of its answer.
@@ -63,7 +64,11 @@
 	countAttempts.Add(1)
 	head := a.chain.Head()
 	s.note(time.Now(), "draft_attempt", d.caller, a.number, head.Target)
-	load, err := s.streamDraft(ctx, d, a, take)
+	var pace pace
+	load, err := s.streamDraft(ctx, d, a, func(text string) error {
+		pace.token(time.Now())
+		return take(text)
+	})
 	atFault := culprit(ctx, err, head.Target)
 	if atFault != "" {
 		avoid[atFault] = true
@@ -73,6 +78,7 @@
 		result := saddleroute.Result{Outcome: outcomeOf(stage.Target, atFault, err)}
 		if stage.Target == head.Target {
 			result.Load = load
+			result.Rate = pace.rate()
 		}
 		s.router.Done(now, stage, result)
 	}
@@ -123,6 +129,7 @@
 		Ticket:    s.ticket(time.Now(), d.caller, a.number, head.Incarnation),
 		Model:     d.model,
 		Chain:     wireChain(a.chain),
+		Spares:    wireStages(a.spares),
 		Prompt:    d.prompt,
 		Given:     a.given,
 		MaxTokens: d.maxTokens - uint32(len(a.given)),
@@ -155,6 +162,8 @@
 			if err := take(event.Token.GetText()); err != nil {
 				return nil, err
 			}
+		case *saddlewire.DraftEvent_Beat:
+			s.router.Report(time.Now(), head.Target, e.GetLoad())
 		case *saddlewire.DraftEvent_Refusal:
 			return e.GetLoad(), refusedBy(event.Refusal)
 		case *saddlewire.DraftEvent_Fault:
@@ -179,8 +188,12 @@
 }
 
 func wireChain(chain saddlechain.Chain) []*saddlewire.Stage {
-	out := make([]*saddlewire.Stage, 0, chain.Len())
-	for _, s := range chain.Stages() {
+	return wireStages(chain.Stages())
+}
+
+func wireStages(stages []saddlechain.Stage) []*saddlewire.Stage {
+	out := make([]*saddlewire.Stage, 0, len(stages))
+	for _, s := range stages {
 		out = append(out, &saddlewire.Stage{
 			Target:      string(s.Target),
 			Address:     s.Address,
--- a/internal/link/saddlelink/dial.go
+++ b/internal/link/saddlelink/dial.go
@@ -26,5 +26,5 @@
 	if err != nil {
 		return nil, &fireflysaddle.NotSentError{Address: address, Err: err}
 	}
-	return drpcconn.NewWithOptions(c, drpcconn.Options{Manager: managerOptions()}), nil
+	return Over(c), nil
 }
--- a/internal/link/saddlelink/network.go
+++ b/internal/link/saddlelink/network.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net"
-
-	"storj.io/drpc/drpcmanager"
-	"storj.io/drpc/drpcwire"
 )
 
 // Network opens listeners and connections. Implementations are safe for
@@ -36,11 +33,3 @@
 	}
 	return n
 }
-
-// maxMessage bounds one message, bytes: the largest body that the settings
-// allow and what goes with it.
-const maxMessage = 80 << 20
-
-func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
-}
