--- a/internal/pipeline/saddlestage/driver.go
+++ b/internal/pipeline/saddlestage/driver.go
@@ -108,10 +108,14 @@
 		err    error
 	}
 	done := make(chan answer, 1)
-	go func() {
+	h.r.table.begin(h.session)
+	h.r.spawn(func() {
 		result, err := engine.Step(ctx, step)
+		if _, forget := h.r.table.next(h.session); forget {
+			h.r.forget(h.k)
+		}
 		done <- answer{result: result, err: err}
-	}()
+	})
 	tick := time.NewTicker(h.r.cfg.Probe)
 	defer tick.Stop()
 	for {
@@ -126,6 +130,8 @@
 			return a.result, nil
 		case <-ctx.Done():
 			return fireflysaddle.StepResult{}, ctx.Err()
+		case <-h.r.ctx.Done():
+			return fireflysaddle.StepResult{}, h.r.ctx.Err()
 		case <-tick.C:
 			if h.r.cfg.Engine() == nil {
 				return fireflysaddle.StepResult{}, &LostError{Target: h.r.cfg.Target(), Reason: errNoEngine.Error()}
--- a/internal/pipeline/saddlestage/faults_test.go
+++ b/internal/pipeline/saddlestage/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,26 +58,83 @@
 	}
 }
 
-// The same frame again, an older one, and one from before a position that is
-// still due harm nothing.
-func TestDuplicateAndReorderedFramesAreDropped(t *testing.T) {
-	virtually(t, func(t *testing.T) {
-		f := newFleet(t, 3, nil)
-		defer f.close()
-		f.stages[2].engine.BeforePosition(func(p uint32) {
-			for _, position := range []uint32{p, p + 1, 0} {
-				f.stages[1].runner.Take(time.Now(), &saddlewire.Frame{
-					Kind: saddlewire.Frame_STEP, Request: "r1", Attempt: 1, Index: 1,
-					Position: position, Count: 1, Activation: make([]byte, 8),
+// The same frame again, and an older one, are dropped without a word; one that
+// leaves positions out is reported, and runs nothing.
+func TestDuplicateAndReorderedFrames(t *testing.T) {
+	frames := map[string]struct {
+		offset int // from the position that the stage ran
+		fault  bool
+	}{
+		"the same again": {offset: 0},
+		"an older one":   {offset: -1},
+		"one too early":  {offset: 2, fault: true},
+	}
+	for name, c := range frames {
+		t.Run(name, func(t *testing.T) {
+			virtually(t, func(t *testing.T) {
+				f := newFleet(t, 3, nil)
+				defer f.close()
+				f.stages[2].at(midway, func() {
+					f.stages[1].runner.Take(time.Now(), stepFrame(midway+c.offset, 0))
+					f.stages[0].runner.Take(time.Now(), &saddlewire.Frame{
+						Kind: saddlewire.Frame_TOKEN, Request: "r1", Attempt: 1, Count: 1, Position: midway - 1, Token: " stray",
+					})
 				})
-			}
-			f.stages[0].runner.Take(time.Now(), &saddlewire.Frame{
-				Kind: saddlewire.Frame_TOKEN, Request: "r1", Attempt: 1, Count: 1, Position: p - 1, Token: " stray",
+				r := f.run(t.Context())
+				f.judge(t, r)
+				is := is.New(t)
+				is.Equal(r.attempts, uint32(1))
+				is.Equal(f.stages[1].faults() > 0, c.fault)
+				is.NoErr(saddlestandin.CheckOrder(f.journal.All()))
 			})
 		})
-		r := f.run(t.Context())
+	}
+}
+
+// stepFrame returns a step with a wrong activation for stage 1.
+func stepFrame(position int, repair uint32) *saddlewire.Frame {
+	return &saddlewire.Frame{
+		Kind: saddlewire.Frame_STEP, Request: "r1", Attempt: 1, Index: 1, Repair: repair,
+		Position: uint32(position), Count: 1, Activation: make([]byte, 8),
+	}
+}
+
+// A link that breaks is dialled anew and its last frame sent again, without
+// the head's help: it would ask after an hour only.
+func TestBrokenLinkIsMendedByItsSender(t *testing.T) {
+	for stage := range 3 {
+		virtually(t, func(t *testing.T) {
+			f := newFleet(t, 3, func(cfg *saddlestage.Config) { cfg.Probe = time.Hour })
+			defer f.close()
+			from, to := f.stages[stage], f.stages[(stage+1)%3]
+			from.at(midway, func() {
+				time.Sleep(silence) // the link has carried heartbeats
+				f.net.Silence(from.info.GetAddress(), to.info.GetAddress())
+			})
+			began := time.Now()
+			r := f.run(t.Context())
+			f.judge(t, r)
+			is.New(t).True(time.Since(began) < budget)
+		})
+	}
+}
+
+// A receiver ends a link whose sender has gone without a word.
+func TestReceiverEndsASilentLink(t *testing.T) {
+	virtually(t, func(t *testing.T) {
 		is := is.New(t)
-		is.Equal(r.got[:1], f.expected()[:1])
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		conn, err := f.stages[0].dial(t.Context(), "stage-1")
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		stream, err := saddlewire.NewDRPCAgentClient(conn).Hop(t.Context())
+		is.NoErr(err)
+		began := time.Now()
+		for err == nil {
+			_, err = stream.Recv()
+		}
+		is.Equal(time.Since(began), silence)
 	})
 }
 
@@ -135,35 +193,48 @@
 }
 
 // A step that is under way when its session closes is cancelled, and the
-// engine keeps nothing of it.
+// engine keeps nothing of it, even one that cannot be interrupted.
 func TestStepEndsWithItsSession(t *testing.T) {
-	virtually(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(t, 3, nil)
-		defer f.close()
-		f.stages[1].engine.Freeze()
-		ctx, cancel := context.WithTimeout(t.Context(), probe/2)
-		defer cancel()
-		is.True(errors.Is(f.drive(ctx, func(string) error { return nil }), context.DeadlineExceeded))
-		time.Sleep(probe)
-		f.stages[1].engine.Thaw()
-		time.Sleep(probe)
-		is.Equal(f.stages[1].engine.Held(), 0)
-		is.Equal(len(f.journal.All()), 5) // the head's prefill only
-	})
+	for stage := range 2 {
+		for _, stubborn := range []bool{false, true} {
+			t.Run(fmt.Sprintf("stage %d, stubborn: %t", stage, stubborn), func(t *testing.T) {
+				virtually(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(t, 3, nil)
+					defer f.close()
+					f.stages[stage].stubborn.Store(stubborn)
+					f.stages[stage].engine.Freeze()
+					ctx, cancel := context.WithTimeout(t.Context(), probe/2)
+					defer cancel()
+					began := time.Now()
+					is.True(errors.Is(f.drive(ctx, func(string) error { return nil }), context.DeadlineExceeded))
+					is.Equal(time.Since(began), probe/2) // at once
+					time.Sleep(probe)
+					f.stages[stage].engine.Thaw()
+					time.Sleep(probe)
+					is.Equal(f.stages[stage].engine.Held(), 0)
+					is.Equal(f.ran(f.stages[stage].info.GetTarget()), stubborn)
+				})
+			})
+		}
+	}
 }
 
-func TestCallerGoneEndsTheHeadsOwnStep(t *testing.T) {
+// The head's engine answers no more, and its agent has noticed.
+func TestFrozenHeadEngineEndsTheAttempt(t *testing.T) {
 	virtually(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 3, nil)
 		defer f.close()
 		f.stages[0].engine.Freeze()
-		ctx, cancel := context.WithTimeout(t.Context(), probe/2)
-		defer cancel()
+		time.AfterFunc(probe/2, func() { f.stages[0].dead.Store(true) })
 		began := time.Now()
-		is.True(errors.Is(f.drive(ctx, func(string) error { return nil }), context.DeadlineExceeded))
-		is.Equal(time.Since(began), probe/2)
+		err := f.drive(t.Context(), func(string) error { return nil })
+		var lost *saddlestage.LostError
+		is.True(errors.As(err, &lost))
+		is.Equal(lost.Target, fireflysaddle.TargetID("stage-0"))
+		is.Equal(time.Since(began), probe)
+		f.stages[0].engine.Thaw()
 	})
 }
 
@@ -188,6 +259,9 @@
 		var got []string
 		err := f.drive(t.Context(), func(text string) error { got = append(got, text); return nil })
 		f.judge(t, run{got: got, err: err})
+		for _, a := range f.stages {
+			is.New(t).Equal(a.faults(), 0)
+		}
 	})
 }
 
--- a/internal/pipeline/saddlestage/fleet_test.go
+++ b/internal/pipeline/saddlestage/fleet_test.go
@@ -59,6 +59,30 @@
 	leaving atomic.Bool
 	// stranded is set for an agent that nobody can ask any more.
 	stranded atomic.Bool
+	// stubborn is set for an engine that ends its steps though they are cancelled.
+	stubborn atomic.Bool
+	timeline *saddletimeline.Ring
+}
+
+// stubbornEngine cannot be interrupted in a step.
+type stubbornEngine struct {
+	fireflysaddle.Engine
+}
+
+// Step runs a step to its end.
+func (e stubbornEngine) Step(ctx context.Context, s fireflysaddle.Step) (fireflysaddle.StepResult, error) {
+	return e.Engine.Step(context.WithoutCancel(ctx), s)
+}
+
+// faults counts the faults that the agent reported.
+func (a *agent) faults() int {
+	n := 0
+	for _, e := range a.timeline.Events() {
+		if e.Name == "stage_fault" {
+			n++
+		}
+	}
+	return n
 }
 
 func newFleet(t *testing.T, stages int, settle func(*saddlestage.Config)) *fleet {
@@ -93,6 +117,7 @@
 }
 
 func (a *agent) start() {
+	a.timeline = saddletimeline.NewRing(a.info.GetTarget(), 1024)
 	cfg := saddlestage.Config{
 		Self:        a.info.GetAddress(),
 		Incarnation: fireflysaddle.Incarnation(a.info.GetIncarnation()),
@@ -101,7 +126,7 @@
 		Accepting:   func() bool { return !a.dead.Load() && !a.leaving.Load() },
 		Probe:       probe,
 		Silence:     silence,
-		Timeline:    saddletimeline.NewRing(a.info.GetTarget(), 16),
+		Timeline:    a.timeline,
 		ExportEvery: 4,
 		BufferBytes: 1 << 20,
 		Dial:        a.dial,
@@ -139,6 +164,9 @@
 	if a.dead.Load() {
 		return nil
 	}
+	if a.stubborn.Load() {
+		return stubbornEngine{Engine: a.engine}
+	}
 	return a.engine
 }
 
--- a/internal/pipeline/saddlestage/recovery_test.go
+++ b/internal/pipeline/saddlestage/recovery_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/pipeline/saddlestage"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlestandin"
 )
 
 const recoveryStages = 4
@@ -42,6 +43,9 @@
 		"engine":   func(a *agent) { a.killEngine() },
 		"stranded": func(a *agent) { a.strand() },
 	}
+	// A dead agent or engine shows at its neighbours; the head needs no probe.
+	rarely := func(cfg *saddlestage.Config) { cfg.Probe = budget / 2 }
+	settings := map[string]func(*saddlestage.Config){"agent": rarely, "engine": rarely}
 	for name, lose := range losses {
 		for victim := 1; victim < recoveryStages; victim++ {
 			for worker := range recoveryStages {
@@ -49,10 +53,12 @@
 					t.Run(fmt.Sprintf("%s %d while %d runs %d", name, victim, worker, position), func(t *testing.T) {
 						t.Parallel()
 						virtually(t, func(t *testing.T) {
-							f := withSpares(t, 1, nil)
+							f := withSpares(t, 1, settings[name])
 							defer f.close()
 							f.stages[worker].at(position, func() { lose(f.stages[victim]) })
+							began := time.Now()
 							r := f.run(t.Context())
+							is.New(t).True(time.Since(began) < budget/2)
 							f.judge(t, r)
 							is.New(t).Equal(r.attempts, uint32(1)) // no restart
 						})
@@ -132,6 +138,94 @@
 	}
 }
 
+// A replacement starts from the last export and runs the positions since; no
+// other stage runs anything again.
+func TestReplacementRunsThePositionsSinceTheExport(t *testing.T) {
+	for victim := 1; victim < recoveryStages; victim++ {
+		virtually(t, func(t *testing.T) {
+			is := is.New(t)
+			f := withSpares(t, 1, nil)
+			defer f.close()
+			f.stages[victim].at(11, func() { f.stages[victim].killEngine() })
+			f.judge(t, f.run(t.Context()))
+			begun := f.executions(f.spares[victim])
+			is.True(begun[0].Imported)
+			is.Equal(begun[0].Position, uint32(9)) // exports after the prefill of 5 and 4 more
+			is.Equal(len(begun), 1+3)              // the import, 9 and 10 again, and 11
+		})
+	}
+}
+
+func (f *fleet) executions(a *agent) []saddlestandin.Execution {
+	var out []saddlestandin.Execution
+	for _, e := range f.journal.All() {
+		if e.Engine == a.info.GetTarget() {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// A stage exports right after a step and dies before the next one got its
+// outcome: the export brings the outcome along.
+func TestExportBringsTheLastOutcomeAlong(t *testing.T) {
+	for victim := 1; victim < recoveryStages; victim++ {
+		virtually(t, func(t *testing.T) {
+			f := withSpares(t, 1, func(cfg *saddlestage.Config) { cfg.ExportEvery = 1 })
+			defer f.close()
+			a := f.stages[victim]
+			a.at(midway-1, func() { // the step after this one is not exported
+				f.net.Silence(a.info.GetAddress(), f.stages[(victim+1)%recoveryStages].info.GetAddress())
+				time.AfterFunc(silence/4, a.kill)
+			})
+			r := f.run(t.Context())
+			f.judge(t, r)
+			is := is.New(t)
+			is.Equal(r.attempts, uint32(1))
+			is.Equal(f.executions(f.spares[victim])[0].Position, uint32(midway))
+		})
+	}
+}
+
+// A replacement that is slow to reach gets its cache once.
+func TestReplacementOverASlowLinkIsRestoredOnce(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		is := is.New(t)
+		f := withSpares(t, 1, nil)
+		defer f.close()
+		f.net.Delay("stage-1", "spare-2-of-2", 450*time.Millisecond)
+		f.stages[2].at(midway, func() { go f.stages[2].kill() })
+		r := f.run(t.Context())
+		f.judge(t, r)
+		is.Equal(r.attempts, uint32(1))
+		imports := 0
+		for _, e := range f.executions(f.spares[2]) {
+			if e.Imported {
+				imports++
+			}
+		}
+		is.Equal(imports, 1)
+	})
+}
+
+// A stage that was replaced goes on for a while: what it hands on is dropped.
+func TestFramesOfAReplacedStageAreDropped(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		is := is.New(t)
+		f := withSpares(t, 2, nil)
+		defer f.close()
+		f.stages[0].at(6, func() { go f.stages[1].kill() })
+		f.stages[3].at(9, func() {
+			frame := stepFrame(10, 0) // the next position, as the lost stage might have sent it
+			frame.Index = 2
+			f.stages[2].runner.Take(time.Now(), frame)
+		})
+		r := f.run(t.Context())
+		f.judge(t, r)
+		is.Equal(r.attempts, uint32(1))
+	})
+}
+
 // The same stage is lost again and again.
 func TestStageLostTwiceInARow(t *testing.T) {
 	virtually(t, func(t *testing.T) {
--- a/internal/pipeline/saddlestage/table.go
+++ b/internal/pipeline/saddlestage/table.go
@@ -154,6 +154,13 @@
 	return t.enqueue(s, f), nil
 }
 
+// begin notes that the head runs a step of its own; next notes its end.
+func (t *table) begin(s *session) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.running = true
+}
+
 // next returns the next frame for a session's worker. Without one the worker
 // ends; forget says that it must drop the engine's state first.
 func (t *table) next(s *session) (f *saddlewire.Frame, forget bool) {
