--- a/internal/agent/saddlequeue/queue_test.go
+++ b/internal/agent/saddlequeue/queue_test.go
@@ -263,3 +263,52 @@
 	is.True(!ok)
 	is.Equal(q.Expired(epoch.Add(time.Hour)), nil)
 }
+
+func TestADeadlineIsCheckedAgainstMoreThanTheMeanWhereTimesVary(t *testing.T) {
+	is := is.New(t)
+	q := saddlequeue.New(1, time.Hour, rate)
+	now := epoch
+	for n := range 40 { // half a second and one and a half in turn, one on average
+		offer(t, q, now, demand(fmt.Sprint(n), "w"))
+		id, _ := q.Next(now)
+		now = now.Add(time.Duration(n%2)*time.Second + time.Second/2)
+		q.Finish(now, id)
+	}
+	d := demand("tight", "w")
+	d.Deadline = now.Add(1200 * time.Millisecond)
+	is.Equal(refusal(t, q.Offer(now, d)).Code, fireflysaddle.CodeDeadline)
+	d.Deadline = now.Add(3 * time.Second)
+	is.NoErr(q.Offer(now, d))
+}
+
+func TestThePredictedWaitCountsWhatOtherWorkspacesAreDue(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		others  int // requests queued of each of two other workspaces
+		own     int // requests queued of the workspace
+		refused bool
+	}{
+		{"short queues of the others", 1, 3, false},
+		{"long queues of the others", 20, 3, true},
+		{"long queues of the others, none of its own", 20, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			q := saddlequeue.New(1, 8500*time.Millisecond, rate)
+			offer(t, q, epoch, demand("runs", "first"))
+			q.Next(epoch)
+			for _, w := range []fireflysaddle.Workspace{"first", "second"} {
+				for n := range c.others {
+					d := demand(fmt.Sprintf("%s-%d", w, n), w)
+					d.Priority = fireflysaddle.Priority(n) // each goes before those queued
+					offer(t, q, epoch, d)
+				}
+			}
+			for n := range c.own {
+				offer(t, q, epoch, demand(fmt.Sprintf("own-%d", n), "own"))
+			}
+			err := q.Offer(epoch, demand("last", "own"))
+			is.Equal(err != nil, c.refused)
+		})
+	}
+}
--- a/internal/entry/saddleroute/router_test.go
+++ b/internal/entry/saddleroute/router_test.go
@@ -144,25 +144,25 @@
 	is.True(a[2] != b[2])
 }
 
-func TestASlowButAliveTargetLosesItsWork(t *testing.T) {
+func TestATargetThatTurnsSlowButLivesLosesItsWork(t *testing.T) {
 	is := is.New(t)
 	v := view(engine("slow", 0, 2), engine("sound", 0, 2))
 	r := router()
 	chosen := map[fireflysaddle.TargetID]int{}
-	for n := range 200 {
+	for n := range 300 {
 		chain, ok := r.Chain(epoch, v, draft())
 		is.True(ok)
 		id := chain.Head().Target
-		if n >= 100 {
-			chosen[id]++
-		}
 		rate := 20.0
-		if id == "slow" {
+		if n >= 100 && id == "slow" {
 			rate = 1
 		}
+		if n >= 200 {
+			chosen[id]++
+		}
 		r.Done(epoch, chain.Head(), saddleroute.Result{Outcome: saddleretry.Succeeded, Rate: rate})
 	}
-	is.True(chosen["slow"] < 40) // both drawn alike would give 100
+	is.True(chosen["slow"] < 40) // of 100; both alike would give 50
 }
 
 func TestAFailedTargetIsLeftOutButNeverMoreThanHalf(t *testing.T) {
