Nodes follow the control replicas that a confirmed replica names

Cause: after control-replace every node still attended the addresses of its settings. A leader that nodes do not attend hears nobody, and status would say in force on the few it hears; after two replacements a node would hear one replica. After: updates carry the addresses when they change; a node follows them and drops those that are gone.

--- a/internal/control/saddlecontrol/attendee.go
+++ b/internal/control/saddlecontrol/attendee.go
@@ -1,6 +1,7 @@
 package saddlecontrol
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -13,8 +14,9 @@
 	notify chan struct{} // of capacity 1: there is something to pull
 
 	started  bool
-	revision uint64 // configuration revision sent
-	version  uint64 // member version sent
+	revision uint64   // configuration revision sent
+	version  uint64   // member version sent
+	replicas []string // addresses sent; a replica that is not confirmed sends none
 }
 
 func newAttendee(role fireflysaddle.Role) *attendee {
@@ -28,6 +30,15 @@
 	}
 }
 
+// replicaAddresses returns where the control replicas are reached.
+func (c *core) replicaAddresses() []string {
+	var out []string
+	for _, p := range c.replica.Members() {
+		out = append(out, p.GetAddress())
+	}
+	return out
+}
+
 // update returns what the attendee does not know yet. Only entries are told of
 // members: agents choose no targets.
 func (c *core) update(now time.Time, a *attendee) *saddlewire.Update {
@@ -44,6 +55,10 @@
 	if a.role == fireflysaddle.RoleEntry {
 		u.Members, u.Gone = c.members.since(a.version)
 	}
+	if replicas := c.replicaAddresses(); u.GetConfirmed() && !slices.Equal(replicas, a.replicas) {
+		u.Replicas = replicas
+		a.replicas = replicas
+	}
 	a.started = true
 	a.revision = u.GetRevision()
 	a.version = c.members.version
--- a/internal/node/saddleattend/attendant.go
+++ b/internal/node/saddleattend/attendant.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,8 +21,9 @@
 	view   atomic.Pointer[saddleview.View]
 	since  atomic.Int64 // when the view's revision came into force, Unix nanoseconds
 	events chan event
-	wakes  []chan struct{}
 	notify func(*saddleview.View)
+
+	followers followers
 }
 
 // event is an update of a replica, or its loss when update is nil.
@@ -36,9 +36,6 @@
 // from the goroutine that owns it.
 func New(cfg Config, notify func(*saddleview.View)) *Attendant {
 	a := &Attendant{cfg: cfg, events: make(chan event, updateQueue), notify: notify}
-	for range cfg.Controls {
-		a.wakes = append(a.wakes, make(chan struct{}, 1))
-	}
 	a.view.Store(saddleview.NewBuilder().Build())
 	return a
 }
@@ -47,27 +44,21 @@
 func (a *Attendant) View() *saddleview.View { return a.view.Load() }
 
 // Wake sends the next heartbeats at once, for a change that must not wait.
-func (a *Attendant) Wake() {
-	for _, w := range a.wakes {
-		select {
-		case w <- struct{}{}:
-		default:
-		}
-	}
-}
+func (a *Attendant) Wake() { a.followers.wake() }
 
-// Run keeps in touch until the context ends.
+// Run keeps in touch until the context ends: first with the replicas of the
+// settings, then with those that a confirmed replica names, so that a replaced
+// replica needs no new settings on any VM.
 func (a *Attendant) Run(ctx context.Context) error {
-	var wg sync.WaitGroup
-	for i, address := range a.cfg.Controls {
-		wg.Go(func() { a.follow(ctx, address, a.wakes[i]) })
+	defer a.followers.wait()
+	for _, address := range a.cfg.Controls {
+		a.followers.start(ctx, address, a.follow)
 	}
 	a.merge(ctx)
-	wg.Wait()
 	return nil
 }
 
-// merge owns the builder.
+// merge owns the builder and decides whom to follow.
 func (a *Attendant) merge(ctx context.Context) {
 	b := saddleview.NewBuilder()
 	for {
@@ -75,21 +66,34 @@
 		case <-ctx.Done():
 			return
 		case e := <-a.events:
-			take(b, e)
+			a.take(ctx, b, e)
 		}
 		for range len(a.events) {
-			take(b, <-a.events)
+			a.take(ctx, b, <-a.events)
 		}
 		a.publish(b.Build())
 	}
 }
 
-func take(b *saddleview.Builder, e event) {
+// take takes in an event of a replica that is still followed.
+func (a *Attendant) take(ctx context.Context, b *saddleview.Builder, e event) {
+	if !a.followers.has(e.replica) {
+		return
+	}
 	if e.update == nil {
 		b.Lost(e.replica)
 		return
 	}
 	b.Update(e.replica, e.update)
+	if !e.update.GetConfirmed() || len(e.update.GetReplicas()) == 0 {
+		return // one that is cut off may know old replicas only
+	}
+	for _, address := range e.update.GetReplicas() {
+		a.followers.start(ctx, address, a.follow)
+	}
+	for _, gone := range a.followers.stopOthers(e.update.GetReplicas()) {
+		b.Lost(gone)
+	}
 }
 
 func (a *Attendant) publish(v *saddleview.View) {
