--- a/internal/command/saddlectl/replace.go
+++ b/internal/command/saddlectl/replace.go
@@ -43,7 +43,7 @@
 
 func replaceArguments(args []string) (*saddlewire.ReplicaChange, error) {
 	usage := &usageError{reason: "name the old replica, the new one and its address; - for none"}
-	if len(args) < 2 {
+	if len(args) != 3 {
 		return nil, usage
 	}
 	change := &saddlewire.ReplicaChange{}
@@ -51,14 +51,11 @@
 		change.Remove = args[0]
 	}
 	if args[1] == "-" {
-		if len(args) != 2 || change.GetRemove() == "" {
+		if args[2] != "-" || change.GetRemove() == "" {
 			return nil, usage
 		}
 		return change, nil
 	}
-	if len(args) != 3 {
-		return nil, usage
-	}
 	change.Add = args[1]
 	change.Address = args[2]
 	return change, nil
--- a/internal/control/saddlestate/digest.go
+++ b/internal/control/saddlestate/digest.go
@@ -35,6 +35,7 @@
 		put := change.PutPlacement
 		d.text("placement", put.GetTarget(), put.GetGroup(), put.GetVersion(), put.GetRole())
 		d.text(put.GetAdapters()...)
+		d.number(put.GetBase())
 	default:
 		return nil
 	}
