--- a/internal/control/saddlecontrol/attendee.go
+++ b/internal/control/saddlecontrol/attendee.go
@@ -34,7 +34,7 @@
 // replicaAddresses returns where the control replicas are reached.
 func (c *core) replicaAddresses() []string {
 	var out []string
-	for _, p := range c.replica.Members() {
+	for _, p := range c.replica.CommittedMembers() {
 		out = append(out, p.GetAddress())
 	}
 	return out
