--- a/internal/control/saddlecontrol/config.go
+++ b/internal/control/saddlecontrol/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestore"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 )
 
@@ -16,6 +17,7 @@
 	Listen        string
 	Admin         string
 	Data          string
+	Files         saddlestore.FS    // nil: the folder Data
 	Replicas      map[string]string // drpc addresses of a new group, by id
 	Join          bool              // this replica is not one of a new group
 	Silence       time.Duration     // a node that sends no heartbeat for longer is cut off
--- a/internal/control/saddlecontrol/server.go
+++ b/internal/control/saddlecontrol/server.go
@@ -25,7 +25,7 @@
 
 // New opens the data folder and the listener. The clean-up closes both.
 func New(now time.Time, cfg Config) (*Server, func() error, error) {
-	store, loaded, closeStore, err := saddlestore.Open(cfg.Data)
+	store, loaded, closeStore, err := openStore(cfg)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -47,6 +47,13 @@
 	return s, cleanup, nil
 }
 
+func openStore(cfg Config) (*saddlestore.Store, saddlestore.Loaded, func() error, error) {
+	if cfg.Files != nil {
+		return saddlestore.OpenFS(cfg.Files, saddlestore.SegmentBytes)
+	}
+	return saddlestore.Open(cfg.Data)
+}
+
 // Run serves until the context ends. An error of the store ends it at once:
 // nothing that was not stored is acknowledged.
 func (s *Server) Run(ctx context.Context) error {
--- a/internal/control/saddlereplica/faultplan_test.go
+++ b/internal/control/saddlereplica/faultplan_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlereplica"
@@ -33,7 +34,7 @@
 func (p *plan) faults() []func(n *node) string {
 	return []func(n *node) string{
 		p.kill, p.killAtStep, p.killAtOperation, p.isolate, p.oneWay, p.freeze, p.loseDisk, p.isolateLeader, p.freezeLeader,
-		p.cutLink, p.cutLink, p.bounce, p.bounce,
+		p.cutLink, p.cutLink, p.bounce, p.bounce, p.freezeAndCutLeader, p.forgetLeader,
 	}
 }
 
@@ -127,6 +128,37 @@
 	return "bounce"
 }
 
+// freezeAndCutLeader freezes the leader and cuts it off from the other
+// replicas, not from clients. When it goes on, it first answers what clients
+// asked meanwhile.
+func (p *plan) freezeAndCutLeader(*node) string {
+	l := p.w.leader()
+	if l == nil {
+		return "no leader"
+	}
+	p.w.isolate(l.id, true)
+	p.freeze(l)
+	p.w.after(p.w.between(4*time.Second, 5*time.Second), func() { p.w.isolate(l.id, false) })
+	return "leader frozen and cut off"
+}
+
+// forgetLeader cuts the leader off from one follower and restarts another
+// again and again, which answers the leader in between.
+func (p *plan) forgetLeader(n *node) string {
+	l := p.w.leader()
+	others := slices.DeleteFunc(p.members(), func(o *node) bool { return o == l || o == n || o.first == nil || !o.up })
+	if l == nil || l == n || len(others) == 0 {
+		return "no leader forgotten"
+	}
+	routes := []route{{n.id, l.id}, {l.id, n.id}}
+	p.set(routes, true)
+	for i := range 10 {
+		p.w.after(time.Duration(4+i)*150*time.Millisecond, func() { p.bounce(others[0]) })
+	}
+	p.w.after(3*time.Second, func() { p.set(routes, false) })
+	return "leader forgotten"
+}
+
 // oneWay loses what one node sends and lets through what it is sent.
 func (p *plan) oneWay(n *node) string {
 	var routes []route
--- a/internal/control/saddlestore/store.go
+++ b/internal/control/saddlestore/store.go
@@ -10,11 +10,13 @@
 )
 
 const (
-	filePerm     = 0o600
-	dirPerm      = 0o700
-	segmentBytes = 8 << 20 // a segment that is longer is followed by a new one
+	filePerm = 0o600
+	dirPerm  = 0o700
 )
 
+// SegmentBytes is the length after which a segment is followed by a new one.
+const SegmentBytes = 8 << 20
+
 // Store is a replica's files. It is used by one goroutine and implements
 // fireflysaddle.LogStore.
 type Store struct {
@@ -50,7 +52,7 @@
 	if err != nil {
 		return nil, Loaded{}, nil, err
 	}
-	s, loaded, closeFile, err := OpenFS(folder{dir: dir}, segmentBytes)
+	s, loaded, closeFile, err := OpenFS(folder{dir: dir}, SegmentBytes)
 	if err != nil {
 		_ = lock.Close()
 		return nil, Loaded{}, nil, eris.Wrapf(err, "open data folder %s", dir)
