--- a/internal/control/saddlecontrol/disk_test.go
+++ b/internal/control/saddlecontrol/disk_test.go
@@ -93,7 +93,7 @@
 	cfg.Silence = patience
 	stop := run(t, cfg)
 	for range 3 {
-		_, stream := attend(t, cfg)
+		stream := attend(t, cfg)
 		is.NoErr(stream.Send(beat()))
 	}
 	client, closeClient := saddleclient.New([]string{cfg.Listen}, nil)
--- a/internal/control/saddlecontrol/server_test.go
+++ b/internal/control/saddlecontrol/server_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
-	"storj.io/drpc/drpcconn"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclient"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlecontrol"
@@ -75,7 +74,7 @@
 }
 
 // attend opens a connection whose heartbeats the test sends.
-func attend(t *testing.T, cfg saddlecontrol.Config) (*drpcconn.Conn, saddlewire.DRPCControl_AttendClient) {
+func attend(t *testing.T, cfg saddlecontrol.Config) saddlewire.DRPCControl_AttendClient {
 	t.Helper()
 	conn, err := saddlelink.Dial(patient(t), cfg.Listen)
 	if err != nil {
@@ -86,7 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return conn, stream
+	return stream
 }
 
 func beat() *saddlewire.Beat {
@@ -99,13 +98,13 @@
 	is := is.New(t)
 	cfg := config(t)
 	run(t, cfg)
-	_, stream := attend(t, cfg)
+	stream := attend(t, cfg)
 	is.NoErr(stream.Send(beat()))
-	ended := make(chan error, 1)
+	ended := make(chan struct{})
 	go func() {
 		for {
 			if _, err := stream.Recv(); err != nil {
-				ended <- err
+				close(ended)
 				return
 			}
 		}
@@ -122,7 +121,7 @@
 	cfg := config(t)
 	cfg.Silence = patience
 	run(t, cfg)
-	_, stream := attend(t, cfg)
+	stream := attend(t, cfg)
 	for range 4 { // more than two seconds of updates
 		is.NoErr(stream.Send(beat()))
 		_, err := stream.Recv()
@@ -143,7 +142,7 @@
 	is.True(err != nil)
 	_, err = control.Exchange(patient(t), &saddlewire.MessageBatch{Messages: []*saddlewire.Message{nil, {To: "control-1", Type: 99}}})
 	is.NoErr(err)
-	_, stream := attend(t, cfg)
+	stream := attend(t, cfg)
 	is.NoErr(stream.Send(&saddlewire.Beat{}))
 	_, err = stream.Recv()
 	is.True(err != nil) // names no node
--- a/internal/control/saddlereplica/cases_test.go
+++ b/internal/control/saddlereplica/cases_test.go
@@ -121,85 +121,83 @@
 	return died
 }
 
-// All replicas restart after 500 changes, and know what is in force: cleanly,
-// killed at any disk operation while a snapshot is written, or with a follower
-// that missed all of them.
-func TestRestartAfter500Changes(t *testing.T) {
-	const changes = 500
-	prepare := func(t *testing.T, w *world, upTo uint64) {
-		t.Helper()
-		for i := range upTo {
-			r := w.submit(putCommand(fmt.Sprintf("change %d", i+1), "template", i))
-			if !r.GetAccepted() {
-				t.Fatalf("change %d: %v", i+1, r)
-			}
+const changes = 500
+
+// change submits revisions until a number of them is in force.
+func (w *world) change(from, upTo uint64) {
+	w.t.Helper()
+	for i := from; i < upTo; i++ {
+		if r := w.submit(putCommand(fmt.Sprintf("change %d", i+1), "template", i)); !r.GetAccepted() {
+			w.t.Fatalf("change %d: %v", i+1, r)
 		}
 	}
-	restart := func(t *testing.T, w *world) {
-		t.Helper()
-		for _, n := range w.nodes {
-			n.crash()
-		}
-		for _, n := range w.nodes {
-			n.disk.FailAt(0, nil, false)
-			n.start()
-		}
-		w.await("a leader", func() bool { return w.leader() != nil })
-		got := w.leader().state.Templates()[0]
-		if got.GetRevision() != changes || got.GetBody() != bodyStart+fmt.Sprintf("change %d", changes) {
-			t.Fatalf("after the restart revision %d is in force: %s", got.GetRevision(), got.GetBody())
-		}
-		w.await("equal states", func() bool {
-			for _, n := range w.nodes {
-				if n.state.Revision() != w.nodes[0].state.Revision() || n.state.Revision() == 0 {
-					return false
-				}
-			}
-			return true
-		})
-		w.check()
+}
+
+// restartAll kills and restarts all replicas and holds them to all changes.
+func (w *world) restartAll() {
+	w.t.Helper()
+	for _, n := range w.nodes {
+		n.crash()
 	}
-	t.Run("cleanly", func(t *testing.T) {
-		w := newGroup(t, 1)
-		prepare(t, w, changes)
-		restart(t, w)
-	})
-	t.Run("one missed all", func(t *testing.T) {
-		w := newGroup(t, 2)
+	for _, n := range w.nodes {
+		n.disk.FailAt(0, nil, false)
+		n.start()
+	}
+	w.await("a leader", func() bool { return w.leader() != nil })
+	got := w.leader().state.Templates()[0]
+	if got.GetRevision() != changes || got.GetBody() != bodyStart+fmt.Sprintf("change %d", changes) {
+		w.t.Fatalf("after the restart revision %d is in force: %s", got.GetRevision(), got.GetBody())
+	}
+	w.await("equal states", func() bool {
 		for _, n := range w.nodes {
-			if n != w.leader() {
-				w.isolate(n.id, true)
-				defer w.isolate(n.id, false)
-				break
+			if n.state.Revision() != w.nodes[0].state.Revision() || n.state.Revision() == 0 {
+				return false
 			}
 		}
-		prepare(t, w, changes)
-		clear(w.cut)
-		restart(t, w)
+		return true
 	})
-	t.Run("snapshot being written", func(t *testing.T) {
-		written := 0
-		for step := 1; step <= 12; step++ {
-			w := newGroup(t, uint64(step))
-			prepare(t, w, changes-snapshotEvery)
-			leader := w.leader()
-			before := leader.lastSnapshot
-			for i := uint64(changes - snapshotEvery); i < changes; i++ {
-				if leader.up && leader.applied-before == snapshotEvery-1 {
-					// entry and sync, then the snapshot
-					leader.disk.FailAt(leader.disk.Operations()+2+step, saddledisk.ErrCrash, true)
-				}
-				r := w.submit(putCommand(fmt.Sprintf("change %d", i+1), "template", i))
-				is.New(t).True(r.GetAccepted())
-			}
-			if !leader.up {
-				written++
+	w.check()
+}
+
+// All replicas restart after 500 changes and know what is in force.
+func TestRestartAfter500Changes(t *testing.T) {
+	w := newGroup(t, 1)
+	w.change(0, changes)
+	w.restartAll()
+}
+
+// A follower that missed all changes catches up by snapshot.
+func TestRestartAfter500ChangesThatOneMissed(t *testing.T) {
+	w := newGroup(t, 2)
+	w.isolate(follower(w).id, true)
+	w.change(0, changes)
+	clear(w.cut)
+	w.restartAll()
+}
+
+// The leader is killed at each disk operation of a snapshot, then all restart.
+func TestRestartAfter500ChangesWithSnapshotBeingWritten(t *testing.T) {
+	const steps = 12
+	killed := 0
+	for step := 1; step <= steps; step++ {
+		w := newGroup(t, uint64(step))
+		w.change(0, changes-snapshotEvery)
+		leader := w.leader()
+		before := leader.lastSnapshot
+		for i := uint64(changes - snapshotEvery); i < changes; i++ {
+			if leader.up && leader.applied-before == snapshotEvery-1 {
+				// write and sync of the entry, then the snapshot
+				leader.disk.FailAt(leader.disk.Operations()+2+step, saddledisk.ErrCrash, true)
 			}
-			restart(t, w)
+			w.change(i, i+1)
 		}
-		t.Logf("%d of 12 killed", written)
-		is.New(t).True(written > 6)
-	})
+		if !leader.up {
+			killed++
+		}
+		w.restartAll()
+	}
+	t.Logf("%d of %d killed", killed, steps)
+	is.New(t).True(killed > steps/2)
 }
 
 // Two operators submit revisions on an equal base at once, each through any
