--- a/internal/control/saddlereplica/cases_test.go
+++ b/internal/control/saddlereplica/cases_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlereplica"
 	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddledisk"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
@@ -329,3 +330,43 @@
 	}
 	return nil
 }
+
+// A leader that runs is replaced: it leads until its removal is committed, then
+// another does, and the one removed never leads again.
+func TestRunningLeaderIsReplaced(t *testing.T) {
+	is := is.New(t)
+	w := newGroup(t, 6)
+	w.submit(putCommand("before", "template", 0))
+	old := w.leader()
+	w.addNode("d", members())
+	_, err := old.replica.AddReplica(old.local(), "d", "d", old.id)
+	is.NoErr(err)
+	w.await("another leader without the old one", func() bool {
+		l := w.leader()
+		return l != nil && l != old && !member(l, old.id) && voter(l, "d")
+	})
+	is.True(w.submit(putCommand("after", "template", 1)).GetAccepted())
+	for range 20 {
+		w.runFor(election)
+		is.True(old.replica.Role() != saddlereplica.Leader)
+		is.True(w.leader() != nil) // nor does it disturb the others
+	}
+	w.check()
+}
+
+// A replica that joins with an empty disk does not vote, so it cannot help a
+// candidate to lead that lacks what a majority of the voters holds.
+func TestJoiningReplicaWithEmptyDiskDoesNotVote(t *testing.T) {
+	is := is.New(t)
+	r := saddlereplica.New(start, config("d", nil), nil, &saddlewire.Snapshot{}, nil)
+	now := start.Add(2 * election)
+	for _, index := range []uint64{0, 5} {
+		for _, kind := range []saddlewire.Message_Type{saddlewire.Message_PRE_VOTE, saddlewire.Message_VOTE} {
+			r.Step(now, &saddlewire.Message{Type: kind, From: "a", To: "d", Term: 3, Index: index, LogTerm: 2})
+			is.True(!granted(drive(now, r)))
+		}
+	}
+	is.NoErr(r.Err())
+	r.Step(now, &saddlewire.Message{Type: saddlewire.Message_APPEND, From: "a", To: "d", Term: 3, Index: 5, LogTerm: 2})
+	is.True(r.Err() != nil) // the leader counts on its vote: its disk was lost
+}
