--- a/internal/control/saddlereplica/config.go
+++ b/internal/control/saddlereplica/config.go
@@ -22,7 +22,7 @@
 
 const (
 	maxBatch            = 256     // entries of one append message
-	defaultMessageBytes = 1 << 20 // drpc takes messages up to 4 MiB
+	defaultMessageBytes = 1 << 20 // heartbeats wait behind no more than this
 )
 
 func (c *Config) messageBytes() int {
