--- a/internal/agent/saddleledger/ledger.go
+++ b/internal/agent/saddleledger/ledger.go
@@ -88,15 +88,18 @@
 		return rec.state, rec.answer
 	}
 	sealed := &record{state: Sealed, attempt: attempt, keep: now.Add(keep + margin)}
-	if ok {
+	switch {
+	case ok:
 		sealed.attempt = max(attempt, rec.attempt)
 		sealed.keep = later(sealed.keep, rec.keep)
+		if rec.state == Forgotten {
+			sealed.state = Forgotten // sealing it again proves no more
+		}
+	case age >= RanRetention/2:
+		sealed.state = Forgotten
 	}
 	l.records[id] = sealed
-	if !ok && age >= RanRetention/2 {
-		return Forgotten, nil
-	}
-	return Sealed, nil
+	return sealed.state, nil
 }
 
 // Len returns the number of records.
@@ -110,14 +113,15 @@
 	return rec
 }
 
-// sweep drops the records and the answers past their time, now and then.
+// sweep drops the records and the answers past their time, now and then. What
+// waits or runs stays, however late it is.
 func (l *Ledger) sweep(now time.Time) {
 	if now.Sub(l.swept) < sweepEvery {
 		return
 	}
 	l.swept = now
 	for id, rec := range l.records {
-		if rec.state == Running {
+		if rec.state == Running || rec.state == Received {
 			continue
 		}
 		if rec.answer != nil && now.After(rec.answerUntil()) {
--- a/internal/agent/saddleledger/ledger_test.go
+++ b/internal/agent/saddleledger/ledger_test.go
@@ -73,6 +73,33 @@
 	is.Equal(state, saddleledger.Forgotten) // not "sealed": it ran
 }
 
+// A process that was stopped for a while may still hold the request in its
+// queue long after the deadline, when a copy comes.
+func TestWaitingRequestIsNeverForgotten(t *testing.T) {
+	is := is.New(t)
+	l := saddleledger.New()
+	is.NoErr(l.Receive(start, "r", 1, false, start.Add(timeout)))
+	late := start.Add(time.Hour)
+	is.True(isDuplicate(l.Receive(late, "r", 1, false, late.Add(timeout))))
+	is.NoErr(l.Start(late, "r", 1))
+}
+
+// Asking again about a request whose record is gone must not turn "too old to
+// say" into "not run".
+func TestForgottenRequestStaysForgotten(t *testing.T) {
+	is := is.New(t)
+	l := saddleledger.New()
+	for range 3 {
+		state, _ := l.Seal(start, "r", 1, 14*time.Hour, sealKeep)
+		is.Equal(state, saddleledger.Forgotten)
+	}
+	state, _ := l.Seal(start, "r", 1, 0, sealKeep) // whoever asks with another age
+	is.Equal(state, saddleledger.Forgotten)
+	is.True(isDuplicate(l.Receive(start, "r", 1, false, start.Add(timeout))))
+	is.True(isDuplicate(l.Receive(start, "r", 2, false, start.Add(timeout))))
+	is.True(isRefused(l.Start(start, "r", 1)))
+}
+
 func TestRunningRequestIsNeverForgotten(t *testing.T) {
 	is := is.New(t)
 	l := saddleledger.New()
@@ -134,6 +161,7 @@
 	}
 	is.NoErr(l.Receive(start.Add(10*time.Minute), "x", 1, true, start.Add(timeout)))
 	is.Equal(l.Len(), 501) // those that may not be repeated stay
+	l.Refuse("x", 1)       // what waits stays until its wait has ended
 	is.NoErr(l.Receive(start.Add(25*time.Hour), "y", 1, true, start.Add(26*time.Hour)))
 	is.Equal(l.Len(), 1)
 }
--- a/internal/control/saddlereplica/safety_test.go
+++ b/internal/control/saddlereplica/safety_test.go
@@ -171,7 +171,7 @@
 func TestLeaseEndsBeforeOthersMayVote(t *testing.T) {
 	is := is.New(t)
 	r, now := leading(t)
-	is.True(r.LeaseValid(now.Add(election/2)))
+	is.True(r.LeaseValid(now.Add(election / 2)))
 	is.True(!r.LeaseValid(now.Add(election * 9 / 10)))
 
 	b := newReplica("b", three, hard(2), entries(2, 2))
