--- a/internal/agent/saddleagent/ticket.go
+++ b/internal/agent/saddleagent/ticket.go
@@ -73,12 +73,9 @@
 	s.ledger.Refuse(fireflysaddle.RequestID(t.GetRequest()), fireflysaddle.Attempt(t.GetAttempt()))
 }
 
-// demand describes one attempt to the queue. Each attempt has a place of its
-// own: an earlier one may still hold a slot, on a connection that has gone
-// silent.
 func demand(now time.Time, t *saddlewire.Ticket, tokens int) fireflysaddle.Demand {
 	return fireflysaddle.Demand{
-		Request:   fireflysaddle.RequestID(fmt.Sprintf("%s#%d", t.GetRequest(), t.GetAttempt())),
+		Request:   fireflysaddle.RequestID(t.GetRequest()),
 		Workspace: fireflysaddle.Workspace(t.GetWorkspace()),
 		Weight:    t.GetWeight(),
 		Priority:  fireflysaddle.Priority(t.GetPriority()),
--- a/internal/entry/saddleentry/claims_test.go
+++ b/internal/entry/saddleentry/claims_test.go
@@ -60,6 +60,30 @@
 	})
 }
 
+// The caller hangs up while its filing waits in the agent's queue; it is filed
+// all the same, without a resend.
+func TestQueuedFilingGoesOnWhenTheCallerIsGone(t *testing.T) {
+	inWorld(t, fireflysaddle.KindService, func(t *testing.T, w *world) {
+		is := is.New(t)
+		release := w.occupy()
+		ctx, hangUp := context.WithCancel(t.Context())
+		w.watch("case-1")
+		w.run(func(context.Context) {
+			w.awaitQueued()
+			hangUp()
+			time.Sleep(settleWorld)
+			release()
+		})
+		is.Equal(w.post(ctx, "entry-1", "case-1", "case-1", nil).kind, "gone")
+		time.Sleep(5 * time.Second)
+		is.Equal(w.journal.ofBody("case-1"), 1)
+		again := w.post(t.Context(), "entry-2", "case-1", "case-1", nil)
+		is.Equal(again.kind, "answer")
+		is.True(again.replay)
+		is.Equal(w.journal.ofBody("case-1"), 1)
+	})
+}
+
 // The entry dies after the answer and before it is recorded; the caller comes
 // back long after its deadline.
 func TestResendLongAfterTheDeadlineDoesNotRunAgain(t *testing.T) {
@@ -139,7 +163,7 @@
 func TestOutcomeAfterTheDeadlineIsRecorded(t *testing.T) {
 	inWorld(t, fireflysaddle.KindService, func(t *testing.T, w *world) {
 		is := is.New(t)
-		w.agent("agent-1").targets.delay = 5 * time.Second
+		w.firstAgent().targets.delay = 5 * time.Second
 		first := w.post(t.Context(), "entry-1", "case-1", "case-1", map[string]string{"X-Timeout-Ms": "2000"})
 		is.Equal(first.kind, "unknown")
 		is.True(first.took < 2500*time.Millisecond) // answered at its deadline, virtual time
@@ -158,7 +182,7 @@
 	inWorld(t, fireflysaddle.KindService, func(t *testing.T, w *world) {
 		is := is.New(t)
 		answer := bytes.Repeat([]byte("0123456789abcdef"), 6<<20/16)
-		w.agent("agent-1").targets.answer = answer
+		w.firstAgent().targets.answer = answer
 		first := w.post(t.Context(), "entry-1", "case-1", "case-1", nil)
 		is.Equal(first.kind, "answer")
 		is.Equal(len(first.body), len(answer))
--- a/internal/entry/saddleentry/matrix_test.go
+++ b/internal/entry/saddleentry/matrix_test.go
@@ -90,7 +90,7 @@
 	},
 	{
 		name:  "target restarted",
-		do:    func(w *world, _ *filing) { w.agent("agent-1").targets.restart() },
+		do:    func(w *world, _ *filing) { w.firstAgent().targets.restart() },
 		cells: [9]string{"a/a", "a/a", "a/a", "a/a", "u/u", "u/u", "a/a", "a/a", "a/a"},
 	},
 	{
@@ -186,7 +186,7 @@
 }
 
 func freezeTarget(w *world, _ *filing) {
-	g := w.agent("agent-1").targets
+	g := w.firstAgent().targets
 	g.freeze()
 	w.later(faultTime, g.thaw)
 }
--- a/internal/entry/saddleentry/world_test.go
+++ b/internal/entry/saddleentry/world_test.go
@@ -172,15 +172,16 @@
 	})
 }
 
-func (w *world) agent(name string) *agentProcess {
+// firstAgent returns the present incarnation of agent-1.
+func (w *world) firstAgent() *agentProcess {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.agents[name]
+	return w.agents["agent-1"]
 }
 
 // killAgent kills the process of agent-1.
 func (w *world) killAgent() {
-	a := w.agent("agent-1")
+	a := w.firstAgent()
 	a.targets.kill()
 	w.net.kill("agent-1")
 	a.cancel()
