--- a/internal/entry/saddleentry/target_test.go
+++ b/internal/entry/saddleentry/target_test.go
@@ -188,6 +188,7 @@
 	}
 	e.w.journal.add(execution{request: string(g.Request), body: g.Prompt})
 	e.w.at(stepRunning, g.Prompt)
+	e.w.awaitRelease(g.Prompt)
 	for n := range int(g.MaxTokens) {
 		select {
 		case <-time.After(tokenTime):
