--- a/engine.go
+++ b/engine.go
@@ -42,7 +42,7 @@
 	Prompt     string   // first stage, first step
 	Given      []string // first stage, first step: tokens of earlier attempts
 	Token      string   // first stage, later steps
-	Activation []byte   // later stages
+	Activation []byte   // later stages: those of Count positions, one after the other
 	Count      uint32   // later stages: positions in the activation
 }
 
--- /dev/null
+++ b/internal/bench/saddlehops/options.go
@@ -0,0 +1,55 @@
+package saddlehops
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddlefigure"
+)
+
+// options are the flags of a run.
+type options struct {
+	table  string
+	tokens int
+	json   bool
+}
+
+// Run measures and writes the tables.
+func Run(ctx context.Context, args []string, out io.Writer) error {
+	var o options
+	fs := flag.NewFlagSet("hops", flag.ContinueOnError)
+	fs.SetOutput(out)
+	fs.StringVar(&o.table, "table", "", "only this table: hops, streams, recovery")
+	fs.IntVar(&o.tokens, "tokens", 40, "tokens of each request")
+	fs.BoolVar(&o.json, "json", false, "write JSON lines")
+	if err := fs.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return nil
+		}
+		return err
+	}
+	tables := []struct {
+		name    string
+		measure func(context.Context, options) (*saddlefigure.Table, error)
+	}{
+		{"hops", measureHops},
+		{"streams", measureStreams},
+		{"recovery", measureRecovery},
+	}
+	for _, t := range tables {
+		if o.table != "" && o.table != t.name {
+			continue
+		}
+		table, err := t.measure(ctx, o)
+		if err != nil {
+			return fmt.Errorf("%s: %w", t.name, err)
+		}
+		if err := table.Write(out, o.json); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/pipeline/saddlestage/config.go
+++ b/internal/pipeline/saddlestage/config.go
@@ -38,6 +38,7 @@
 
 const (
 	linkQueue    = 4096            // frames waiting for one link
+	replayBytes  = 8 << 20         // activations in one step of a replay
 	linkIdle     = time.Minute     // a link without frames for so long is closed
 	frameBatch   = 256             // frames sent at once
 	batchBytes   = 1 << 20         // a batch takes in no more frames above this size
--- a/internal/pipeline/saddlestage/counters.go
+++ b/internal/pipeline/saddlestage/counters.go
@@ -15,3 +15,6 @@
 	countBufferFull = expvar.NewInt("stage_buffer_full_total")
 	countOrphans    = expvar.NewInt("stage_orphans_dropped_total")
 )
+
+// Exports returns the exports that the runners of this process have sent.
+func Exports() int64 { return countExports.Value() }
--- a/internal/pipeline/saddlestage/recovery_test.go
+++ b/internal/pipeline/saddlestage/recovery_test.go
@@ -156,6 +156,23 @@
 	}
 }
 
+// The positions that a replacement runs again go to its engine in one step;
+// only the step in progress goes by itself.
+func TestReplayedPositionsAreRunInOneStep(t *testing.T) {
+	for victim := 1; victim < recoveryStages; victim++ {
+		virtually(t, func(t *testing.T) {
+			is := is.New(t)
+			f := withSpares(t, 1, func(cfg *saddlestage.Config) { cfg.ExportEvery = 0 })
+			defer f.close()
+			f.stages[victim].at(11, func() { f.stages[victim].killEngine() })
+			var steps []uint32
+			f.spares[victim].engine.BeforePosition(func(p uint32) { steps = append(steps, p) })
+			f.judge(t, f.run(t.Context()))
+			is.Equal(steps, []uint32{0, 11})
+		})
+	}
+}
+
 func (f *fleet) executions(a *agent) []saddlestandin.Execution {
 	var out []saddlestandin.Execution
 	for _, e := range f.journal.All() {
--- a/internal/pipeline/saddlestage/table.go
+++ b/internal/pipeline/saddlestage/table.go
@@ -296,6 +296,7 @@
 	}
 	if f.GetRestore() {
 		t.send(s.after().GetAddress(), s.restoreFrame(now, f.GetResume()))
+		outcomes = merge(outcomes, f.GetResume())
 	}
 	for _, o := range outcomes {
 		countReplayed.Add(int64(o.count))
