--- a/internal/agent/saddleagent/server.go
+++ b/internal/agent/saddleagent/server.go
@@ -40,17 +40,22 @@
 	ledgerMu sync.Mutex
 	ledger   *saddleledger.Ledger
 
-	stopping atomic.Bool
-	active   atomic.Int64 // requests in progress
+	stopping  atomic.Bool
+	needsLoad atomic.Bool  // the engine is to load something
+	active    atomic.Int64 // requests in progress
 }
 
 // New opens the listeners. The clean-up closes them.
 func New(cfg Config) (*Server, func() error, error) {
-	lis, err := net.Listen("tcp", cfg.Listen)
+	cfg.Network = saddlelink.Or(cfg.Network)
+	if cfg.Targets == nil {
+		cfg.Targets = httpTargets{}
+	}
+	lis, err := cfg.Network.Listen(cfg.Listen)
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Listen)
 	}
-	announces, err := net.Listen("tcp", cfg.Announce)
+	announces, err := cfg.Network.Listen(cfg.Announce)
 	if err != nil {
 		_ = lis.Close()
 		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Announce)
@@ -59,7 +64,7 @@
 		cfg:       cfg,
 		lis:       lis,
 		announces: announces,
-		slot:      &slot{queueWait: cfg.QueueWait},
+		slot:      &slot{queueWait: cfg.QueueWait, targets: cfg.Targets},
 		ledger:    saddleledger.New(),
 	}
 	s.attendant = saddleattend.New(saddleattend.Config{
@@ -68,6 +73,7 @@
 		Silence:  cfg.Silence,
 		Member:   s.member,
 		Timeline: cfg.Timeline,
+		Network:  cfg.Network,
 	}, nil)
 	s.stages, s.stopStage = saddlestage.New(saddlestage.Config{
 		Self:        cfg.Advertise,
@@ -168,6 +174,8 @@
 		Leaving:     s.stopping.Load(),
 		Revision:    view.Revision,
 		Confirmed:   view.Confirmed,
+		NeedsLoad:   s.needsLoad.Load(),
+		Loading:     s.slot.carriesOut() != "",
 	}
 	if b, leaving := s.slot.current(); b != nil {
 		m.Target = b.info
--- a/internal/control/saddlecontrol/attendee.go
+++ b/internal/control/saddlecontrol/attendee.go
@@ -1,6 +1,7 @@
 package saddlecontrol
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -9,16 +10,18 @@
 
 // attendee is a node that attends. Its sent fields belong to the core.
 type attendee struct {
+	node   string
 	role   fireflysaddle.Role
 	notify chan struct{} // of capacity 1: there is something to pull
 
 	started  bool
-	revision uint64 // configuration revision sent
-	version  uint64 // member version sent
+	revision uint64   // configuration revision sent
+	version  uint64   // member version sent
+	replicas []string // addresses sent; a replica that is not confirmed sends none
 }
 
-func newAttendee(role fireflysaddle.Role) *attendee {
-	return &attendee{role: role, notify: make(chan struct{}, 1)}
+func newAttendee(m *saddlewire.Member) *attendee {
+	return &attendee{node: m.GetNode(), role: fireflysaddle.Role(m.GetRole()), notify: make(chan struct{}, 1)}
 }
 
 func (a *attendee) wake() {
@@ -28,6 +31,15 @@
 	}
 }
 
+// replicaAddresses returns where the control replicas are reached.
+func (c *core) replicaAddresses() []string {
+	var out []string
+	for _, p := range c.replica.Members() {
+		out = append(out, p.GetAddress())
+	}
+	return out
+}
+
 // update returns what the attendee does not know yet. Only entries are told of
 // members: agents choose no targets.
 func (c *core) update(now time.Time, a *attendee) *saddlewire.Update {
@@ -41,12 +53,28 @@
 		u.Deployments, u.Drains = c.state.Since(a.revision)
 		u.Placements = c.state.PlacementsSince(a.revision)
 	}
+	if a.role == fireflysaddle.RoleAgent {
+		u.MayLoad = c.mayLoad(now, a.node)
+	}
 	if a.role == fireflysaddle.RoleEntry {
 		u.Members, u.Gone = c.members.since(a.version)
 	}
+	if replicas := c.replicaAddresses(); u.GetConfirmed() && !slices.Equal(replicas, a.replicas) {
+		u.Replicas = replicas
+		a.replicas = replicas
+	}
 	a.started = true
 	a.revision = u.GetRevision()
 	a.version = c.members.version
 	countUpdates.Add(1)
 	return u
 }
+
+// mayLoad reports whether the engine beside an agent may begin a load. Only a
+// leader with a lease grants one, so that there is one count.
+func (c *core) mayLoad(now time.Time, node string) bool {
+	if !c.members.needsLoad(node) || !c.replica.LeaseValid(now) {
+		return false
+	}
+	return c.grants.Allow(now, node)
+}
--- a/internal/control/saddlestate/configuration_test.go
+++ b/internal/control/saddlestate/configuration_test.go
@@ -150,3 +150,14 @@
 	}
 	return out
 }
+
+// A resend that read a newer base asks for the same change.
+func TestResendOnNewerBaseGetsFirstResult(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	first := g.accept(putTemplate("r1", "forms", 0, plainBody))
+	again := g.apply(putTemplate("r1", "forms", 1, plainBody))
+	is.True(again.GetAccepted())
+	is.Equal(again.GetIndex(), first.GetIndex())
+	is.Equal(g.state.Templates()[0].GetRevision(), uint64(1))
+}
--- a/internal/control/saddlestate/digest.go
+++ b/internal/control/saddlestate/digest.go
@@ -11,18 +11,17 @@
 )
 
 // digest returns a hash of a change of configuration, the same on all replicas
-// and versions, or nil for any other command.
+// and versions, or nil for any other command. The base revision is left out: a
+// resend may have read a newer one and still asks for the same change.
 func digest(c *saddlewire.Command) []byte {
 	d := digester{hash: sha256.New()}
 	switch change := c.GetChange().(type) {
 	case *saddlewire.Command_PutTemplate:
 		put := change.PutTemplate
 		d.text("template", put.GetName(), put.GetBody())
-		d.number(put.GetBase())
 	case *saddlewire.Command_PutDeployment:
 		put := change.PutDeployment
 		d.text("deployment", put.GetWorkspace(), put.GetTemplate())
-		d.number(put.GetBase())
 		for _, name := range slices.Sorted(maps.Keys(put.GetParameters())) {
 			d.text(name, put.GetParameters()[name])
 		}
@@ -32,6 +31,11 @@
 		if put.GetActive() {
 			d.number(1)
 		}
+	case *saddlewire.Command_PutPlacement:
+		put := change.PutPlacement
+		d.text("placement", put.GetTarget(), put.GetGroup(), put.GetVersion(), put.GetRole())
+		d.text(put.GetAdapters()...)
+		d.number(put.GetBase())
 	default:
 		return nil
 	}
