Demo: a lost stage is replaced within the attempt, and judged as such

Cause: CheckOrder takes no replacement, so the demo failed once recovery worked. It now checks with the lost engine named, as strictly for all others, and that no new attempt began.

--- a/internal/demo/saddledemo/demo.go
+++ b/internal/demo/saddledemo/demo.go
@@ -154,23 +154,27 @@
 }
 
 func (d *demo) draftWhole(ctx context.Context) {
-	d.draft(ctx, "draft on one engine", wholeModel, shortDraft, nil)
+	d.draft(ctx, "draft on one engine", wholeModel, shortDraft)
 }
 
 func (d *demo) draftChain(ctx context.Context) {
-	d.draft(ctx, "draft on a chain of 3", chainModel, shortDraft, nil)
+	d.draft(ctx, "draft on a chain of 3", chainModel, shortDraft)
 }
 
 // loseStage kills a stage that runs the draft.
 func (d *demo) loseStage(ctx context.Context) {
 	killed := ""
-	d.draft(ctx, "draft with a stage lost", chainModel, longDraft, func(tokens int) {
+	asked := "draft with a stage lost"
+	ran := d.draftWith(ctx, asked, chainModel, longDraft, func(tokens int) {
 		if tokens != lossAt {
 			return
 		}
 		killed = d.busyStage()
 		d.fleet.engines[killed].Kill()
 	})
+	d.report.add(asked, "layer by layer", "each layer once per token, in order", saddlestandin.CheckRecovered(ran, killed) == nil)
+	again := slices.ContainsFunc(ran, func(e saddlestandin.Execution) bool { return e.Attempt != ran[0].Attempt })
+	d.report.add(asked, "a spare took over", "the others run nothing twice", !again)
 	d.report.add("kill of a stage", "killed "+killed, "keeps working through lost stages", killed != "")
 }
 
@@ -185,18 +189,22 @@
 	return ""
 }
 
-func (d *demo) draft(ctx context.Context, asked, model string, n int, each func(int)) {
-	if each == nil {
-		each = func(int) {}
-	}
+// draft asks for a draft during which nothing fails.
+func (d *demo) draft(ctx context.Context, asked, model string, n int) {
+	ran := d.draftWith(ctx, asked, model, n, func(int) {})
+	d.report.add(asked, "layer by layer", "each layer once per token, in order", saddlestandin.CheckOrder(ran) == nil)
+}
+
+// draftWith asks for a draft, calls each with the number of tokens so far, and
+// returns what the engines ran.
+func (d *demo) draftWith(ctx context.Context, asked, model string, n int, each func(int)) []saddlestandin.Execution {
 	prompt := "explain the fault in the third course of the wall: " + asked
 	before := len(d.fleet.journal.All())
 	tokens, err := d.caller.draft(ctx, d.fleet.entries[0], model, prompt, n, each)
 	ran := d.fleet.journal.All()[before:]
 	whole := err == nil && slices.Equal(tokens, saddlestandin.Expected(prompt, layers, uint32(n)))
 	d.report.add(asked, fmt.Sprintf("%d positions", len(ran)), "the whole answer to its caller", whole)
-	orderErr := saddlestandin.CheckOrder(ran)
-	d.report.add(asked, "layer by layer", "each layer once per token, in order", orderErr == nil)
+	return ran
 }
 
 // fileOnce files with a key and resends through the other entry.
