--- a/internal/bench/saddlebench/choice.go
+++ b/internal/bench/saddlebench/choice.go
@@ -30,6 +30,8 @@
 	callers float64
 	lag     time.Duration
 	beat    time.Duration
+	events  time.Duration
+	lose    int
 	all     bool
 	length  time.Duration
 	only    string
@@ -47,6 +49,8 @@
 		fs.Float64Var(&s.callers, "callers", 2, "callers for each slot at saturation")
 		fs.DurationVar(&s.lag, "lag", 0, "added lag of load reports")
 		fs.DurationVar(&s.beat, "beat", saddlesim.Default().Beat, "between load reports on requests in progress, 0: reports come with answers only")
+		fs.DurationVar(&s.events, "events", 0, "lag of cache events, 0: entries hear none")
+		fs.IntVar(&s.lose, "lose-events", 0, "every so many cache events one is lost, 0: none")
 		fs.BoolVar(&s.all, "all", false, "compare variants too")
 		fs.DurationVar(&s.length, "length", choiceLength, "virtual length of each run")
 		fs.StringVar(&s.only, "scenario", "", "steady, bursts or saturated only")
@@ -73,8 +77,8 @@
 	fleet := saddleload.Fleet(s.seed, s.engines)
 	t := &saddlefigure.Table{
 		Name: "choice, " + scenario,
-		Settings: fmt.Sprintf("seed %d, %d engines, %d entries, load %.2f, %.1f callers a slot, lag %v, beat %v, %v from %v on",
-			s.seed, s.engines, saddlesim.Default().Entries, s.load, s.callers, s.lag, s.beat, s.length, s.length/warmShare),
+		Settings: fmt.Sprintf("seed %d, %d engines, %d entries, load %.2f, %.1f callers a slot, lag %v, beat %v, cache events after %v less one of %d, %v from %v on",
+			s.seed, s.engines, saddlesim.Default().Entries, s.load, s.callers, s.lag, s.beat, s.events, s.lose, s.length, s.length/warmShare),
 		Columns: []string{"way", "tokens by bound", "first p50 ms", "p95", "p99", "between p95 ms", "prefix hits", "attempts", "refused"},
 	}
 	for _, c := range s.compared() {
@@ -109,6 +113,8 @@
 	cfg.NewChooser = c.make
 	cfg.ReportLag = s.lag
 	cfg.Beat = s.beat
+	cfg.EventLag = s.events
+	cfg.LoseEvents = s.lose
 	cfg.Warm = s.length / warmShare
 	cfg.Length = s.length
 	load := saddleload.Config{
--- a/internal/bench/saddlebench/choosers.go
+++ b/internal/bench/saddlebench/choosers.go
@@ -39,7 +39,7 @@
 		{"predicted, no hints", predictWith(func(s *saddlechoice.Settings) { s.Hints = false })},
 		{"predicted, of 4", predictWith(func(s *saddlechoice.Settings) { s.Draws = 4 })},
 		{"predicted, of 6", predictWith(func(s *saddlechoice.Settings) { s.Draws = 6 })},
-		{"predicted, generation by 0", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 0 })},
+		{"predicted, generation by 0.02", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 0.02 })},
 		{"predicted, generation by 0.05", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 0.05 })},
 		{"predicted, generation by 0.2", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 0.2 })},
 		{"predicted, generation by 1", predictWith(func(s *saddlechoice.Settings) { s.GenerateShare = 1 })},
--- a/internal/bench/saddleload/draw.go
+++ b/internal/bench/saddleload/draw.go
@@ -66,7 +66,7 @@
 	q.PromptTokens = q.SharedTokens + between(d.rand, minOwn, maxOwn)
 	q.MaxTokens = between(d.rand, minMax, maxMax)
 	q.Tokens = max(int(float64(q.MaxTokens)*(minUsed+(1-minUsed)*d.rand.Float64())), 1)
-	q.Prefixes = prefixes(q)
+	q.Prefixes = Prefixes(q.Template, q.SharedTokens)
 	return q
 }
 
@@ -95,12 +95,12 @@
 	return out
 }
 
-// prefixes returns the prefixes of a prompt; those within its shared part are
+// Prefixes returns the prefixes within the shared part of a prompt, which are
 // those of every prompt with that part.
-func prefixes(q Request) []saddleroute.Prefix {
+func Prefixes(template, sharedTokens int) []saddleroute.Prefix {
 	var out []saddleroute.Prefix
-	for n := firstBoundary; n <= q.SharedTokens; n *= 2 {
-		out = append(out, saddleroute.Prefix{Hash: uint64(q.Template)<<32 | uint64(n), Tokens: n})
+	for n := firstBoundary; n <= sharedTokens; n *= 2 {
+		out = append(out, saddleroute.Prefix{Hash: uint64(template)<<32 | uint64(n), Tokens: n})
 	}
 	return out
 }
--- a/internal/bench/saddlesim/cache.go
+++ b/internal/bench/saddlesim/cache.go
@@ -9,6 +9,8 @@
 	used  int
 	order *list.List // of *cached, the latest used first
 	parts map[int]*list.Element
+
+	evicted func(template, tokens int)
 }
 
 type cached struct {
@@ -32,6 +34,9 @@
 		last := c.order.Remove(c.order.Back()).(*cached)
 		delete(c.parts, last.template)
 		c.used -= last.tokens
+		if c.evicted != nil {
+			c.evicted(last.template, last.tokens)
+		}
 	}
 	return false
 }
--- a/internal/bench/saddlesim/config.go
+++ b/internal/bench/saddlesim/config.go
@@ -17,6 +17,8 @@
 	QueueWait  time.Duration // longest predicted wait that agents accept
 	Beat       time.Duration // between load reports on requests in progress, 0: none
 	ReportLag  time.Duration // added to the link of every load report
+	EventLag   time.Duration // of cache events, 0: entries hear none
+	LoseEvents int           // every so many cache events one is lost, 0: none
 	Silence    time.Duration // after which an entry takes an attempt for failed
 	Lost       time.Duration // after which control takes a target for lost
 	Faults     []Fault
--- a/internal/bench/saddlesim/target.go
+++ b/internal/bench/saddlesim/target.go
@@ -32,6 +32,7 @@
 	lost   bool
 	lostAt time.Time
 	slow   float64 // divisor of the rate
+	events int     // cache events so far
 	starts uint64  // incarnations of the agent
 	listed bool    // control knows it
 }
@@ -48,9 +49,31 @@
 	t.lost = false
 	t.queue = saddlequeue.New(t.spec.Slots, t.fleet.cfg.QueueWait, t.spec.Rate)
 	t.cache = newCache(t.spec.CacheLimit)
+	if t.fleet.cfg.EventLag > 0 {
+		t.cache.evicted = t.publish
+	}
 	t.tries = map[fireflysaddle.RequestID]*try{}
 }
 
+// publish sends a cache event to the entries, or loses it: the next one shows
+// the gap.
+func (t *target) publish(template, tokens int) {
+	t.events++
+	every := t.fleet.cfg.LoseEvents
+	if every > 0 && t.events%every == 0 {
+		return
+	}
+	gap := every > 0 && t.events > 1 && (t.events-1)%every == 0
+	t.fleet.clock.After(t.spec.Link+t.fleet.cfg.EventLag, func() {
+		for _, e := range t.fleet.entries {
+			if gap {
+				e.router.CacheGap(t.spec.ID)
+			}
+			e.router.Evicted(t.spec.ID, saddleload.Prefixes(template, tokens))
+		}
+	})
+}
+
 // member returns what control knows of the target.
 func (t *target) member() *saddlewire.Member {
 	group, kind := engineGroup, fireflysaddle.KindEngine
--- a/internal/entry/saddlechoice/settings.go
+++ b/internal/entry/saddlechoice/settings.go
@@ -14,5 +14,5 @@
 
 // DefaultSettings returns the settings that entries use.
 func DefaultSettings() Settings {
-	return Settings{Draws: 2, GenerateShare: 0.02, MissWeight: 1, HalfLife: 2 * time.Second, Hints: true}
+	return Settings{Draws: 2, GenerateShare: 0, MissWeight: 1, HalfLife: 2 * time.Second, Hints: true}
 }
--- a/internal/entry/saddleroute/hints.go
+++ b/internal/entry/saddleroute/hints.go
@@ -62,6 +62,17 @@
 	l[0] = first
 }
 
+// drop removes a target.
+func (l *holders) drop(target fireflysaddle.TargetID) {
+	for i := range l {
+		if l[i].target == target {
+			copy(l[i:], l[i+1:])
+			l[len(l)-1] = holder{}
+			return
+		}
+	}
+}
+
 // of returns the holders of a prefix, nil when there are none.
 func (h *hints) of(prefix uint64) *holders {
 	if list, ok := h.young[prefix]; ok {
--- a/internal/entry/saddleroute/router.go
+++ b/internal/entry/saddleroute/router.go
@@ -159,6 +159,17 @@
 	}
 }
 
+// Evicted notes that a target dropped prefixes from its cache.
+func (r *Router) Evicted(target fireflysaddle.TargetID, prefixes []Prefix) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range prefixes {
+		if list := r.hints.of(p.Hash); list != nil {
+			list.drop(target)
+		}
+	}
+}
+
 // Prune forgets the targets that no view names any more.
 func (r *Router) Prune(view *saddleview.View) {
 	r.mu.Lock()
--- a/internal/entry/saddleroute/router_bench_test.go
+++ b/internal/entry/saddleroute/router_bench_test.go
@@ -32,3 +32,19 @@
 		r.Done(epoch.Add(time.Millisecond), chain.Head(), saddleroute.Result{Outcome: saddleretry.Succeeded})
 	}
 }
+
+// A request that waits for a target asks again and again.
+func BenchmarkNoChainAmong40(b *testing.B) {
+	view := viewOf(40)
+	need := saddleroute.Need{Group: model, Kind: fireflysaddle.KindEngine, Avoid: map[fireflysaddle.TargetID]bool{}}
+	for _, m := range view.Groups[model] {
+		need.Avoid[fireflysaddle.TargetID(m.GetTarget().GetId())] = true
+	}
+	r := saddleroute.New(saddlechoice.NewPredict(rand.New(rand.NewPCG(1, 1))))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := r.Chain(epoch, view, need); ok {
+			b.Fatal("there is a chain")
+		}
+	}
+}
--- a/internal/entry/saddleroute/router_test.go
+++ b/internal/entry/saddleroute/router_test.go
@@ -99,6 +99,7 @@
 		{"soon after", time.Second, nil, true},
 		{"after the hint aged out", 5 * time.Minute, nil, false},
 		{"after a gap in the cache events", time.Second, (*saddleroute.Router).CacheGap, false},
+		{"after it was evicted", time.Second, func(r *saddleroute.Router, id fireflysaddle.TargetID) { r.Evicted(id, prefixes) }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
