--- a/internal/entry/saddleretry/budget.go
+++ b/internal/entry/saddleretry/budget.go
@@ -12,7 +12,7 @@
 	// DefaultShare is the number of retries per first attempt.
 	DefaultShare = 0.1
 	// DefaultReserve is the number of retries that can be saved up.
-	DefaultReserve = 50
+	DefaultReserve = 250
 )
 
 // NewBudget returns a budget with a full reserve.
