--- a/internal/agent/saddlequeue/flow.go
+++ b/internal/agent/saddlequeue/flow.go
@@ -13,6 +13,7 @@
 	items     flowHeap
 	tokens    float64 // of the items
 	start     float64 // virtual time at which its next item may start
+	drain     drain   // since it has a backlog
 }
 
 // ahead returns the tokens of the items that go before one.
--- a/internal/agent/saddlequeue/predict.go
+++ b/internal/agent/saddlequeue/predict.go
@@ -7,7 +7,8 @@
 
 // waitOf predicts when a new item would start: after the work that runs, the
 // items of its own flow that go before it, and what each other flow is due
-// until then.
+// until then. A flow that has had a backlog for a while is not expected to be
+// served faster than it was, since others go on asking for their share.
 func (q *Queue) waitOf(now time.Time, i *item) time.Duration {
 	if len(q.running) < q.slots {
 		return 0
@@ -24,7 +25,7 @@
 			ahead += min((turn-f.start)*f.weight+f.items[0].tokens(), f.tokens)
 		}
 	}
-	return q.drained(now, ahead)
+	return max(q.drained(now, ahead), i.flow.drain.of(own))
 }
 
 // drained predicts when a slot will be free after so many tokens: the level to
--- a/internal/agent/saddlequeue/queue.go
+++ b/internal/agent/saddlequeue/queue.go
@@ -64,6 +64,7 @@
 	}
 	if len(i.flow.items) == 0 {
 		i.flow.start = max(i.flow.start, q.earliest(i.flow))
+		i.flow.drain.begin(now)
 	}
 	if !slices.Contains(q.flows, i.flow) {
 		q.flows = append(q.flows, i.flow)
@@ -155,6 +156,7 @@
 	q.remove(best)
 	q.virtual = max(q.virtual, best.flow.start)
 	best.flow.start += best.tokens() / best.flow.weight
+	best.flow.drain.started(now, best.tokens())
 	q.running[best.demand.Request] = run{start: now, tokens: best.tokens()}
 	return best.demand.Request, true
 }
--- a/internal/agent/saddlequeue/queue_test.go
+++ b/internal/agent/saddlequeue/queue_test.go
@@ -312,3 +312,37 @@
 		})
 	}
 }
+
+func TestThePredictedWaitOfABackloggedWorkspaceFollowsHowItIsServed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		others  bool // another workspace asks for its share all the time
+		refused bool
+	}{
+		{"alone", false, false},
+		{"beside another", true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			q := saddlequeue.New(1, 16*time.Second, rate)
+			now, large := epoch, 0
+			offerLarge := func() error {
+				large++
+				return q.Offer(now, demand(fmt.Sprintf("large-%d", large), "large"))
+			}
+			for n := range 30 {
+				for _, queued := q.Counts(); queued < 12; _, queued = q.Counts() {
+					is.NoErr(offerLarge())
+				}
+				if c.others && n%2 == 0 {
+					offer(t, q, now, demand(fmt.Sprintf("small-%d", n), "small"))
+				}
+				id, _ := q.Next(now)
+				now = now.Add(time.Second)
+				q.Finish(now, id)
+			}
+			q.Next(now)
+			is.Equal(offerLarge() != nil, c.refused) // about 11 before it: 12 s, or 22 s at half the rate
+		})
+	}
+}
