--- a/internal/entry/saddlechoice/predict.go
+++ b/internal/entry/saddlechoice/predict.go
@@ -111,7 +111,8 @@
 }
 
 // score predicts the seconds until the first token, plus a share of those from
-// there to the last one.
+// there to the last one. Reading a prompt that is not cached also holds up those
+// that queue at the target.
 func (p *Predict) score(w fireflysaddle.Work, c fireflysaddle.Candidate) float64 {
 	rate := c.Rate
 	if rate <= 0 {
@@ -122,7 +123,7 @@
 	wait := ahead / slots * p.mean / rate
 	prefill := float64(w.PromptTokens) * (1 - c.PrefixHit) * prefillShare / rate
 	generate := float64(w.MaxTokens) / rate
-	return wait + p.settings.MissWeight*prefill + 2*c.Link.Seconds() + p.settings.GenerateShare*generate
+	return wait + p.settings.MissWeight*prefill*(1+ahead/slots) + 2*c.Link.Seconds() + p.settings.GenerateShare*generate
 }
 
 // load estimates the requests at a target. What it reported is corrected by
--- a/internal/entry/saddlechoice/predict_test.go
+++ b/internal/entry/saddlechoice/predict_test.go
@@ -76,6 +76,16 @@
 		},
 		{"it is slower", change(func(c *fireflysaddle.Candidate) { c.Rate = 2 }), idle()},
 		{"it is further away", change(func(c *fireflysaddle.Candidate) { c.Link = 50 * time.Millisecond }), idle()},
+		{
+			"a prefix weighs more where others queue",
+			change(func(c *fireflysaddle.Candidate) { c.InFlight = 11 }),
+			change(func(c *fireflysaddle.Candidate) { c.InFlight, c.PrefixHit = 11, 0.1 }),
+		},
+		{
+			"a prefix outweighs a little more of a queue",
+			change(func(c *fireflysaddle.Candidate) { c.InFlight = 23 }),
+			change(func(c *fireflysaddle.Candidate) { c.InFlight, c.PrefixHit = 24, 0.9 }),
+		},
 		{"the other holds the prefix", idle(), change(func(c *fireflysaddle.Candidate) { c.PrefixHit = 0.9 })},
 	} {
 		t.Run(c.name, func(t *testing.T) {
