--- a/internal/agent/saddleagent/beats.go
+++ b/internal/agent/saddleagent/beats.go
@@ -6,7 +6,7 @@
 )
 
 // beatEvery is the time between heartbeats on a call in progress.
-const beatEvery = 300 * time.Millisecond
+const beatEvery = 250 * time.Millisecond
 
 // beats calls send again and again until the context ends.
 func beats(ctx context.Context, send func() error) {
--- a/internal/config/saddlesettings/agent.go
+++ b/internal/config/saddlesettings/agent.go
@@ -24,7 +24,7 @@
 const (
 	defaultProbe       = 500 * time.Millisecond
 	defaultLost        = 2 * time.Second
-	defaultStepTimeout = 3 * time.Second
+	defaultStepTimeout = time.Second
 	defaultQueueWait   = 30 * time.Second
 	minProbe           = 10 * time.Millisecond
 	maxProbe           = time.Minute
--- a/internal/config/saddlesettings/entry.go
+++ b/internal/config/saddlesettings/entry.go
@@ -20,7 +20,7 @@
 	maxBodyLimit       = 64 << 20
 	defaultMaxTimeout  = 10 * time.Minute
 	limitMaxTimeout    = time.Hour
-	defaultCallSilence = 1500 * time.Millisecond
+	defaultCallSilence = time.Second
 	minCallSilence     = 100 * time.Millisecond
 	maxCallSilence     = time.Minute
 )
--- a/internal/pipeline/saddlestage/config.go
+++ b/internal/pipeline/saddlestage/config.go
@@ -33,21 +33,22 @@
 // The defaults of the settings that bound recovery.
 const (
 	DefaultExportEvery = fireflysaddle.Position(256)
-	DefaultBufferBytes = int64(256 << 20)
+	DefaultBufferBytes = int64(64 << 20)
 )
 
 const (
-	linkQueue    = 4096            // frames waiting for one link
-	replayBytes  = 8 << 20         // activations in one step of a replay
-	linkIdle     = time.Minute     // a link without frames for so long is closed
-	frameBatch   = 256             // frames sent at once
-	batchBytes   = 1 << 20         // a batch takes in no more frames above this size
-	headQueue    = 64              // events waiting for one head
-	sessionTTL   = 5 * time.Minute // a session that nobody closed is dropped after its deadline and this
-	closedTTL    = time.Minute     // how long a closed attempt cannot begin anew
-	exportShare  = 4               // a stage exports when it ran a share of 1/exportShare since the last time
-	maxStalls    = 4               // looks at a chain without progress before it is given up
-	orphanProbes = 10              // looks for an unreachable head before its sessions are dropped
+	linkQueue    = 4096                   // frames waiting for one link
+	pingTimeout  = 500 * time.Millisecond // for an agent to say whether it holds an attempt
+	replayBytes  = 8 << 20                // activations in one step of a replay
+	linkIdle     = time.Minute            // a link without frames for so long is closed
+	frameBatch   = 256                    // frames sent at once
+	batchBytes   = 1 << 20                // a batch takes in no more frames above this size
+	headQueue    = 64                     // events waiting for one head
+	sessionTTL   = 5 * time.Minute        // a session that nobody closed is dropped after its deadline and this
+	closedTTL    = time.Minute            // how long a closed attempt cannot begin anew
+	exportShare  = 4                      // a stage exports when it ran a share of 1/exportShare since the last time
+	maxStalls    = 4                      // looks at a chain without progress before it is given up
+	orphanProbes = 10                     // looks for an unreachable head before its sessions are dropped
 	// maxActivationBytes bounds what one frame carries; saddlelink takes
 	// messages that are larger by a batch.
 	maxActivationBytes = 48 << 20
--- a/internal/pipeline/saddlestage/watch.go
+++ b/internal/pipeline/saddlestage/watch.go
@@ -55,7 +55,7 @@
 
 // ping asks an agent after an attempt over a new connection.
 func (r *Runner) ping(ctx context.Context, address string, k key) (*saddlewire.PingResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.cfg.Probe)
+	ctx, cancel := context.WithTimeout(ctx, min(r.cfg.Probe, pingTimeout))
 	defer cancel()
 	conn, err := r.cfg.Dial(ctx, address)
 	if err != nil {
