--- a/internal/entry/saddleentry/counters.go
+++ b/internal/entry/saddleentry/counters.go
@@ -9,6 +9,7 @@
 	countAnswered = expvar.NewInt("entry_answers_total")
 	countUnknown  = expvar.NewInt("entry_unknown_outcomes_total")
 	countAttempts = expvar.NewInt("entry_attempts_total")
+	countVouches  = expvar.NewInt("entry_vouches_total")
 	countRetries  = expvar.NewInt("entry_retries_total")
 	countTokens   = expvar.NewInt("entry_tokens_total")
 	countClaims   = expvar.NewInt("entry_claims_total")
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -97,9 +97,13 @@
 	}
 	for {
 		now := time.Now()
-		if chain, ok := s.router.Chain(now, s.attendant.View(), need); ok {
+		chain, ok := s.router.Chain(now, s.attendant.View(), need)
+		if ok && s.vouched(ctx, chain.Stages(), need.Avoid) {
 			return chain, nil
 		}
+		if ok {
+			continue // another chain, without the target that does not answer
+		}
 		if !now.Before(until) {
 			return saddlechain.Chain{}, noTarget(need, last)
 		}
--- a/internal/entry/saddleentry/trycall.go
+++ b/internal/entry/saddleentry/trycall.go
@@ -19,9 +19,13 @@
 	}
 	for {
 		now := time.Now()
-		if stage, ok := s.router.Service(now, s.attendant.View(), need); ok {
+		stage, ok := s.router.Service(now, s.attendant.View(), need)
+		if ok && s.vouched(ctx, []saddlechain.Stage{stage}, need.Avoid) {
 			return stage, nil
 		}
+		if ok {
+			continue // another target than the one that does not answer
+		}
 		if !now.Before(until) {
 			return saddlechain.Stage{}, noTarget(need, last)
 		}
--- a/internal/entry/saddleroute/router.go
+++ b/internal/entry/saddleroute/router.go
@@ -119,6 +119,19 @@
 	return out
 }
 
+// Doubted returns those of the stages whose targets failed last.
+func (r *Router) Doubted(stages []saddlechain.Stage) []saddlechain.Stage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []saddlechain.Stage
+	for _, s := range stages {
+		if l, ok := r.local[s.Target]; ok && l.circuit.Open() {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // Done notes the end of an attempt at a stage.
 func (r *Router) Done(now time.Time, stage saddlechain.Stage, result Result) {
 	r.mu.Lock()
