--- a/internal/daemon/saddledaemon/request_processes_test.go
+++ b/internal/daemon/saddledaemon/request_processes_test.go
@@ -58,10 +58,11 @@
 	return f
 }
 
-func (f *filingFixture) executions(body string) int {
+// executions returns how often the case under test ran.
+func (f *filingFixture) executions() int {
 	n := 0
 	for _, c := range f.desk.Calls() {
-		if c.Body == body {
+		if c.Body == caseBody {
 			n++
 		}
 	}
@@ -92,10 +93,12 @@
 	ran    string
 }
 
-func (f *filingFixture) fileInBackground(entry int) <-chan filed {
+// fileInBackground files through the first entry and returns once the desk ran
+// the case.
+func (f *filingFixture) fileInBackground() <-chan filed {
 	out := make(chan filed, 1)
 	go func() {
-		status, ran := f.file(entry)
+		status, ran := f.file(0)
 		out <- filed{status: status, ran: ran}
 	}()
 	<-f.ran
@@ -108,12 +111,12 @@
 	t.Parallel()
 	is := is.New(t)
 	f := newFilingFixture(t)
-	first := f.fileInBackground(0)
+	first := f.fileInBackground()
 	f.entries[0].Kill()
 	is.Equal((<-first).status, 0) // the connection broke
 	f.release()
 	awaitPost(t, f.entries[1].Listen, caseKey, caseBody)
-	is.Equal(f.executions(caseBody), 1)
+	is.Equal(f.executions(), 1)
 }
 
 // The entry's process is stopped after it dispatched a filing; the caller
@@ -122,13 +125,13 @@
 	t.Parallel()
 	is := is.New(t)
 	f := newFilingFixture(t)
-	first := f.fileInBackground(0)
+	first := f.fileInBackground()
 	f.entries[0].Signal(syscall.SIGSTOP)
 	f.release()
 	awaitPost(t, f.entries[1].Listen, caseKey, caseBody)
 	f.entries[0].Signal(syscall.SIGCONT)
 	is.Equal((<-first).status, http.StatusCreated) // it learns the outcome
-	is.Equal(f.executions(caseBody), 1)
+	is.Equal(f.executions(), 1)
 }
 
 // The agent's process is stopped while the desk runs a filing: nobody can say
@@ -137,7 +140,7 @@
 	t.Parallel()
 	is := is.New(t)
 	f := newFilingFixture(t)
-	first := f.fileInBackground(0)
+	first := f.fileInBackground()
 	f.agent.Signal(syscall.SIGSTOP)
 	f.release()
 	got := <-first
@@ -145,7 +148,7 @@
 	is.Equal(got.status, http.StatusConflict)
 	f.agent.Signal(syscall.SIGCONT)
 	awaitPost(t, f.entries[1].Listen, caseKey, caseBody)
-	is.Equal(f.executions(caseBody), 1)
+	is.Equal(f.executions(), 1)
 }
 
 // The agent is killed after the desk ran a filing: the outcome is unknown, also
@@ -154,7 +157,7 @@
 	t.Parallel()
 	is := is.New(t)
 	f := newFilingFixture(t)
-	first := f.fileInBackground(0)
+	first := f.fileInBackground()
 	f.agent.Kill()
 	f.release()
 	is.Equal((<-first).ran, "unknown")
@@ -166,5 +169,5 @@
 		_, ran := f.file(entry)
 		is.Equal(ran, "unknown")
 	}
-	is.Equal(f.executions(caseBody), 1)
+	is.Equal(f.executions(), 1)
 }
--- a/internal/entry/saddleentry/claimed.go
+++ b/internal/entry/saddleentry/claimed.go
@@ -33,8 +33,8 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
 	defer cancel()
 	r := &claimedRun{Server: s, call: c, need: c.need(), number: 1}
-	for range maxAttempts {
-		stage, err := s.awaitService(ctx, r.need, r.last)
+	for n := uint32(1); n <= maxAttempts; n++ {
+		stage, err := s.awaitService(ctx, r.need, n, r.last)
 		if err != nil {
 			return r.withoutTarget(ctx, err)
 		}
--- a/internal/entry/saddleentry/control_test.go
+++ b/internal/entry/saddleentry/control_test.go
@@ -17,8 +17,8 @@
 
 const (
 	controlAddress = "control:1"
-	updateEvery    = 100 * time.Millisecond
-	memberSilence  = time.Second
+	updateEvery    = 500 * time.Millisecond
+	memberSilence  = 2 * time.Second
 	workspace      = "head-office"
 	callerKey      = "head-office-key"
 )
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -15,7 +15,9 @@
 	maxAttempts   = 8
 	patience      = 5 * time.Second       // wait for a target after an attempt failed
 	pollTarget    = 20 * time.Millisecond // between looks for a target
-	noTargetRetry = 2 * time.Second       // when to come back where there is no target
+	firstAvoid    = 20 * time.Millisecond
+	maxAvoid      = time.Second
+	noTargetRetry = 2 * time.Second // when to come back where there is no target
 )
 
 // draft is a request for generated text.
@@ -53,7 +55,7 @@
 	var last error
 	ran := fireflysaddle.RanNo
 	for n := uint32(1); n <= maxAttempts; n++ {
-		chain, err := s.awaitChain(ctx, need, last)
+		chain, err := s.awaitChain(ctx, need, n, last)
 		if err != nil {
 			return draftFailure(err, ran)
 		}
@@ -88,10 +90,18 @@
 	return fireflysaddle.RanUnknown
 }
 
+// avoidTime returns how long attempt n waits for another target before it goes
+// to one that failed before. It doubles, so that the attempts are not spent
+// before a lost target's successor is known.
+func avoidTime(n uint32) time.Duration {
+	return min(firstAvoid<<min(n-1, 16), maxAvoid)
+}
+
 // awaitChain picks a chain. A first attempt is refused at once where there is
 // none; one that failed waits a while for the lost target to be replaced.
-func (s *Server) awaitChain(ctx context.Context, need saddleroute.Need, last error) (saddlechain.Chain, error) {
-	until := time.Now()
+func (s *Server) awaitChain(ctx context.Context, need saddleroute.Need, n uint32, last error) (saddlechain.Chain, error) {
+	start := time.Now()
+	until := start
 	if last != nil {
 		until = until.Add(patience)
 	}
@@ -103,7 +113,9 @@
 		if !now.Before(until) {
 			return saddlechain.Chain{}, noTarget(need, last)
 		}
-		clear(need.Avoid) // rather a target that failed before than none
+		if now.Sub(start) >= avoidTime(n) {
+			clear(need.Avoid) // rather a target that failed before than none
+		}
 		select {
 		case <-ctx.Done():
 			return saddlechain.Chain{}, ctx.Err()
--- a/internal/entry/saddleentry/services.go
+++ b/internal/entry/saddleentry/services.go
@@ -135,7 +135,7 @@
 	var last error
 	ran := false // an attempt may have been run
 	for n := uint32(1); n <= maxAttempts; n++ {
-		stage, err := s.awaitService(ctx, need, last)
+		stage, err := s.awaitService(ctx, need, n, last)
 		if err != nil {
 			return reply{}, lookupFailure(err, ran)
 		}
@@ -169,7 +169,7 @@
 	need := c.need()
 	var last error
 	for n := uint32(1); n <= maxAttempts; n++ {
-		stage, err := s.awaitService(ctx, need, last)
+		stage, err := s.awaitService(ctx, need, n, last)
 		if err != nil {
 			return reply{}, callFailure(err)
 		}
--- a/internal/entry/saddleentry/trycall.go
+++ b/internal/entry/saddleentry/trycall.go
@@ -12,8 +12,9 @@
 
 // awaitService picks the target of a call. A first attempt is refused at once
 // where there is none; one that failed waits a while.
-func (s *Server) awaitService(ctx context.Context, need saddleroute.Need, last error) (saddlechain.Stage, error) {
-	until := time.Now()
+func (s *Server) awaitService(ctx context.Context, need saddleroute.Need, n uint32, last error) (saddlechain.Stage, error) {
+	start := time.Now()
+	until := start
 	if last != nil {
 		until = until.Add(patience)
 	}
@@ -25,7 +26,9 @@
 		if !now.Before(until) {
 			return saddlechain.Stage{}, noTarget(need, last)
 		}
-		clear(need.Avoid)
+		if now.Sub(start) >= avoidTime(n) {
+			clear(need.Avoid)
+		}
 		select {
 		case <-ctx.Done():
 			return saddlechain.Stage{}, noTarget(need, last)
--- a/internal/entry/saddleentry/world_test.go
+++ b/internal/entry/saddleentry/world_test.go
@@ -22,7 +22,7 @@
 
 const (
 	callSilence = time.Second
-	settleWorld = time.Second // for heartbeats and updates to go round
+	settleWorld = 2 * time.Second // for heartbeats and updates to go round
 	occupantKey = "occupant"
 )
 
@@ -117,7 +117,7 @@
 	w.t.Helper()
 	s, cleanup, err := saddleentry.New(saddleentry.Config{
 		Node: fireflysaddle.NodeID(name), Incarnation: 1, Centre: "centre-1", Listen: name + ":1",
-		Controls: []string{controlAddress}, Beat: 200 * time.Millisecond, Silence: 2 * time.Second,
+		Controls: []string{controlAddress}, Beat: 500 * time.Millisecond, Silence: 2 * time.Second,
 		CallSilence: callSilence, BodyLimit: 1 << 20, MaxTimeout: time.Minute, Seed: 1,
 		Log: zerolog.Nop(), Network: w.net.of(name),
 	})
@@ -144,7 +144,7 @@
 	s, cleanup, err := saddleagent.New(saddleagent.Config{
 		Node: fireflysaddle.NodeID(name), Incarnation: fireflysaddle.Incarnation(incarnation), Centre: "centre-1",
 		Listen: name + ":1", Advertise: name + ":1", Announce: name + ":2", Controls: []string{controlAddress},
-		Beat: 200 * time.Millisecond, Silence: 2 * time.Second, Probe: time.Second, Lost: 3 * time.Second,
+		Beat: 500 * time.Millisecond, Silence: 2 * time.Second, Probe: time.Second, Lost: 3 * time.Second,
 		StepTimeout: time.Second, QueueWait: time.Minute, Log: zerolog.Nop(),
 		Network: w.net.of(name), Targets: g,
 	})
