--- a/internal/entry/saddleroute/spares.go
+++ b/internal/entry/saddleroute/spares.go
@@ -1,6 +1,7 @@
 package saddleroute
 
 import (
+	"maps"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -28,6 +29,7 @@
 	for _, s := range chain.Stages() {
 		used[s.Target] = true
 	}
+	maps.Copy(used, need.Avoid)
 	var out []saddlechain.Stage
 	for _, s := range chain.Stages()[1:] {
 		out = append(out, r.sparesOf(now, l.starts[s.Layers.From], s, used, each)...)
--- a/internal/entry/saddleroute/spares_test.go
+++ b/internal/entry/saddleroute/spares_test.go
@@ -16,8 +16,8 @@
 	other.Target.Version = "0"
 	leaving := engine("leaving", 1, 2)
 	leaving.Leaving = true
-	v := view(engine("head", 0, 1), engine("b1", 1, 2), engine("b2", 1, 2), engine("b3", 1, 2), engine("whole", 0, 2), other, leaving)
-	need := saddleroute.Need{Group: model, Kind: fireflysaddle.KindEngine, Avoid: map[fireflysaddle.TargetID]bool{"whole": true}}
+	v := view(engine("head", 0, 1), engine("b1", 1, 2), engine("b2", 1, 2), engine("b3", 1, 2), engine("whole", 0, 2), engine("failed", 1, 2), other, leaving)
+	need := saddleroute.Need{Group: model, Kind: fireflysaddle.KindEngine, Avoid: map[fireflysaddle.TargetID]bool{"whole": true, "failed": true}}
 	chain, ok := router.Chain(epoch, v, need)
 	is.True(ok)
 	is.Equal(chain.Len(), 2)
@@ -31,5 +31,5 @@
 	}
 	want := map[fireflysaddle.TargetID]bool{"b1": true, "b2": true, "b3": true}
 	delete(want, chain.Stages()[1].Target)
-	is.Equal(offered, want) // the same layers and version, staying, not in the chain
+	is.Equal(offered, want) // the same layers and version, staying, neither in the chain nor avoided
 }
--- a/internal/pipeline/saddlestage/driver.go
+++ b/internal/pipeline/saddlestage/driver.go
@@ -21,10 +21,12 @@
 	used    map[string]bool // addresses of all agents that were part of the chain
 	need    saddlechain.Need
 
-	repair   uint32              // number of repairs
-	repairs  int                 // of the present step
-	restored map[int]restoration // replaced stages of the present step
-	stalls   int                 // looks in a row that showed no progress
+	repair   uint32                         // number of repairs
+	repairs  int                            // of the present step
+	restored map[int]restoration            // replaced stages of the present step
+	missed   map[fireflysaddle.TargetID]int // times that the stage before could not reach a target, this step
+	token    string                         // of this step, as a look found it
+	stalls   int                            // looks in a row that showed no progress
 	seen     []progress
 }
 
@@ -47,6 +49,7 @@
 		k:        key{request: d.Request, attempt: d.Attempt},
 		used:     map[string]bool{},
 		restored: map[int]restoration{},
+		missed:   map[fireflysaddle.TargetID]int{},
 	}
 	h.queue = r.heads.open(h.k)
 	h.session = r.table.openHead(time.Now(), d)
@@ -84,8 +87,10 @@
 	h.need = saddlechain.Need{From: step.Position, To: step.Position + fireflysaddle.Position(result.Count)}
 	h.repairs = 0
 	h.stalls = 0
+	h.token = ""
 	h.seen = nil
 	clear(h.restored)
+	clear(h.missed)
 	h.r.table.finish(time.Now(), h.session, outcome{
 		position:   uint32(step.Position),
 		count:      result.Count,
@@ -145,13 +150,13 @@
 func (h *driver) awaitToken(ctx context.Context) (string, error) {
 	tick := time.NewTicker(h.r.cfg.Probe)
 	defer tick.Stop()
-	for {
+	for h.token == "" {
 		select {
 		case <-ctx.Done():
 			return "", ctx.Err()
 		case f := <-h.queue:
 			if f.GetKind() == saddlewire.Frame_FAULT {
-				if err := h.mend(ctx, f.GetFault().GetTarget()); err != nil {
+				if err := h.mend(ctx, f); err != nil {
 					return "", err
 				}
 				continue
@@ -166,4 +171,5 @@
 			}
 		}
 	}
+	return h.token, nil
 }
--- a/internal/pipeline/saddlestage/faults_test.go
+++ b/internal/pipeline/saddlestage/faults_test.go
@@ -58,6 +58,23 @@
 	}
 }
 
+// A step is lost while its link stays up: nothing tells of it, so the head
+// sees that no stage makes progress and has it sent again.
+func TestStepLostWithoutASignIsSentAgain(t *testing.T) {
+	for stage := 1; stage < 3; stage++ {
+		virtually(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 3, nil)
+			defer f.close()
+			f.stages[stage].lose.Store(midway)
+			r := f.run(t.Context())
+			f.judge(t, r)
+			is.Equal(r.attempts, uint32(1))
+			is.NoErr(saddlestandin.CheckOrder(f.journal.All()))
+		})
+	}
+}
+
 // The same frame again, and an older one, are dropped without a word; one that
 // leaves positions out is reported, and runs nothing.
 func TestDuplicateAndReorderedFrames(t *testing.T) {
--- a/internal/pipeline/saddlestage/fleet_test.go
+++ b/internal/pipeline/saddlestage/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,6 +63,7 @@
 	// stubborn is set for an engine that ends its steps though they are cancelled.
 	stubborn atomic.Bool
 	timeline *saddletimeline.Ring
+	lose     atomic.Uint32 // position of a step that is lost on its way in, 0: none
 }
 
 // stubbornEngine cannot be interrupted in a step.
@@ -171,7 +173,27 @@
 }
 
 // Hop takes in the frames of another agent.
-func (a *agent) Hop(stream saddlewire.DRPCAgent_HopStream) error { return a.runner.Hop(stream) }
+func (a *agent) Hop(stream saddlewire.DRPCAgent_HopStream) error {
+	return a.runner.Hop(&lossyStream{DRPCAgent_HopStream: stream, lose: &a.lose})
+}
+
+// lossyStream loses the step at one position, once.
+type lossyStream struct {
+	saddlewire.DRPCAgent_HopStream
+	lose *atomic.Uint32 // 0: none
+}
+
+// Recv returns the next batch without the step that is lost.
+func (s *lossyStream) Recv() (*saddlewire.FrameBatch, error) {
+	batch, err := s.DRPCAgent_HopStream.Recv()
+	if err != nil {
+		return nil, err
+	}
+	batch.Frames = slices.DeleteFunc(batch.Frames, func(f *saddlewire.Frame) bool {
+		return f.GetKind() == saddlewire.Frame_STEP && f.GetPosition() > 0 && s.lose.CompareAndSwap(f.GetPosition(), 0)
+	})
+	return batch, nil
+}
 
 // Ping answers the head of a chain.
 func (a *agent) Ping(_ context.Context, in *saddlewire.PingRequest) (*saddlewire.PingResponse, error) {
--- a/internal/pipeline/saddlestage/mend.go
+++ b/internal/pipeline/saddlestage/mend.go
@@ -15,6 +15,7 @@
 const (
 	restoreTime = 2  // probe times that a replacement has to get its first frame
 	maxRepairs  = 16 // of one step; one that needs more begins anew
+	maxMissed   = 2  // times that a stage may be out of reach of the one before it
 )
 
 // look asks after the stages because the token is long in coming. Frames that
@@ -25,6 +26,9 @@
 		return ctx.Err()
 	}
 	statuses, lost := h.statuses(time.Now(), reports, "")
+	if h.tokenOf(reports) {
+		return nil
+	}
 	if lost {
 		return h.repairChain(ctx, reports, statuses)
 	}
@@ -42,6 +46,17 @@
 	return h.repairChain(ctx, reports, statuses)
 }
 
+// tokenOf takes the token from the last stage's report, where it is there: the
+// last stage may not reach the head.
+func (h *driver) tokenOf(reports []report) bool {
+	last := reports[len(reports)-1].reply
+	if !last.GetKnown() || last.GetNext() != uint32(h.need.To) || last.GetToken() == "" {
+		return false
+	}
+	h.token = last.GetToken()
+	return true
+}
+
 // progressed reports whether a stage is at work or has been since the last look.
 func (h *driver) progressed(reports []report) bool {
 	var now []progress
@@ -65,12 +80,20 @@
 	return &LostError{Target: statuses[len(statuses)-1].Stage.Target, Reason: "its token does not arrive"}
 }
 
-// mend asks after the stages because one of them, or its link, is in doubt.
-func (h *driver) mend(ctx context.Context, suspect string) error {
+// mend asks after the stages because a fault puts one of them, or its link, in
+// doubt.
+func (h *driver) mend(ctx context.Context, fault *saddlewire.Frame) error {
+	suspect := fault.GetFault().GetTarget()
+	if fault.GetUnreachable() {
+		h.missed[fireflysaddle.TargetID(suspect)]++
+	}
 	reports := h.ask(ctx, h.chain.Stages()[1:])
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	if h.tokenOf(reports) {
+		return nil
+	}
 	statuses, _ := h.statuses(time.Now(), reports, suspect)
 	return h.repairChain(ctx, reports, statuses)
 }
--- a/internal/pipeline/saddlestage/recovery_test.go
+++ b/internal/pipeline/saddlestage/recovery_test.go
@@ -339,6 +339,42 @@
 	}
 }
 
+// Two agents cannot reach each other, though the head reaches both: the later
+// one is replaced.
+func TestStageThatItsNeighbourCannotReachIsReplaced(t *testing.T) {
+	for stage := range recoveryStages - 1 {
+		for _, position := range steps() {
+			virtually(t, func(t *testing.T) {
+				is := is.New(t)
+				f := withSpares(t, 1, nil)
+				defer f.close()
+				f.noteLost(f.stages[stage+1])
+				f.stages[stage].at(position, func() {
+					f.net.Cut(f.stages[stage].info.GetAddress(), f.stages[stage+1].info.GetAddress())
+				})
+				r := f.run(t.Context())
+				f.judge(t, r)
+				is.Equal(r.attempts, uint32(1))
+				is.True(f.ran(f.spares[stage+1].info.GetTarget()))
+			})
+		}
+	}
+}
+
+// The last stage cannot reach the head, though the head reaches it.
+func TestHeadFetchesTheTokenOfAStageThatCannotReachIt(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3, nil)
+		defer f.close()
+		f.stages[2].at(midway, func() { f.net.Cut("stage-2", "stage-0") })
+		r := f.run(t.Context())
+		f.judge(t, r)
+		is.Equal(r.attempts, uint32(1))
+		is.NoErr(saddlestandin.CheckOrder(f.journal.All()))
+	})
+}
+
 // A slow link is no lost stage.
 func TestDegradedLinkReplacesNothing(t *testing.T) {
 	for _, delay := range []time.Duration{10 * time.Millisecond, 50 * time.Millisecond, 450 * time.Millisecond} {
--- a/internal/pipeline/saddlestage/runner.go
+++ b/internal/pipeline/saddlestage/runner.go
@@ -57,7 +57,12 @@
 func (r *Runner) Ping(request string, attempt uint32) *saddlewire.PingResponse {
 	k := key{request: request, attempt: attempt}
 	s, ok := r.table.view(k)
+	token := ""
+	if n := len(s.outbox.outcomes); ok && s.last() && n > 0 {
+		token = s.outbox.outcomes[n-1].token
+	}
 	return &saddlewire.PingResponse{
+		Token:       token,
 		Incarnation: uint64(r.cfg.Incarnation),
 		TargetAlive: r.cfg.Engine() != nil,
 		Known:       ok,
@@ -144,20 +149,25 @@
 // fault tells the head of a chain that something is wrong with a stage. The
 // head asks all stages before it decides anything.
 func (r *Runner) fault(k key, chain []*saddlewire.Stage, target fireflysaddle.TargetID, reason string) {
-	countFaults.Add(1)
-	r.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "stage_fault", Request: k.request, Attempt: k.attempt, Target: string(target), Detail: reason})
 	if s, ok := r.table.view(k); ok && len(chain) == 0 {
 		chain = s.chain
 	}
 	if len(chain) == 0 {
 		return
 	}
-	r.send(chain[0].GetAddress(), &saddlewire.Frame{
-		Kind:    saddlewire.Frame_FAULT,
-		Request: k.request,
-		Attempt: k.attempt,
-		Fault:   &saddlewire.Fault{Target: string(target), Message: reason},
+	r.sendFault(k, chain, &saddlewire.Frame{Fault: &saddlewire.Fault{Target: string(target), Message: reason}})
+}
+
+func (r *Runner) sendFault(k key, chain []*saddlewire.Stage, f *saddlewire.Frame) {
+	countFaults.Add(1)
+	r.cfg.Timeline.Add(time.Now(), saddletimeline.Event{
+		Name: "stage_fault", Request: k.request, Attempt: k.attempt,
+		Target: f.GetFault().GetTarget(), Detail: f.GetFault().GetMessage(),
 	})
+	f.Kind = saddlewire.Frame_FAULT
+	f.Request = k.request
+	f.Attempt = k.attempt
+	r.send(chain[0].GetAddress(), f)
 }
 
 // linkBroke makes up for what was under way on a link that works again.
@@ -172,6 +182,7 @@
 		if s.head() == address {
 			continue // it cannot be told; it asks by itself
 		}
-		r.fault(s.key, s.chain, fireflysaddle.TargetID(s.after().GetTarget()), "its agent cannot be reached")
+		fault := &saddlewire.Fault{Target: s.after().GetTarget(), Message: "its agent cannot be reached"}
+		r.sendFault(s.key, s.chain, &saddlewire.Frame{Fault: fault, Unreachable: true})
 	}
 }
--- a/internal/pipeline/saddlestage/survey.go
+++ b/internal/pipeline/saddlestage/survey.go
@@ -92,7 +92,7 @@
 		switch {
 		case h.underWay(now, i+1, r) && string(r.stage.Target) != suspect:
 			s.Accepted = h.need.To
-		case r.lost(h.need.From == 0) != "":
+		case r.lost(h.need.From == 0) != "" || h.cutOff(r):
 			s.Lost = true
 			lost = true
 		}
@@ -101,6 +101,10 @@
 	return out, lost
 }
 
+// cutOff reports whether the stage before failed to reach a stage again and
+// again, though the head can.
+func (h *driver) cutOff(r report) bool { return h.missed[r.stage.Target] >= maxMissed }
+
 // underWay reports whether a replacement may still be about to get the frame
 // that makes it one.
 func (h *driver) underWay(now time.Time, i int, r report) bool {
@@ -126,9 +130,9 @@
 		if !statuses[i+1].Lost {
 			continue
 		}
-		if again, ok := r.again(); ok && r.reply.GetFailed() == "" {
+		if again, ok := r.again(); ok && !h.cutOff(r) && r.reply.GetFailed() == "" {
 			same = append(same, again)
-		} else if ok {
+		} else if ok && !h.cutOff(r) {
 			failed = append(failed, again)
 		}
 		for _, s := range h.spares {
--- a/internal/standin/saddlestandin/network.go
+++ b/internal/standin/saddlestandin/network.go
@@ -15,6 +15,7 @@
 	mu    sync.Mutex
 	hosts map[string]func(net.Conn)
 	delay map[route]time.Duration
+	cut   map[route]bool
 	conns map[*networkConn]route
 }
 
@@ -29,6 +30,7 @@
 	return &Network{
 		hosts: map[string]func(net.Conn){},
 		delay: map[route]time.Duration{},
+		cut:   map[route]bool{},
 		conns: map[*networkConn]route{},
 	}
 }
@@ -58,6 +60,14 @@
 	n.delay[route{from: b, to: a}] = d
 }
 
+// Cut closes the connections that from opened to to, and refuses new ones.
+func (n *Network) Cut(from, to string) {
+	n.mu.Lock()
+	n.cut[route{from: from, to: to}] = true
+	n.mu.Unlock()
+	n.Break(from, to)
+}
+
 // Break closes the connections that from opened to to; new ones work.
 func (n *Network) Break(from, to string) {
 	n.each(func(r route) bool { return r.from == from && r.to == to }, func(c *networkConn) { _ = c.Close() })
@@ -95,6 +105,7 @@
 	n.mu.Lock()
 	accept, ok := n.hosts[to]
 	r := route{from: from, to: to}
+	ok = ok && !n.cut[r]
 	delay := n.delay[r]
 	n.mu.Unlock()
 	if err := passTime(ctx, 2*delay); err != nil {
