--- a/internal/entry/saddleentry/world_test.go
+++ b/internal/entry/saddleentry/world_test.go
@@ -172,15 +172,16 @@
 	})
 }
 
-func (w *world) agent(name string) *agentProcess {
+// firstAgent returns the present incarnation of agent-1.
+func (w *world) firstAgent() *agentProcess {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.agents[name]
+	return w.agents["agent-1"]
 }
 
 // killAgent kills the process of agent-1.
 func (w *world) killAgent() {
-	a := w.agent("agent-1")
+	a := w.firstAgent()
 	a.targets.kill()
 	w.net.kill("agent-1")
 	a.cancel()
@@ -278,7 +279,8 @@
 // occupy keeps agent-1's only slot busy until the returned function is called.
 func (w *world) occupy() (release func()) {
 	release = w.hold()
-	go w.post(context.Background(), "entry-2", occupantKey, occupantKey, nil)
+	go w.post(context.Background(), "entry-2", occupantKey, occupantKey, nil) // a desk's
+	go w.draft(context.Background(), "entry-2", occupantKey, 1, nil)          // or an engine's
 	time.Sleep(settleWorld)
 	return release
 }
