--- a/internal/command/saddlectl/replace.go
+++ b/internal/command/saddlectl/replace.go
@@ -18,8 +18,8 @@
 	fs.DurationVar(&s.waitFor, "wait-for", defaultWait, "longest time to wait with -wait")
 }
 
-// runControlReplace adds, removes or replaces a control replica. An empty old
-// or new one is written "-".
+// runControlReplace replaces a control replica, or adds or removes one when the
+// other is "-".
 func runControlReplace(ctx context.Context, s *session, args []string) error {
 	change, err := replaceArguments(args)
 	if err != nil {
@@ -34,7 +34,10 @@
 	if !result.GetAccepted() {
 		return &rejectedError{code: fireflysaddle.Code(result.GetCode()), message: result.GetMessage()}
 	}
-	s.progress("accepted; the new replica votes once it is caught up, and the old one goes after that")
+	s.progress("accepted")
+	if change.GetAdd() != "" {
+		s.progress("replica %s votes once it is caught up; the one it replaces goes after that", change.GetAdd())
+	}
 	if !s.wait {
 		return nil
 	}
@@ -42,22 +45,22 @@
 }
 
 func replaceArguments(args []string) (*saddlewire.ReplicaChange, error) {
-	usage := &usageError{reason: "name the old replica, the new one and its address; - for none"}
+	const none = "-"
 	if len(args) != 3 {
-		return nil, usage
+		return nil, &usageError{reason: "name the old replica, the new one and its address"}
+	}
+	old, fresh, address := args[0], args[1], args[2]
+	if (fresh == none) != (address == none) || (old == none && fresh == none) {
+		return nil, &usageError{reason: "name a new replica and its address, or an old one and - - to remove it"}
 	}
 	change := &saddlewire.ReplicaChange{}
-	if args[0] != "-" {
-		change.Remove = args[0]
+	if old != none {
+		change.Remove = old
 	}
-	if args[1] == "-" {
-		if args[2] != "-" || change.GetRemove() == "" {
-			return nil, usage
-		}
-		return change, nil
+	if fresh != none {
+		change.Add = fresh
+		change.Address = address
 	}
-	change.Add = args[1]
-	change.Address = args[2]
 	return change, nil
 }
 
--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -44,7 +44,8 @@
 	wasRole      saddlereplica.Role
 	wasTerm      uint64
 
-	confirmed atomic.Bool // read by the admin listener
+	confirmed atomic.Bool // read by the admin listener, as is empty
+	empty     atomic.Bool
 }
 
 // pendingCommand waits for its entry to be committed.
@@ -126,6 +127,7 @@
 		}
 		c.sweep(now)
 		c.confirmed.Store(c.replica.Confirmed(now))
+		c.empty.Store(c.replica.Empty())
 		timer.Reset(min(maxIdle, c.replica.Next().Sub(c.now())))
 	}
 }
--- a/internal/control/saddlecontrol/server.go
+++ b/internal/control/saddlecontrol/server.go
@@ -132,8 +132,13 @@
 
 // Ready returns nil when the replica knows a leader and is up to date with it.
 func (s *Server) Ready() error {
-	if !s.core.confirmed.Load() {
-		return eris.New("no leader with a majority is known")
+	switch {
+	case s.core.confirmed.Load():
+		return nil
+	case s.core.empty.Load() && s.cfg.Join:
+		return eris.New("the replica waits to be added; see saddlectl control-replace")
+	case s.core.empty.Load():
+		return eris.New("a new group starts once all its replicas run")
 	}
-	return nil
+	return eris.New("no leader with a majority is known")
 }
--- a/internal/control/saddlereplica/replica.go
+++ b/internal/control/saddlereplica/replica.go
@@ -68,6 +68,10 @@
 // LeaderID returns the known leader of the term, empty when unknown.
 func (r *Replica) LeaderID() string { return r.leader }
 
+// Empty reports whether the log holds nothing yet: the group has not started,
+// or this replica has not joined it.
+func (r *Replica) Empty() bool { return r.log.last() == 0 }
+
 // Commit returns the highest index known to be committed.
 func (r *Replica) Commit() uint64 { return r.commit }
 
