--- a/internal/bench/saddlesim/target.go
+++ b/internal/bench/saddlesim/target.go
@@ -18,6 +18,7 @@
 	serviceGroup  = "filing-desk"
 	noLayers      = 1 // engines hold the whole model
 	minServedRate = 1e-6
+	firstPace     = 8 // tokens after which an entry knows the rate of an attempt
 )
 
 // target is a model of an engine or a plain service with the real queue of its
@@ -161,6 +162,13 @@
 		y.first = now.Add(seconds((float64(prefill)*prefillShare + 1) / y.rate))
 		y.ends = y.first.Add(seconds(float64(q.Tokens-y.job.Given-1) / y.rate))
 	}
+	for n := firstPace; n < q.Tokens-y.job.Given && !t.plain; n *= 2 {
+		t.fleet.clock.After(y.first.Sub(now)+seconds(float64(n-1)/y.rate)+t.spec.Link, func() {
+			if !y.over {
+				y.job.entry.router.Pace(t.spec.ID, y.rate)
+			}
+		})
+	}
 	starts := t.starts
 	t.fleet.clock.After(y.first.Sub(now), func() {
 		if t.starts == starts && !t.lost {
--- a/internal/entry/saddleentry/attempt.go
+++ b/internal/entry/saddleentry/attempt.go
@@ -67,6 +67,9 @@
 	var pace pace
 	load, err := s.streamDraft(ctx, d, a, func(text string) error {
 		pace.token(time.Now())
+		if pace.due() {
+			s.router.Pace(head.Target, pace.rate())
+		}
 		return take(text)
 	})
 	atFault := culprit(ctx, err, head.Target)
--- a/internal/entry/saddleentry/pace.go
+++ b/internal/entry/saddleentry/pace.go
@@ -21,6 +21,12 @@
 	p.last = now
 }
 
+// due reports whether the rate is to be passed on: after the first tokens that
+// say enough and each time that their number has doubled.
+func (p *pace) due() bool {
+	return p.tokens >= minPaceTokens && p.tokens&(p.tokens-1) == 0
+}
+
 // rate returns the tokens a second from the first token on, 0: unknown.
 func (p *pace) rate() float64 {
 	took := p.last.Sub(p.first).Seconds()
--- a/internal/entry/saddleroute/router.go
+++ b/internal/entry/saddleroute/router.go
@@ -144,6 +144,15 @@
 	}
 }
 
+// Pace takes in the rate, in tokens a second, of an attempt in progress.
+func (r *Router) Pace(target fireflysaddle.TargetID, rate float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l, ok := r.local[target]; ok {
+		l.saw(rate)
+	}
+}
+
 func (r *Router) report(now time.Time, l *local, load *saddlewire.Load) {
 	l.report(now, load)
 	r.share.note(l.inFlight, load.GetRunning()+load.GetQueued())
--- a/internal/entry/saddleroute/router_test.go
+++ b/internal/entry/saddleroute/router_test.go
@@ -205,3 +205,25 @@
 	_, ok = r.Chain(epoch, restarted, need)
 	is.True(ok)
 }
+
+func TestATargetThatTurnsSlowDuringAnAttemptIsNotSentTheNext(t *testing.T) {
+	is := is.New(t)
+	v := view(engine("one", 0, 2), engine("two", 0, 2))
+	r := router()
+	first, ok := r.Chain(epoch, v, draft())
+	is.True(ok)
+	r.Done(epoch, first.Head(), saddleroute.Result{Outcome: saddleretry.Succeeded})
+	for range 10 {
+		r.Pace(first.Head().Target, 0.5)
+	}
+	again := 0
+	for range 200 {
+		chain, ok := r.Chain(epoch, v, draft())
+		is.True(ok)
+		if chain.Head().Target == first.Head().Target {
+			again++
+		}
+		r.Done(epoch, chain.Head(), saddleroute.Result{Outcome: saddleretry.Succeeded})
+	}
+	is.True(again < 70) // of 200; both alike would give 100
+}
