--- a/internal/bench/saddlebench/targets_test.go
+++ b/internal/bench/saddlebench/targets_test.go
@@ -43,6 +43,7 @@
 }
 
 func TestTheChoiceOfTargetsMeetsItsTargets(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	saturated := rows(t, "way", "choice", "-scenario", "saturated", "-length", "120s", "-ways", "predicted")
 	is.True(number(t, saturated["choice, saturated/predicted"], "tokens by bound") >= 0.95)
@@ -52,6 +53,7 @@
 }
 
 func TestAdmissionMeetsItsTargets(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	got := rows(t, "way", "admission")
 	is.True(number(t, got["admission, shares/fair"], "ratio") <= 2)
@@ -59,6 +61,7 @@
 }
 
 func TestAttemptsMeetTheirTargetWhileAThirdOfTheTargetsAreLost(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	got := rows(t, "fault", "recovery")
 	is.True(len(got) > 0)
@@ -69,6 +72,7 @@
 }
 
 func TestARunIsTheSameEveryTime(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	run := func() map[string]map[string]string {
 		return rows(t, "way", "choice", "-scenario", "bursts", "-length", "60s", "-engines", "10", "-ways", "predicted")
--- a/internal/bench/saddlesim/entry.go
+++ b/internal/bench/saddlesim/entry.go
@@ -66,7 +66,7 @@
 	stage, ok := e.pick(now, j)
 	if !ok {
 		clear(j.avoid)
-		if j.until.IsZero() || now.After(j.until) {
+		if j.until.IsZero() || !now.Before(j.until) {
 			e.end(j, Refused)
 			return
 		}
@@ -187,7 +187,10 @@
 		e.end(j, Failed)
 		return
 	}
-	j.until = e.fleet.clock.Now().Add(patience)
+	j.until = e.fleet.clock.Now()
+	if refused == nil || refused.Code != fireflysaddle.CodeOverloaded {
+		j.until = j.until.Add(patience)
+	}
 	e.attempt(j)
 }
 
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -91,10 +91,7 @@
 // awaitChain picks a chain. A first attempt is refused at once where there is
 // none; one that failed waits a while for the lost target to be replaced.
 func (s *Server) awaitChain(ctx context.Context, need saddleroute.Need, last error) (saddlechain.Chain, error) {
-	until := time.Now()
-	if last != nil {
-		until = until.Add(patience)
-	}
+	until := waitUntil(time.Now(), last)
 	for {
 		now := time.Now()
 		if chain, ok := s.router.Chain(now, s.attendant.View(), need); ok {
@@ -112,6 +109,17 @@
 	}
 }
 
+// waitUntil returns how long a request waits for a target after its last error.
+// A first attempt does not wait, nor does one that every target was too busy for:
+// it was told when to come back.
+func waitUntil(now time.Time, last error) time.Time {
+	var refused *fireflysaddle.RefusedError
+	if last == nil || (errors.As(last, &refused) && refused.Code == fireflysaddle.CodeOverloaded) {
+		return now
+	}
+	return now.Add(patience)
+}
+
 // noTarget returns why there is no target: the refusal of the last attempt
 // where there was one.
 func noTarget(need saddleroute.Need, last error) error {
--- a/internal/entry/saddleentry/trycall.go
+++ b/internal/entry/saddleentry/trycall.go
@@ -13,10 +13,7 @@
 // awaitService picks the target of a call. A first attempt is refused at once
 // where there is none; one that failed waits a while.
 func (s *Server) awaitService(ctx context.Context, need saddleroute.Need, last error) (saddlechain.Stage, error) {
-	until := time.Now()
-	if last != nil {
-		until = until.Add(patience)
-	}
+	until := waitUntil(time.Now(), last)
 	for {
 		now := time.Now()
 		if stage, ok := s.router.Service(now, s.attendant.View(), need); ok {
