--- a/internal/entry/saddleentry/trycall.go
+++ b/internal/entry/saddleentry/trycall.go
@@ -14,10 +14,7 @@
 // where there is none; one that failed waits a while.
 func (s *Server) awaitService(ctx context.Context, need saddleroute.Need, n uint32, last error) (saddlechain.Stage, error) {
 	start := time.Now()
-	until := start
-	if last != nil {
-		until = until.Add(patience)
-	}
+	until := waitUntil(start, last)
 	for {
 		now := time.Now()
 		stage, ok := s.router.Service(now, s.attendant.View(), need)
