--- a/internal/command/saddlectl/inprocess_test.go
+++ b/internal/command/saddlectl/inprocess_test.go
@@ -48,27 +48,23 @@
 	controls string // addresses, comma-separated
 	entry    string
 	stops    map[string]func() // by node
+	replicas []saddlesettings.Replica
+	dir      string
 	admins   []string
 }
 
 func newDaemons(t *testing.T) *daemons {
 	t.Helper()
 	d := &daemons{stops: map[string]func(){}}
-	var replicas []saddlesettings.Replica
 	var addresses []string
 	for i := range 3 {
-		replicas = append(replicas, saddlesettings.Replica{Node: fmt.Sprintf("control-%d", i+1), Address: address(t)})
-		addresses = append(addresses, replicas[i].Address)
+		d.replicas = append(d.replicas, saddlesettings.Replica{Node: fmt.Sprintf("control-%d", i+1), Address: address(t)})
+		addresses = append(addresses, d.replicas[i].Address)
 	}
 	d.controls = strings.Join(addresses, ",")
-	dir := t.TempDir()
-	for _, r := range replicas {
-		s := saddlesettings.DefaultControl()
-		d.common(t, &s.Common, r.Node)
-		s.Listen = r.Address
-		s.Replicas = replicas
-		s.Data = filepath.Join(dir, r.Node)
-		d.start(t, r.Node, func(ctx context.Context) error { return saddledaemon.RunControl(ctx, s, &d.logs) })
+	d.dir = t.TempDir()
+	for _, r := range d.replicas {
+		d.startControl(t, r, false)
 	}
 	e := saddlesettings.DefaultEntry()
 	d.common(t, &e.Common, "entry-1")
@@ -80,6 +76,19 @@
 	return d
 }
 
+// startControl starts a replica and returns the address of its admin listener.
+func (d *daemons) startControl(t *testing.T, r saddlesettings.Replica, join bool) (admin string) {
+	t.Helper()
+	s := saddlesettings.DefaultControl()
+	d.common(t, &s.Common, r.Node)
+	s.Listen = r.Address
+	s.Replicas = d.replicas
+	s.Join = join
+	s.Data = filepath.Join(d.dir, r.Node)
+	d.start(t, r.Node, func(ctx context.Context) error { return saddledaemon.RunControl(ctx, s, &d.logs) })
+	return s.Admin
+}
+
 func (d *daemons) startAgents(t *testing.T, controls []string) {
 	t.Helper()
 	engine, cleanEngine, err := saddlestandin.NewEngine(saddlestandin.EngineConfig{
--- a/internal/command/saddlectl/wholefleet_test.go
+++ b/internal/command/saddlectl/wholefleet_test.go
@@ -1,8 +1,10 @@
 package saddlectl_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -10,6 +12,8 @@
 
 	"github.com/fireflysaddle/fireflysaddle/internal/admin/saddleadmin"
 	"github.com/fireflysaddle/fireflysaddle/internal/command/saddlectl"
+	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddleprocess"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 )
 
@@ -48,6 +52,30 @@
 	is.True(strings.Contains(got.out, "could not reach control-3"))
 }
 
+// After a replica was replaced, nodes attend the new one without new settings,
+// so that it can say what is in force when it leads.
+func TestNodesAttendAReplacedControlReplica(t *testing.T) {
+	is := is.New(t)
+	d := newDaemons(t)
+	is.Equal(d.apply(t, markerKey).code, saddlectl.ExitOK)
+	d.stops["control-3"]()
+	added := saddlesettings.Replica{Node: "control-4", Address: address(t)}
+	d.replicas[2] = added
+	admin := d.startControl(t, added, true)
+	got := run(t, "control-replace", "control-3", "control-4", added.Address, "-wait", "-controls", d.controls)
+	is.Equal(got.code, saddlectl.ExitOK)
+
+	for _, node := range []string{"entry-1", "agent-mastori-1", "control-1"} {
+		saddleprocess.Await(t, node+" to attend control-4", awaitTime, func() error {
+			events := decode[[]saddletimeline.Event](t, get(t, admin+saddleadmin.PathTimeline))
+			if !slices.ContainsFunc(events, func(e saddletimeline.Event) bool { return e.Name == "member" && e.Subject == node }) {
+				return fmt.Errorf("it is not among %d events", len(events))
+			}
+			return nil
+		})
+	}
+}
+
 // No prompt, key or body is in a log, a time line or an error.
 func TestLogsAndTimeLinesHoldNothingOfTheCallers(t *testing.T) {
 	is := is.New(t)
