--- a/internal/agent/saddleagent/draft.go
+++ b/internal/agent/saddleagent/draft.go
@@ -68,6 +68,7 @@
 			Given:     in.GetGiven(),
 			MaxTokens: in.GetMaxTokens(),
 			Budget:    budget(t),
+			Replaced:  out.replaced,
 		}, out.token)
 	}
 	return b.engine.Generate(ctx, fireflysaddle.Generation{
--- a/internal/agent/saddleagent/draftstream.go
+++ b/internal/agent/saddleagent/draftstream.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
@@ -59,6 +60,18 @@
 	return d.send(e)
 }
 
+// replaced tells the entry at once of a target that a spare took over from, so
+// that it sends no other request there. An error shows at the next token.
+func (d *draftStream) replaced(target fireflysaddle.TargetID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.send(&saddlewire.DraftEvent{
+		Event:    &saddlewire.DraftEvent_Beat{Beat: &saddlewire.Empty{}},
+		Load:     loadOf(time.Now(), d.target),
+		Replaced: string(target),
+	})
+}
+
 // refuse says that the attempt was not run.
 func (d *draftStream) refuse(err error) error {
 	countRefused.Add(1)
--- a/internal/entry/saddleentry/attempt.go
+++ b/internal/entry/saddleentry/attempt.go
@@ -19,6 +19,8 @@
 	chain  saddlechain.Chain
 	spares []saddlechain.Stage // for the chain's head to replace lost stages with
 	given  []string            // tokens that the caller has
+	// replaced are the targets that spares took over from in this attempt.
+	replaced map[fireflysaddle.TargetID]bool
 }
 
 // callerGoneError says that the caller takes no more of its answer.
@@ -79,6 +81,9 @@
 	now := time.Now()
 	for _, stage := range a.chain.Stages() {
 		result := saddleroute.Result{Outcome: outcomeOf(stage.Target, atFault, err)}
+		if a.replaced[stage.Target] {
+			result.Outcome = saddleretry.Neutral // it was noted when it was replaced
+		}
 		if stage.Target == head.Target {
 			result.Load = load
 			result.Rate = pace.rate()
@@ -167,6 +172,7 @@
 			}
 		case *saddlewire.DraftEvent_Beat:
 			s.router.Report(time.Now(), head.Target, e.GetLoad())
+			s.noteReplaced(time.Now(), a, fireflysaddle.TargetID(e.GetReplaced()))
 		case *saddlewire.DraftEvent_Refusal:
 			return e.GetLoad(), refusedBy(event.Refusal)
 		case *saddlewire.DraftEvent_Fault:
@@ -177,6 +183,15 @@
 	}
 }
 
+// noteReplaced opens the circuit of a target that a spare took over from.
+func (s *Server) noteReplaced(now time.Time, a attempt, target fireflysaddle.TargetID) {
+	if target == "" {
+		return
+	}
+	a.replaced[target] = true
+	s.router.Fail(now, target)
+}
+
 func refusedBy(r *saddlewire.Refusal) error {
 	return &fireflysaddle.RefusedError{
 		Code:       fireflysaddle.Code(r.GetCode()),
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -59,7 +59,7 @@
 		if err != nil {
 			return draftFailure(err, ran)
 		}
-		last = s.tryDraft(ctx, d, attempt{number: n, chain: chain, spares: s.spares(chain, need), given: given}, need.Avoid, take)
+		last = s.tryDraft(ctx, d, attempt{number: n, chain: chain, spares: s.spares(chain, need), given: given, replaced: map[fireflysaddle.TargetID]bool{}}, need.Avoid, take)
 		if last == nil || s.isWhole(last, d, given) {
 			return nil
 		}
--- a/internal/entry/saddleroute/router.go
+++ b/internal/entry/saddleroute/router.go
@@ -148,6 +148,15 @@
 	l.group.Note(now, &l.circuit, result.Outcome)
 }
 
+// Fail notes that a target failed in an attempt that goes on without it.
+func (r *Router) Fail(now time.Time, target fireflysaddle.TargetID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l, ok := r.local[target]; ok {
+		l.group.Note(now, &l.circuit, saddleretry.Failed)
+	}
+}
+
 // Report takes in the load of a target with an attempt in progress.
 func (r *Router) Report(now time.Time, target fireflysaddle.TargetID, load *saddlewire.Load) {
 	r.mu.Lock()
--- a/internal/pipeline/saddlestage/drive.go
+++ b/internal/pipeline/saddlestage/drive.go
@@ -19,6 +19,9 @@
 	Given     []string
 	MaxTokens uint32
 	Budget    time.Duration
+	// Replaced, if not nil, is called with each target that a spare took over
+	// from, from the goroutine that drives the request.
+	Replaced func(target fireflysaddle.TargetID)
 }
 
 // Drive runs a request through a chain of two or more stages of which this
--- a/internal/pipeline/saddlestage/driver.go
+++ b/internal/pipeline/saddlestage/driver.go
@@ -19,6 +19,7 @@
 	chain   saddlechain.Chain
 	spares  []saddlechain.Stage
 	used    map[string]bool // addresses of all agents that were part of the chain
+	tell    func(fireflysaddle.TargetID)
 	need    saddlechain.Need
 
 	repair   uint32                         // number of repairs
@@ -48,6 +49,7 @@
 		r:        r,
 		k:        key{request: d.Request, attempt: d.Attempt},
 		used:     map[string]bool{},
+		tell:     d.Replaced,
 		restored: map[int]restoration{},
 		missed:   map[fireflysaddle.TargetID]int{},
 	}
--- a/internal/pipeline/saddlestage/mend.go
+++ b/internal/pipeline/saddlestage/mend.go
@@ -141,6 +141,9 @@
 		})
 		h.used[s.Address] = true
 		if s.Address != old.Address {
+			if h.tell != nil {
+				h.tell(old.Target)
+			}
 			h.send(old.Address, &saddlewire.Frame{Kind: saddlewire.Frame_CLOSE})
 		}
 	}
