--- a/internal/entry/saddleentry/matrix_test.go
+++ b/internal/entry/saddleentry/matrix_test.go
@@ -201,8 +201,11 @@
 		drafts:  [5]string{"a", "a", "a", "a", "a"},
 	},
 	{
-		name:    "caller gone",
-		do:      func(_ *world, f *filing) { f.hangUp() },
+		name: "caller gone",
+		do: func(w *world, f *filing) {
+			f.hangUp()
+			w.net.reset("caller", "entry-1") // at this very moment
+		},
 		cells:   [9]string{"g/a", "g/a", "g/a", "g/a", "g/a", "g/a", "g/a", "g/a", "g/a"},
 		unkeyed: [5]string{"g", "g", "g", "g", "g"},
 		drafts:  [5]string{"g", "g", "g", "g", "g"},
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -175,7 +175,9 @@
 	var refused *fireflysaddle.RefusedError
 	switch {
 	case errors.As(err, &refused):
-		return &failure{Code: refused.Code, Message: refused.Message, Ran: ran, RetryAfter: refused.RetryAfter}
+		f := notRunBy(refused)
+		f.Ran = ran
+		return f
 	case errors.Is(err, context.DeadlineExceeded):
 		return &failure{Code: fireflysaddle.CodeDeadline, Message: "the deadline passed", Ran: ran, RetryAfter: noTargetRetry}
 	}
