--- a/internal/control/saddlecontrol/server.go
+++ b/internal/control/saddlecontrol/server.go
@@ -25,7 +25,7 @@
 
 // New opens the data folder and the listener. The clean-up closes both.
 func New(now time.Time, cfg Config) (*Server, func() error, error) {
-	store, loaded, closeStore, err := saddlestore.Open(cfg.Data)
+	store, loaded, closeStore, err := openStore(cfg)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -47,6 +47,13 @@
 	return s, cleanup, nil
 }
 
+func openStore(cfg Config) (*saddlestore.Store, saddlestore.Loaded, func() error, error) {
+	if cfg.Files != nil {
+		return saddlestore.OpenFS(cfg.Files, saddlestore.SegmentBytes)
+	}
+	return saddlestore.Open(cfg.Data)
+}
+
 // Run serves until the context ends. An error of the store ends it at once:
 // nothing that was not stored is acknowledged.
 func (s *Server) Run(ctx context.Context) error {
@@ -125,8 +132,13 @@
 
 // Ready returns nil when the replica knows a leader and is up to date with it.
 func (s *Server) Ready() error {
-	if !s.core.confirmed.Load() {
-		return eris.New("no leader with a majority is known")
+	switch {
+	case s.core.confirmed.Load():
+		return nil
+	case s.core.empty.Load() && s.cfg.Join:
+		return eris.New("the replica waits to be added; see saddlectl control-replace")
+	case s.core.empty.Load():
+		return eris.New("a new group starts once all its replicas run")
 	}
-	return nil
+	return eris.New("no leader with a majority is known")
 }
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -101,15 +101,16 @@
 // none; one that failed waits a while for the lost target to be replaced.
 func (s *Server) awaitChain(ctx context.Context, need saddleroute.Need, n uint32, last error) (saddlechain.Chain, error) {
 	start := time.Now()
-	until := start
-	if last != nil {
-		until = until.Add(patience)
-	}
+	until := waitUntil(start, last)
 	for {
 		now := time.Now()
-		if chain, ok := s.router.Chain(now, s.attendant.View(), need); ok {
+		chain, ok := s.router.Chain(now, s.attendant.View(), need)
+		if ok && s.vouched(ctx, chain.Stages(), need.Avoid) {
 			return chain, nil
 		}
+		if ok {
+			continue // another chain, without the target that does not answer
+		}
 		if !now.Before(until) {
 			return saddlechain.Chain{}, noTarget(need, last)
 		}
@@ -124,6 +125,17 @@
 	}
 }
 
+// waitUntil returns how long a request waits for a target after its last error.
+// A first attempt does not wait, nor does one that every target was too busy for:
+// it was told when to come back.
+func waitUntil(now time.Time, last error) time.Time {
+	var refused *fireflysaddle.RefusedError
+	if last == nil || (errors.As(last, &refused) && refused.Code == fireflysaddle.CodeOverloaded) {
+		return now
+	}
+	return now.Add(patience)
+}
+
 // noTarget returns why there is no target: the refusal of the last attempt
 // where there was one.
 func noTarget(need saddleroute.Need, last error) error {
--- a/internal/entry/saddleentry/trycall.go
+++ b/internal/entry/saddleentry/trycall.go
@@ -14,15 +14,16 @@
 // where there is none; one that failed waits a while.
 func (s *Server) awaitService(ctx context.Context, need saddleroute.Need, n uint32, last error) (saddlechain.Stage, error) {
 	start := time.Now()
-	until := start
-	if last != nil {
-		until = until.Add(patience)
-	}
+	until := waitUntil(start, last)
 	for {
 		now := time.Now()
-		if stage, ok := s.router.Service(now, s.attendant.View(), need); ok {
+		stage, ok := s.router.Service(now, s.attendant.View(), need)
+		if ok && s.vouched(ctx, []saddlechain.Stage{stage}, need.Avoid) {
 			return stage, nil
 		}
+		if ok {
+			continue // another target than the one that does not answer
+		}
 		if !now.Before(until) {
 			return saddlechain.Stage{}, noTarget(need, last)
 		}
--- a/internal/entry/saddleroute/router.go
+++ b/internal/entry/saddleroute/router.go
@@ -119,6 +119,19 @@
 	return out
 }
 
+// Doubted returns those of the stages whose targets failed last.
+func (r *Router) Doubted(stages []saddlechain.Stage) []saddlechain.Stage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []saddlechain.Stage
+	for _, s := range stages {
+		if l, ok := r.local[s.Target]; ok && l.circuit.Open() {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // Done notes the end of an attempt at a stage.
 func (r *Router) Done(now time.Time, stage saddlechain.Stage, result Result) {
 	r.mu.Lock()
@@ -144,6 +157,15 @@
 	}
 }
 
+// Pace takes in the rate, in tokens a second, of an attempt in progress.
+func (r *Router) Pace(target fireflysaddle.TargetID, rate float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l, ok := r.local[target]; ok {
+		l.saw(rate)
+	}
+}
+
 func (r *Router) report(now time.Time, l *local, load *saddlewire.Load) {
 	l.report(now, load)
 	r.share.note(l.inFlight, load.GetRunning()+load.GetQueued())
@@ -159,6 +181,17 @@
 	}
 }
 
+// Evicted notes that a target dropped prefixes from its cache.
+func (r *Router) Evicted(target fireflysaddle.TargetID, prefixes []Prefix) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range prefixes {
+		if list := r.hints.of(p.Hash); list != nil {
+			list.drop(target)
+		}
+	}
+}
+
 // Prune forgets the targets that no view names any more.
 func (r *Router) Prune(view *saddleview.View) {
 	r.mu.Lock()
