--- a/code.go
+++ b/code.go
@@ -27,9 +27,6 @@
 	CodeInvalid       Code = "invalid"
 	CodeNotFound      Code = "not_found"
 	CodeTooLarge      Code = "too_large"
-	CodeRetriesSpent  Code = "retries_spent"
 	CodeWrongTarget   Code = "wrong_target"
 	CodeAnswerNotKept Code = "answer_not_kept"
-	CodeCallerGone    Code = "caller_gone"
-	CodeOrderRejected Code = "order_rejected"
 )
--- a/internal/agent/saddleagent/config.go
+++ b/internal/agent/saddleagent/config.go
@@ -6,7 +6,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflysaddle/fireflysaddle"
-	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 )
 
@@ -29,6 +28,6 @@
 	Shutdown    time.Duration // bound of the wait for work in progress, 0: none
 	Log         zerolog.Logger
 	Timeline    *saddletimeline.Ring
-	Network     saddlelink.Network // nil: TCP
-	Targets     Targets            // nil: over HTTP
+	Network     fireflysaddle.Network // nil: TCP
+	Targets     Targets               // nil: over HTTP
 }
--- a/internal/bench/saddlebench/run.go
+++ b/internal/bench/saddlebench/run.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddlehops"
+	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddleslope"
 )
 
 // The exit codes.
@@ -28,6 +31,8 @@
 		{"admission", "measure the agents' queue under overload, in virtual time", runAdmission},
 		{"recovery", "measure retries while a third of the engines fail, in virtual time", runRecovery},
 		{"path", "measure what entry and agent add to an engine's answers, over loopback", runPath},
+		{"hops", "measure the order of hops, the streams between agents and the recovery of chains", saddlehops.Run},
+		{"slopes", "measure what one more of each thing costs, for docs/CAPACITY.md", saddleslope.Run},
 	}
 }
 
--- a/internal/control/saddleclient/client.go
+++ b/internal/control/saddleclient/client.go
@@ -35,7 +35,7 @@
 }
 
 // NewOver is New over another network.
-func NewOver(network saddlelink.Network, addresses []string, timeline *saddletimeline.Ring) (*Client, func() error) {
+func NewOver(network fireflysaddle.Network, addresses []string, timeline *saddletimeline.Ring) (*Client, func() error) {
 	pool, cleanup := saddlelink.NewPoolOver(network)
 	return &Client{addresses: addresses, pool: pool, timeline: timeline}, cleanup
 }
--- a/internal/daemon/saddledaemon/control_processes_test.go
+++ b/internal/daemon/saddledaemon/control_processes_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -156,7 +155,7 @@
 			address = fleet.ControlAddresses()[i]
 		}
 	}
-	leader.Signal(syscall.SIGSTOP)
+	leader.Freeze(t)
 	is.True(putTemplate(t, client, 0, 2).GetAccepted()) // by another leader
 
 	direct, cleanup := saddleclient.New([]string{address}, nil)
@@ -174,7 +173,7 @@
 	}()
 	stale := make(chan *saddlewire.Result, 1)
 	go func() { stale <- putTemplate(t, direct, 0, 2) }()
-	leader.Signal(syscall.SIGCONT)
+	leader.Thaw()
 	got := <-answers
 	is.NoErr(got.err) // it names the leader, which answers
 	is.Equal(got.state.GetTemplates()[0].GetRevision(), uint64(2))
--- a/internal/daemon/saddledaemon/recovery_bench_test.go
+++ b/internal/daemon/saddledaemon/recovery_bench_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -226,17 +225,17 @@
 		{"engine_killed", whole, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.engines[r.busy(0)].Kill() }},
 		{"engine_frozen", whole, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.engines[r.busy(0)].Freeze() }},
 		{"agent_killed", whole, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.agents[r.busy(0)].Kill() }},
-		{"agent_frozen", whole, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.agents[r.busy(0)].Signal(syscall.SIGSTOP) }},
+		{"agent_frozen", whole, sendDraft, func(b *testing.B, r *recoveryFleet) { r.agents[r.busy(0)].Freeze(b) }},
 		{"agent_cut", whole, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.relays[r.busy(0)].Cut() }},
 		{"agent_silent", whole, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.relays[r.busy(0)].Silence() }},
 		{"stage_engine_killed", chain, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.engines[r.busy(1)].Kill() }},
 		{"stage_agent_killed", chain, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.agents[r.busy(1)].Kill() }},
-		{"stage_agent_frozen", chain, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.agents[r.busy(1)].Signal(syscall.SIGSTOP) }},
+		{"stage_agent_frozen", chain, sendDraft, func(b *testing.B, r *recoveryFleet) { r.agents[r.busy(1)].Freeze(b) }},
 		{"stage_cut", chain, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.relays[r.busy(1)].Cut() }},
 		{"stage_silent", chain, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.relays[r.busy(1)].Silence() }},
 		{"entry_killed", whole, sendDraft, func(_ *testing.B, r *recoveryFleet) { r.entries[1].Kill() }},
 		{"leader_killed", whole, sendFiling, func(b *testing.B, r *recoveryFleet) { r.Controls[r.leader(b)].Kill() }},
-		{"leader_frozen", whole, sendFiling, func(b *testing.B, r *recoveryFleet) { r.Controls[r.leader(b)].Signal(syscall.SIGSTOP) }},
+		{"leader_frozen", whole, sendFiling, func(b *testing.B, r *recoveryFleet) { r.Controls[r.leader(b)].Freeze(b) }},
 		{"leader_cut", whole, sendFiling, func(b *testing.B, r *recoveryFleet) { r.controls[r.leader(b)].Cut() }},
 		{"leader_silent", whole, sendFiling, func(b *testing.B, r *recoveryFleet) { r.controls[r.leader(b)].Silence() }},
 	}
--- a/internal/daemon/saddledaemon/request_processes_test.go
+++ b/internal/daemon/saddledaemon/request_processes_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -126,10 +125,10 @@
 	is := is.New(t)
 	f := newFilingFixture(t)
 	first := f.fileInBackground()
-	f.entries[0].Signal(syscall.SIGSTOP)
+	f.entries[0].Freeze(t)
 	f.release()
 	awaitPost(t, f.entries[1].Listen, caseKey, caseBody)
-	f.entries[0].Signal(syscall.SIGCONT)
+	f.entries[0].Thaw()
 	is.Equal((<-first).status, http.StatusCreated) // it learns the outcome
 	is.Equal(f.executions(), 1)
 }
@@ -141,12 +140,12 @@
 	is := is.New(t)
 	f := newFilingFixture(t)
 	first := f.fileInBackground()
-	f.agent.Signal(syscall.SIGSTOP)
+	f.agent.Freeze(t)
 	f.release()
 	got := <-first
 	is.Equal(got.ran, "unknown")
 	is.Equal(got.status, http.StatusConflict)
-	f.agent.Signal(syscall.SIGCONT)
+	f.agent.Thaw()
 	awaitPost(t, f.entries[1].Listen, caseKey, caseBody)
 	is.Equal(f.executions(), 1)
 }
--- a/internal/daemon/saddledaemon/silent_processes_test.go
+++ b/internal/daemon/saddledaemon/silent_processes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"syscall"
 	"testing"
 	"time"
 
@@ -106,10 +105,10 @@
 	var frozen string
 	tokens := f.stream(t, f.entry.Listen, func() {
 		frozen = f.stageOfLastStart(0)
-		agents[frozen].Signal(syscall.SIGSTOP)
+		agents[frozen].Freeze(t)
 	})
 	is.Equal(tokens, expectedLong())
-	agents[frozen].Signal(syscall.SIGCONT)
+	agents[frozen].Thaw()
 	f.awaitStartAt(t, frozen)
 }
 
--- a/internal/entry/saddleentry/config.go
+++ b/internal/entry/saddleentry/config.go
@@ -6,7 +6,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflysaddle/fireflysaddle"
-	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 )
 
@@ -28,5 +27,5 @@
 	Seed        uint64        // of the choice of targets
 	Log         zerolog.Logger
 	Timeline    *saddletimeline.Ring
-	Network     saddlelink.Network // nil: TCP
+	Network     fireflysaddle.Network // nil: TCP
 }
--- a/internal/entry/saddleentry/doubt.go
+++ b/internal/entry/saddleentry/doubt.go
@@ -33,7 +33,7 @@
 	now := time.Now()
 	for _, stage := range stages {
 		result := saddleroute.Result{Outcome: saddleretry.Neutral}
-		if lost[stage.Target] {
+		if lost[stage.Target] && ctx.Err() == nil {
 			avoid[stage.Target] = true
 			result.Outcome = saddleretry.Failed
 		}
--- a/internal/entry/saddleentry/network_test.go
+++ b/internal/entry/saddleentry/network_test.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle"
 )
 
 var (
@@ -32,7 +32,7 @@
 }
 
 // of returns the network as one process sees it, until the process is killed.
-func (n *network) of(process string) saddlelink.Network {
+func (n *network) of(process string) fireflysaddle.Network {
 	p := &port{network: n, process: process}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -7,7 +7,6 @@
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
-	"github.com/fireflysaddle/fireflysaddle/internal/pipeline/saddlechain"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 )
 
@@ -97,34 +96,6 @@
 	return min(firstAvoid<<min(n-1, 16), maxAvoid)
 }
 
-// awaitChain picks a chain. A first attempt is refused at once where there is
-// none; one that failed waits a while for the lost target to be replaced.
-func (s *Server) awaitChain(ctx context.Context, need saddleroute.Need, n uint32, last error) (saddlechain.Chain, error) {
-	start := time.Now()
-	until := waitUntil(start, last)
-	for {
-		now := time.Now()
-		chain, ok := s.router.Chain(now, s.attendant.View(), need)
-		if ok && s.vouched(ctx, chain.Stages(), need.Avoid) {
-			return chain, nil
-		}
-		if ok {
-			continue // another chain, without the target that does not answer
-		}
-		if !now.Before(until) {
-			return saddlechain.Chain{}, noTarget(need, last)
-		}
-		if now.Sub(start) >= avoidTime(n) {
-			clear(need.Avoid) // rather a target that failed before than none
-		}
-		select {
-		case <-ctx.Done():
-			return saddlechain.Chain{}, ctx.Err()
-		case <-time.After(pollTarget):
-		}
-	}
-}
-
 // waitUntil returns how long a request waits for a target after its last error.
 // A first attempt does not wait, nor does one that every target was too busy for:
 // it was told when to come back.
--- a/internal/entry/saddleentry/trycall.go
+++ b/internal/entry/saddleentry/trycall.go
@@ -10,34 +10,6 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-// awaitService picks the target of a call. A first attempt is refused at once
-// where there is none; one that failed waits a while.
-func (s *Server) awaitService(ctx context.Context, need saddleroute.Need, n uint32, last error) (saddlechain.Stage, error) {
-	start := time.Now()
-	until := waitUntil(start, last)
-	for {
-		now := time.Now()
-		stage, ok := s.router.Service(now, s.attendant.View(), need)
-		if ok && s.vouched(ctx, []saddlechain.Stage{stage}, need.Avoid) {
-			return stage, nil
-		}
-		if ok {
-			continue // another target than the one that does not answer
-		}
-		if !now.Before(until) {
-			return saddlechain.Stage{}, noTarget(need, last)
-		}
-		if now.Sub(start) >= avoidTime(n) {
-			clear(need.Avoid)
-		}
-		select {
-		case <-ctx.Done():
-			return saddlechain.Stage{}, noTarget(need, last)
-		case <-time.After(pollTarget):
-		}
-	}
-}
-
 // tryCall sends one attempt of a call. An error is a *RefusedError or a
 // *NotSentError where the attempt was not run.
 func (s *Server) tryCall(ctx context.Context, c call, number uint32, stage saddlechain.Stage, avoid map[fireflysaddle.TargetID]bool) (*saddlewire.Answer, error) {
--- a/internal/link/saddlelink/dial.go
+++ b/internal/link/saddlelink/dial.go
@@ -19,7 +19,7 @@
 }
 
 // DialOver is Dial over another network.
-func DialOver(ctx context.Context, network Network, address string) (*drpcconn.Conn, error) {
+func DialOver(ctx context.Context, network fireflysaddle.Network, address string) (*drpcconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	c, err := network.Dial(ctx, address)
--- a/internal/link/saddlelink/network.go
+++ b/internal/link/saddlelink/network.go
@@ -3,14 +3,9 @@
 import (
 	"context"
 	"net"
-)
 
-// Network opens listeners and connections. Implementations are safe for
-// concurrent use.
-type Network interface {
-	Listen(address string) (net.Listener, error)
-	Dial(ctx context.Context, address string) (net.Conn, error)
-}
+	"github.com/fireflysaddle/fireflysaddle"
+)
 
 // TCP is the network of the operating system.
 type TCP struct{}
@@ -27,7 +22,7 @@
 }
 
 // Or returns the network, or TCP where it is nil.
-func Or(n Network) Network {
+func Or(n fireflysaddle.Network) fireflysaddle.Network {
 	if n == nil {
 		return TCP{}
 	}
--- a/internal/link/saddlelink/pool.go
+++ b/internal/link/saddlelink/pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/fireflysaddle/fireflysaddle"
+
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -19,7 +21,7 @@
 // so each call in progress has a connection of its own. It is safe for
 // concurrent use.
 type Pool struct {
-	network Network
+	network fireflysaddle.Network
 	pool    *drpcpool.Pool[string, drpcpool.Conn]
 }
 
@@ -28,7 +30,7 @@
 func NewPool() (*Pool, func() error) { return NewPoolOver(TCP{}) }
 
 // NewPoolOver is NewPool over another network.
-func NewPoolOver(network Network) (*Pool, func() error) {
+func NewPoolOver(network fireflysaddle.Network) (*Pool, func() error) {
 	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  poolExpiration,
 		Capacity:    poolCapacity,
--- a/internal/node/saddleattend/config.go
+++ b/internal/node/saddleattend/config.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
@@ -15,5 +15,5 @@
 	Silence  time.Duration // a replica silent for longer is dialled anew
 	Member   func() *saddlewire.Member
 	Timeline *saddletimeline.Ring
-	Network  saddlelink.Network // nil: TCP
+	Network  fireflysaddle.Network // nil: TCP
 }
