--- a/internal/standin/saddleprocess/freeze.go
+++ b/internal/standin/saddleprocess/freeze.go
@@ -29,8 +29,11 @@
 // stopped returns nil when all threads of a process are stopped.
 func stopped(pid int) error {
 	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
-	if err != nil || len(files) == 0 {
-		return fmt.Errorf("process %d has no threads to look at: %v", pid, err)
+	if err != nil {
+		return err
+	}
+	if len(files) == 0 {
+		return fmt.Errorf("process %d has ended", pid)
 	}
 	for _, file := range files {
 		text, err := os.ReadFile(file)
