--- a/internal/pipeline/saddlestage/fleet_test.go
+++ b/internal/pipeline/saddlestage/fleet_test.go
@@ -35,12 +35,13 @@
 
 // fleet is a chain of agents with their engines over an in-memory network.
 type fleet struct {
-	t       *testing.T
-	net     *saddlestandin.Network
-	journal *saddlestandin.Journal
-	stages  []*agent
-	spares  []*agent
-	settle  func(*saddlestage.Config)
+	replaced []string // targets that spares took over from, as the head told
+	t        *testing.T
+	net      *saddlestandin.Network
+	journal  *saddlestandin.Journal
+	stages   []*agent
+	spares   []*agent
+	settle   func(*saddlestage.Config)
 
 	mu   sync.Mutex
 	lost []string // engines
--- a/internal/pipeline/saddlestage/recovery_test.go
+++ b/internal/pipeline/saddlestage/recovery_test.go
@@ -69,6 +69,19 @@
 	}
 }
 
+// The head tells of each target that a spare took over from, so that no other
+// request is sent there.
+func TestReplacedTargetIsTold(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := withSpares(t, 1, nil)
+		defer f.close()
+		f.stages[1].at(midway, func() { go f.stages[2].kill() })
+		r := f.run(t.Context())
+		f.judge(t, r)
+		is.New(t).Equal(f.replaced, []string{f.stages[2].info.GetTarget()})
+	})
+}
+
 // The head drives the attempt: without it the request begins anew.
 func TestLostHeadBeginsANewAttempt(t *testing.T) {
 	for worker := range recoveryStages {
--- a/internal/pipeline/saddlestage/run_test.go
+++ b/internal/pipeline/saddlestage/run_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/pipeline/saddlestage"
 	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlestandin"
 )
@@ -30,6 +31,7 @@
 	return chain[0].runner.Drive(ctx, saddlestage.Draft{
 		Request: "r1", Attempt: number, Chain: infos(chain), Spares: infos(f.spares),
 		Prompt: prompt, Given: append([]string(nil), given...), MaxTokens: uint32(tokens - len(given)), Budget: budget,
+		Replaced: func(target fireflysaddle.TargetID) { f.replaced = append(f.replaced, string(target)) },
 	}, emit)
 }
 
