Heartbeats name only what changed

The first one of a stream describes the member, later ones only when more than its load changed.

Ruled out: fewer heartbeats (the time in which a loss is seen rests on them).

--- a/internal/bench/saddleslope/control.go
+++ b/internal/bench/saddleslope/control.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlecontrol"
+	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleattend"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
@@ -109,6 +110,7 @@
 // attendees are streams to one replica.
 type attendees struct {
 	streams  []saddlewire.DRPCControl_AttendClient
+	beats    []*saddleattend.Beats // of each stream
 	conns    []*countedConn
 	closing  []func() error
 	wg       sync.WaitGroup
@@ -145,10 +147,12 @@
 	if err != nil {
 		return err
 	}
-	if err := stream.Send(&saddlewire.Beat{Member: member}); err != nil {
+	beats := &saddleattend.Beats{}
+	if err := stream.Send(beats.Next(member)); err != nil {
 		return err
 	}
 	a.streams = append(a.streams, stream)
+	a.beats = append(a.beats, beats)
 	a.conns = append(a.conns, counted)
 	a.wg.Go(func() {
 		for {
--- a/internal/bench/saddleslope/streams.go
+++ b/internal/bench/saddleslope/streams.go
@@ -55,7 +55,11 @@
 	defer tick.Stop()
 	for turn := 0; time.Now().Before(until); turn++ {
 		for i := turn % slices; i < len(a.streams); i += slices {
-			if err := a.streams[i].Send(&saddlewire.Beat{Member: agentMember(i), Stamp: &saddlewire.Stamp{WallNs: time.Now().UnixNano()}}); err != nil {
+			m := agentMember(i)
+			m.Load.Running = uint32(turn)
+			b := a.beats[i].Next(m)
+			b.Stamp = &saddlewire.Stamp{WallNs: time.Now().UnixNano()}
+			if err := a.streams[i].Send(b); err != nil {
 				return err
 			}
 		}
--- a/internal/control/saddlecontrol/attend.go
+++ b/internal/control/saddlecontrol/attend.go
@@ -31,7 +31,8 @@
 	if err != nil {
 		return err
 	}
-	if err := s.takeBeat(ctx, first); err != nil {
+	hearer := &hearer{}
+	if err := s.takeBeat(ctx, hearer, first); err != nil {
 		return err
 	}
 	silence.Reset(s.cfg.Silence)
@@ -42,18 +43,18 @@
 	defer func() { _ = s.post(context.WithoutCancel(ctx), leaveEvent{who: a}) }()
 	go func() {
 		defer cancel()
-		s.takeBeats(ctx, stream, silence)
+		s.takeBeats(ctx, stream, hearer, silence)
 	}()
 	return s.sendUpdates(ctx, stream, a)
 }
 
-func (s *Server) takeBeats(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, silence *time.Timer) {
+func (s *Server) takeBeats(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, hearer *hearer, silence *time.Timer) {
 	for {
 		b, err := stream.Recv()
 		if err != nil {
 			return
 		}
-		if err := s.takeBeat(ctx, b); err != nil {
+		if err := s.takeBeat(ctx, hearer, b); err != nil {
 			return
 		}
 		if ctx.Err() != nil {
@@ -63,12 +64,13 @@
 	}
 }
 
-func (s *Server) takeBeat(ctx context.Context, b *saddlewire.Beat) error {
-	if b.GetMember().GetNode() == "" {
+func (s *Server) takeBeat(ctx context.Context, hearer *hearer, b *saddlewire.Beat) error {
+	m := hearer.member(b)
+	if m.GetNode() == "" {
 		return eris.New("a heartbeat names no node")
 	}
 	s.cfg.Timeline.Observe(time.Now(), b.GetStamp())
-	return s.post(ctx, beatEvent{member: b.GetMember()})
+	return s.post(ctx, beatEvent{member: m})
 }
 
 func (s *Server) sendUpdates(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, a *attendee) error {
--- a/internal/node/saddleattend/attendant.go
+++ b/internal/node/saddleattend/attendant.go
@@ -167,10 +167,12 @@
 	defer cancel()
 	tick := time.NewTicker(a.cfg.Beat)
 	defer tick.Stop()
+	var beats Beats
 	for {
 		m := a.cfg.Member()
 		m.SinceNs = a.since.Load()
-		b := &saddlewire.Beat{Member: m, Stamp: a.cfg.Timeline.Stamp(time.Now())}
+		b := beats.Next(m)
+		b.Stamp = a.cfg.Timeline.Stamp(time.Now())
 		if err := stream.Send(b); err != nil {
 			return
 		}
