--- a/internal/standin/saddlestandin/engine.go
+++ b/internal/standin/saddlestandin/engine.go
@@ -162,6 +162,9 @@
 	defer e.count(-1)
 	k := attemptKey{request: in.Request, attempt: in.Attempt}
 	activations := e.stepInput(in)
+	if len(activations) == 0 {
+		return answer, http.StatusBadRequest
+	}
 	cost := e.cfg.TokenTime
 	if len(activations) > 1 || in.Position == 0 {
 		cost = time.Duration(len(activations)) * e.cfg.PrefillTime
