Brief heartbeats: both ends in one package; a test's control takes them too

Cause: the fake control of saddleentry's tests took in whole members only, so a heartbeat that names just the load looked like a member without a name, and TestQueuedFilingGoesOnWhenTheCallerIsGone waited for a load that never came (the package timed out after 10 min).

Sender and Receiver now stand beside each other in saddlebeat; control and the fake use the same Receiver. After: go test -race ./internal/entry/saddleentry ok 7.256s.

--- a/internal/control/saddlecontrol/attend.go
+++ b/internal/control/saddlecontrol/attend.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcctx"
 
+	"github.com/fireflysaddle/fireflysaddle/internal/node/saddlebeat"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -31,8 +32,8 @@
 	if err != nil {
 		return err
 	}
-	hearer := &hearer{}
-	if err := s.takeBeat(ctx, hearer, first); err != nil {
+	receiver := &saddlebeat.Receiver{}
+	if err := s.takeBeat(ctx, receiver, first); err != nil {
 		return err
 	}
 	silence.Reset(s.cfg.Silence)
@@ -43,18 +44,18 @@
 	defer func() { _ = s.post(context.WithoutCancel(ctx), leaveEvent{who: a}) }()
 	go func() {
 		defer cancel()
-		s.takeBeats(ctx, stream, hearer, silence)
+		s.takeBeats(ctx, stream, receiver, silence)
 	}()
 	return s.sendUpdates(ctx, stream, a)
 }
 
-func (s *Server) takeBeats(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, hearer *hearer, silence *time.Timer) {
+func (s *Server) takeBeats(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, receiver *saddlebeat.Receiver, silence *time.Timer) {
 	for {
 		b, err := stream.Recv()
 		if err != nil {
 			return
 		}
-		if err := s.takeBeat(ctx, hearer, b); err != nil {
+		if err := s.takeBeat(ctx, receiver, b); err != nil {
 			return
 		}
 		if ctx.Err() != nil {
@@ -64,8 +65,8 @@
 	}
 }
 
-func (s *Server) takeBeat(ctx context.Context, hearer *hearer, b *saddlewire.Beat) error {
-	m := hearer.member(b)
+func (s *Server) takeBeat(ctx context.Context, receiver *saddlebeat.Receiver, b *saddlewire.Beat) error {
+	m := receiver.Member(b)
 	if m.GetNode() == "" {
 		return eris.New("a heartbeat names no node")
 	}
--- a/internal/entry/saddleentry/control_test.go
+++ b/internal/entry/saddleentry/control_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestate"
 	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle/internal/node/saddlebeat"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -103,12 +104,13 @@
 	defer cancel()
 	go func() {
 		defer cancel()
+		var receiver saddlebeat.Receiver
 		for {
 			b, err := stream.Recv()
 			if err != nil {
 				return
 			}
-			c.beat(b.GetMember())
+			c.beat(receiver.Member(b))
 		}
 	}()
 	for {
--- a/internal/node/saddleattend/attendant.go
+++ b/internal/node/saddleattend/attendant.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle/internal/node/saddlebeat"
 	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleview"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
@@ -167,7 +168,7 @@
 	defer cancel()
 	tick := time.NewTicker(a.cfg.Beat)
 	defer tick.Stop()
-	var beats Beats
+	var beats saddlebeat.Sender
 	for {
 		m := a.cfg.Member()
 		m.SinceNs = a.since.Load()
--- a/internal/node/saddleattend/beats.go
+++ b/internal/node/saddlebeat/sender.go
@@ -1,4 +1,4 @@
-package saddleattend
+package saddlebeat
 
 import (
 	"google.golang.org/protobuf/proto"
@@ -6,17 +6,17 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-// Beats makes the heartbeats of one stream: the first one describes the member
+// Sender makes the heartbeats of one stream: the first one describes the member
 // whole, those after it do so only when more than its load has changed. It is
 // used by one goroutine.
-type Beats struct {
+type Sender struct {
 	last *saddlewire.Member
 }
 
 // Next returns the heartbeat for a member as it is now, which it keeps.
-func (b *Beats) Next(m *saddlewire.Member) *saddlewire.Beat {
-	old := b.last
-	b.last = m
+func (s *Sender) Next(m *saddlewire.Member) *saddlewire.Beat {
+	old := s.last
+	s.last = m
 	if old == nil || !sameButLoad(old, m) {
 		return &saddlewire.Beat{Member: m}
 	}
