--- /dev/null
+++ b/internal/entry/saddleentry/announcement_test.go
@@ -0,0 +1,18 @@
+package saddleentry_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle"
+)
+
+func TestATargetThatAnnouncesToAnEntryIsToldWhereToGo(t *testing.T) {
+	inWorld(t, fireflysaddle.KindService, func(t *testing.T, w *world) {
+		is := is.New(t)
+		out := w.do(t.Context(), "entry-1", "POST", "/v1/announce", "", `{"id":"desk-1"}`, nil)
+		is.True(strings.Contains(out.body, "agent in the target's slot"))
+	})
+}
--- a/internal/entry/saddleentry/server.go
+++ b/internal/entry/saddleentry/server.go
@@ -22,6 +22,7 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
 	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleattend"
+	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleannounce"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
@@ -174,11 +175,19 @@
 	e.Use(readBody(s.cfg.BodyLimit))
 	e.POST("/v1/chat/completions", s.handleChat)
 	e.POST("/v1/completions", s.handleCompletion)
+	e.POST(saddleannounce.PathAnnounce, refuseAnnouncement)
+	e.POST(saddleannounce.PathLeave, refuseAnnouncement)
 	e.Any("/services/:group", s.handleService)
 	e.Any("/services/:group/*", s.handleService)
 	return e
 }
 
+// refuseAnnouncement tells a target that it came to the wrong process: only the
+// agent in its slot can count, fence and drain it.
+func refuseAnnouncement(c echo.Context) error {
+	return c.JSON(http.StatusMisdirectedRequest, saddleannounce.Reply{Reason: "this is an entry; announce to the agent in the target's slot"})
+}
+
 // handleError answers what the routes did not: unknown paths and methods.
 func handleError(err error, c echo.Context) {
 	if c.Response().Committed {
