--- a/internal/agent/saddleagent/call.go
+++ b/internal/agent/saddleagent/call.go
@@ -28,7 +28,7 @@
 	t := in.GetTicket()
 	s.cfg.Timeline.Observe(now, t.GetStamp())
 	out := &callStream{server: s, ticket: t, stream: stream}
-	b, err := s.admit(now, t, fireflysaddle.KindService, Repeatable(in.GetMethod()))
+	b, err := s.admit(now, t, in.GetStage(), fireflysaddle.KindService, Repeatable(in.GetMethod()))
 	switch {
 	case refusalOf(err) != nil:
 		return out.refuse(err)
--- a/internal/agent/saddleagent/draft.go
+++ b/internal/agent/saddleagent/draft.go
@@ -21,7 +21,7 @@
 	now := time.Now()
 	s.cfg.Timeline.Observe(now, in.GetTicket().GetStamp())
 	out := newDraftStream(s, in.GetTicket(), stream)
-	b, err := s.admit(now, in.GetTicket(), fireflysaddle.KindEngine, true)
+	b, err := s.admit(now, in.GetTicket(), headOf(in), fireflysaddle.KindEngine, true)
 	switch {
 	case refusalOf(err) != nil:
 		return out.refuse(err)
--- a/internal/agent/saddleagent/server.go
+++ b/internal/agent/saddleagent/server.go
@@ -81,6 +81,7 @@
 		Engine:      s.engine,
 		Target:      s.targetID,
 		Accepting:   s.accepting,
+		Holds:       s.holds,
 		Probe:       cfg.StepTimeout,
 		Silence:     cfg.Silence,
 		Timeline:    cfg.Timeline,
--- a/internal/agent/saddleagent/ticket.go
+++ b/internal/agent/saddleagent/ticket.go
@@ -11,8 +11,8 @@
 // admit checks a request's ticket against what the agent knows and enters it
 // into the ledger. An error is a *fireflysaddle.RefusedError, or a
 // *saddleledger.DuplicateError: then the request may have been run.
-func (s *Server) admit(now time.Time, t *saddlewire.Ticket, kind fireflysaddle.TargetKind, repeatable bool) (*backend, error) {
-	b, err := s.checkTicket(t, kind)
+func (s *Server) admit(now time.Time, t *saddlewire.Ticket, stage *saddlewire.Stage, kind fireflysaddle.TargetKind, repeatable bool) (*backend, error) {
+	b, err := s.checkTicket(t, stage, kind)
 	if err != nil {
 		return nil, err
 	}
@@ -23,7 +23,7 @@
 	return b, err
 }
 
-func (s *Server) checkTicket(t *saddlewire.Ticket, kind fireflysaddle.TargetKind) (*backend, error) {
+func (s *Server) checkTicket(t *saddlewire.Ticket, stage *saddlewire.Stage, kind fireflysaddle.TargetKind) (*backend, error) {
 	if t.GetIncarnation() != uint64(s.cfg.Incarnation) {
 		return nil, refused(fireflysaddle.CodeIncarnation, "the request is meant for incarnation %d of this agent", t.GetIncarnation())
 	}
@@ -44,6 +44,9 @@
 	if fireflysaddle.TargetKind(b.announced.Kind) != kind {
 		return nil, refused(fireflysaddle.CodeWrongTarget, "target %q is no %s", b.id(), kind)
 	}
+	if !b.holds(stage) {
+		return nil, refused(fireflysaddle.CodeWrongTarget, "this slot no longer holds what target %q was chosen for", stage.GetTarget())
+	}
 	if known := view.Deployments[t.GetWorkspace()].GetRevision(); t.GetRevision() < known {
 		err := refused(fireflysaddle.CodeStale, "deployment %q is at revision %d here", t.GetWorkspace(), known)
 		err.Revision = fireflysaddle.Revision(known)
--- a/internal/entry/saddleentry/attempt.go
+++ b/internal/entry/saddleentry/attempt.go
@@ -216,6 +216,8 @@
 			Target:      string(s.Target),
 			Address:     s.Address,
 			Incarnation: uint64(s.Incarnation),
+			Group:       string(s.Group),
+			Version:     string(s.Version),
 			Layers:      &saddlewire.Layers{From: uint32(s.Layers.From), To: uint32(s.Layers.To), Of: uint32(s.Layers.Of)},
 		})
 	}
--- a/internal/entry/saddleroute/index.go
+++ b/internal/entry/saddleroute/index.go
@@ -130,6 +130,8 @@
 			Target:      id,
 			Address:     m.GetAddress(),
 			Incarnation: incarnation,
+			Group:       fireflysaddle.Group(t.GetGroup()),
+			Version:     fireflysaddle.Version(t.GetVersion()),
 			Layers: fireflysaddle.LayerRange{
 				From: fireflysaddle.Layer(t.GetLayers().GetFrom()),
 				To:   fireflysaddle.Layer(t.GetLayers().GetTo()),
--- a/internal/pipeline/saddlechain/stage.go
+++ b/internal/pipeline/saddlechain/stage.go
@@ -8,4 +8,6 @@
 	Address     string // agent's drpc address
 	Incarnation fireflysaddle.Incarnation
 	Layers      fireflysaddle.LayerRange
+	Group       fireflysaddle.Group   // what the target held when it was chosen
+	Version     fireflysaddle.Version // of the group
 }
--- a/internal/pipeline/saddlestage/config.go
+++ b/internal/pipeline/saddlestage/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
 // Config holds the settings of a runner.
@@ -16,10 +17,13 @@
 	Incarnation fireflysaddle.Incarnation   // this agent's incarnation
 	Engine      func() fireflysaddle.Engine // the engine beside it, nil when there is none
 	Target      func() fireflysaddle.TargetID
-	Accepting   func() bool   // new attempts may begin here
-	Probe       time.Duration // a head without a token for so long asks after its stages
-	Silence     time.Duration // a link silent for longer is closed
-	Timeline    *saddletimeline.Ring
+	Accepting   func() bool // new attempts may begin here
+	// Holds reports whether the target beside the agent still holds what a stage
+	// was chosen for; nil: always.
+	Holds    func(*saddlewire.Stage) bool
+	Probe    time.Duration // a head without a token for so long asks after its stages
+	Silence  time.Duration // a link silent for longer is closed
+	Timeline *saddletimeline.Ring
 	// ExportEvery is how many positions a stage runs at least between two
 	// exports of its cache, 0: it exports none.
 	ExportEvery fireflysaddle.Position
--- a/internal/pipeline/saddlestage/mend.go
+++ b/internal/pipeline/saddlestage/mend.go
@@ -173,6 +173,8 @@
 			Target:      fireflysaddle.TargetID(s.GetTarget()),
 			Address:     s.GetAddress(),
 			Incarnation: fireflysaddle.Incarnation(s.GetIncarnation()),
+			Group:       fireflysaddle.Group(s.GetGroup()),
+			Version:     fireflysaddle.Version(s.GetVersion()),
 			Layers: fireflysaddle.LayerRange{
 				From: fireflysaddle.Layer(s.GetLayers().GetFrom()),
 				To:   fireflysaddle.Layer(s.GetLayers().GetTo()),
@@ -190,6 +192,8 @@
 			Target:      string(s.Target),
 			Address:     s.Address,
 			Incarnation: uint64(s.Incarnation),
+			Group:       string(s.Group),
+			Version:     string(s.Version),
 			Layers:      &saddlewire.Layers{From: uint32(s.Layers.From), To: uint32(s.Layers.To), Of: uint32(s.Layers.Of)},
 		})
 	}
--- a/internal/pipeline/saddlestage/runner.go
+++ b/internal/pipeline/saddlestage/runner.go
@@ -77,13 +77,25 @@
 	}
 }
 
+// mayBegin reports whether the attempt of a frame may begin here: the target
+// takes new work, and still holds what the stage was chosen for.
+func (r *Runner) mayBegin(f *saddlewire.Frame) bool {
+	if !r.cfg.Accepting() {
+		return false
+	}
+	if r.cfg.Holds == nil || int(f.GetIndex()) >= len(f.GetChain()) {
+		return true
+	}
+	return r.cfg.Holds(f.GetChain()[f.GetIndex()])
+}
+
 // Take takes in a frame from another agent.
 func (r *Runner) Take(now time.Time, f *saddlewire.Frame) {
 	switch f.GetKind() {
 	case saddlewire.Frame_STEP:
-		r.begin(f)(r.table.step(now, f, r.cfg.Accepting()))
+		r.begin(f)(r.table.step(now, f, r.mayBegin(f)))
 	case saddlewire.Frame_RESTORE:
-		r.begin(f)(r.table.restore(now, f, r.cfg.Accepting()))
+		r.begin(f)(r.table.restore(now, f, r.mayBegin(f)))
 	case saddlewire.Frame_TOKEN, saddlewire.Frame_FAULT:
 		r.heads.deliver(f)
 	case saddlewire.Frame_CLOSE:
