--- a/internal/agent/saddleagent/config.go
+++ b/internal/agent/saddleagent/config.go
@@ -28,6 +28,15 @@
 	Shutdown    time.Duration // bound of the wait for work in progress, 0: none
 	Log         zerolog.Logger
 	Timeline    *saddletimeline.Ring
-	Network     fireflysaddle.Network // nil: TCP
+	Network     fireflysaddle.Network // between own processes; nil: TCP
+	Outside     fireflysaddle.Network // for targets; nil: as Network
 	Targets     Targets               // nil: over HTTP
 }
+
+// outside returns the network for targets.
+func (c *Config) outside() fireflysaddle.Network {
+	if c.Outside != nil {
+		return c.Outside
+	}
+	return c.Network
+}
--- a/internal/agent/saddleagent/server.go
+++ b/internal/agent/saddleagent/server.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/agent/saddleledger"
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Listen)
 	}
-	announces, err := cfg.Network.Listen(cfg.Announce)
+	announces, err := cfg.outside().Listen(cfg.Announce)
 	if err != nil {
 		_ = lis.Close()
 		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Announce)
@@ -87,7 +88,9 @@
 		Timeline:    cfg.Timeline,
 		ExportEvery: saddlestage.DefaultExportEvery,
 		BufferBytes: saddlestage.DefaultBufferBytes,
-		Dial:        saddlelink.Dial,
+		Dial: func(ctx context.Context, address string) (*drpcconn.Conn, error) {
+			return saddlelink.DialOver(ctx, cfg.Network, address)
+		},
 	})
 	cleanup := func() error {
 		_ = announces.Close()
--- a/internal/command/saddlectl/session.go
+++ b/internal/command/saddlectl/session.go
@@ -25,6 +25,7 @@
 	client *saddleclient.Client
 
 	controls string
+	tls      tlsFiles
 	json     bool
 	timeout  time.Duration
 
@@ -52,6 +53,7 @@
 // register adds the flags that all commands have.
 func (s *session) register(fs *flag.FlagSet) {
 	fs.StringVar(&s.controls, "controls", os.Getenv(envControls), "control addresses IP:port, comma-separated; default $"+envControls)
+	s.tls.register(fs)
 	fs.BoolVar(&s.json, "json", false, "print JSON")
 	fs.DurationVar(&s.timeout, "timeout", defaultTimeout, "longest time for control to answer")
 }
@@ -74,7 +76,11 @@
 	if s.timeout < minTimeout {
 		return nil, &usageError{reason: fmt.Sprintf("-timeout must be at least %s", minTimeout)}
 	}
-	client, cleanup := saddleclient.New(addresses, nil)
+	network, err := s.tls.network()
+	if err != nil {
+		return nil, err
+	}
+	client, cleanup := saddleclient.NewOver(network, addresses, nil)
 	s.client = client
 	return func() { _ = cleanup() }, nil
 }
--- a/internal/config/saddlesettings/common.go
+++ b/internal/config/saddlesettings/common.go
@@ -10,7 +10,9 @@
 	// AdminKeys is a file with the SHA-256 hashes of the keys that the admin
 	// listener takes; without one it takes every caller.
 	AdminKeys string `toml:"admin_keys"`
-	Log       Log    `toml:"log"`
+	// TLS protects the connections between the system's own processes.
+	TLS TLS `toml:"tls"`
+	Log Log `toml:"log"`
 	// Timeline is the number of events kept.
 	Timeline int `toml:"timeline"`
 	// LameDuck is how long a process that was told to stop still accepts work,
@@ -21,6 +23,28 @@
 	Shutdown Duration `toml:"shutdown"`
 }
 
+// TLS names PEM files; all three or none.
+type TLS struct {
+	Cert      string `toml:"cert"`      // this process's certificate
+	Key       string `toml:"key"`       // its private key
+	Authority string `toml:"authority"` // certificate of the fleet's authority
+}
+
+// On reports whether the connections are protected.
+func (t TLS) On() bool { return t.Cert != "" }
+
+func (t TLS) check(c *checker) {
+	given := 0
+	for _, file := range []string{t.Cert, t.Key, t.Authority} {
+		if file != "" {
+			given++
+		}
+	}
+	if given == 1 || given == 2 {
+		c.fail("tls", t.Cert, "needs cert, key and authority, or none of them")
+	}
+}
+
 // Log holds the settings of the log.
 type Log struct {
 	Level  string `toml:"level"`  // "debug", "info", "warn", "error"
@@ -47,6 +71,7 @@
 	c.required("node", s.Node)
 	c.required("centre", s.Centre)
 	c.reachable("admin", s.Admin)
+	s.TLS.check(c)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json", "console")
 	c.count("timeline", s.Timeline, maxTimeline)
--- a/internal/control/saddlecontrol/config.go
+++ b/internal/control/saddlecontrol/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestore"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 )
@@ -28,4 +29,5 @@
 	Loads         int           // engines that load at the same time, 0: without bound
 	Log           zerolog.Logger
 	Timeline      *saddletimeline.Ring
+	Network       fireflysaddle.Network // nil: TCP
 }
--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -14,6 +14,7 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlereplica"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestate"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestore"
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
@@ -78,7 +79,7 @@
 		grants:       saddlegrant.New(cfg.Loads, cfg.Lost),
 		attendees:    map[*attendee]struct{}{},
 		pending:      map[uint64]pendingCommand{},
-		peers:        newPeerSet(cfg.Node, cfg.Election),
+		peers:        newPeerSet(saddlelink.Or(cfg.Network), cfg.Node, cfg.Election),
 		clock:        saddleclock.New(now, 0),
 		started:      now,
 		applied:      loaded.Snapshot.GetIndex(),
--- a/internal/control/saddlecontrol/peer.go
+++ b/internal/control/saddlecontrol/peer.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
@@ -19,14 +20,15 @@
 // peer sends messages to one other replica. Messages may be lost: the replicas
 // repeat what matters.
 type peer struct {
+	network fireflysaddle.Network
 	address string
 	timeout time.Duration // of one exchange; a silent connection is closed
 	queue   chan *saddlewire.Message
 	conn    *drpcconn.Conn
 }
 
-func newPeer(address string, timeout time.Duration) *peer {
-	return &peer{address: address, timeout: timeout, queue: make(chan *saddlewire.Message, peerQueue)}
+func newPeer(network fireflysaddle.Network, address string, timeout time.Duration) *peer {
+	return &peer{network: network, address: address, timeout: timeout, queue: make(chan *saddlewire.Message, peerQueue)}
 }
 
 // send queues a message, or drops it when the peer does not keep up.
@@ -75,7 +77,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	if p.conn == nil {
-		conn, err := saddlelink.Dial(ctx, p.address)
+		conn, err := saddlelink.DialOver(ctx, p.network, p.address)
 		if err != nil {
 			return err
 		}
--- a/internal/control/saddlecontrol/peers.go
+++ b/internal/control/saddlecontrol/peers.go
@@ -5,12 +5,14 @@
 	"sync"
 	"time"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
 // peerSet holds the senders to the other replicas. It is used by the core's
 // goroutine, but for wait.
 type peerSet struct {
+	network fireflysaddle.Network
 	self    string
 	timeout time.Duration
 	peers   map[string]*peer
@@ -18,8 +20,8 @@
 	running sync.WaitGroup
 }
 
-func newPeerSet(self string, timeout time.Duration) *peerSet {
-	return &peerSet{self: self, timeout: timeout, peers: map[string]*peer{}, stops: map[string]context.CancelFunc{}}
+func newPeerSet(network fireflysaddle.Network, self string, timeout time.Duration) *peerSet {
+	return &peerSet{network: network, self: self, timeout: timeout, peers: map[string]*peer{}, stops: map[string]context.CancelFunc{}}
 }
 
 // follow starts senders to the replicas of a membership and stops all others.
@@ -41,7 +43,7 @@
 		if _, ok := s.peers[id]; ok {
 			continue
 		}
-		p := newPeer(address, s.timeout)
+		p := newPeer(s.network, address, s.timeout)
 		peerCtx, stop := context.WithCancel(ctx)
 		s.peers[id] = p
 		s.stops[id] = stop
--- a/internal/control/saddlecontrol/server.go
+++ b/internal/control/saddlecontrol/server.go
@@ -34,7 +34,8 @@
 		_ = closeStore()
 		return nil, nil, eris.Wrap(err, "decode snapshot")
 	}
-	lis, err := net.Listen("tcp", cfg.Listen)
+	cfg.Network = saddlelink.Or(cfg.Network)
+	lis, err := cfg.Network.Listen(cfg.Listen)
 	if err != nil {
 		_ = closeStore()
 		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Listen)
--- a/internal/daemon/saddledaemon/agent.go
+++ b/internal/daemon/saddledaemon/agent.go
@@ -9,6 +9,7 @@
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/agent/saddleagent"
 	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 )
 
 // RunAgent runs an agent until the context ends and its work in progress has.
@@ -35,6 +36,8 @@
 		Shutdown:    settings.Shutdown.Std(),
 		Log:         p.log,
 		Timeline:    p.timeline,
+		Network:     p.network,
+		Outside:     saddlelink.TCP{},
 	})
 	if err != nil {
 		return err
--- a/internal/daemon/saddledaemon/control.go
+++ b/internal/daemon/saddledaemon/control.go
@@ -39,6 +39,7 @@
 		Loads:         settings.Loads,
 		Log:           p.log,
 		Timeline:      p.timeline,
+		Network:       p.network,
 	})
 	if err != nil {
 		return err
--- a/internal/daemon/saddledaemon/controlbeat.go
+++ b/internal/daemon/saddledaemon/controlbeat.go
@@ -23,6 +23,7 @@
 		Beat:     controlBeat,
 		Silence:  controlSilence,
 		Timeline: p.timeline,
+		Network:  p.network,
 		Member: func() *saddlewire.Member {
 			view := a.View()
 			return &saddlewire.Member{
--- a/internal/daemon/saddledaemon/entry.go
+++ b/internal/daemon/saddledaemon/entry.go
@@ -8,6 +8,7 @@
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
 	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleentry"
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 )
 
 // RunEntry runs an entry until the context ends and its work in progress has.
@@ -33,6 +34,8 @@
 		Seed:        uint64(p.incarnation),
 		Log:         p.log,
 		Timeline:    p.timeline,
+		Network:     p.network,
+		Outside:     saddlelink.TCP{},
 	})
 	if err != nil {
 		return err
--- a/internal/daemon/saddledaemon/process.go
+++ b/internal/daemon/saddledaemon/process.go
@@ -11,6 +11,7 @@
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/admin/saddleadmin"
 	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 )
 
@@ -20,6 +21,7 @@
 	incarnation fireflysaddle.Incarnation
 	log         zerolog.Logger
 	timeline    *saddletimeline.Ring
+	network     fireflysaddle.Network // between the system's own processes
 }
 
 func newProcess(now time.Time, settings saddlesettings.Common, role fireflysaddle.Role, logs io.Writer) (*process, error) {
@@ -32,10 +34,21 @@
 		incarnation: fireflysaddle.Incarnation(now.UnixNano()),
 		timeline:    saddletimeline.NewRing(settings.Node, settings.Timeline),
 	}
+	p.network, err = newNetwork(settings.TLS)
+	if err != nil {
+		return nil, err
+	}
 	p.log = log.With().Str("node", settings.Node).Str("role", string(role)).Uint64("incarnation", uint64(p.incarnation)).Logger()
 	return p, nil
 }
 
+func newNetwork(settings saddlesettings.TLS) (fireflysaddle.Network, error) {
+	if !settings.On() {
+		return saddlelink.TCP{}, nil
+	}
+	return saddlelink.NewTLS(settings.Cert, settings.Key, settings.Authority)
+}
+
 func newLogger(settings saddlesettings.Log, w io.Writer) (zerolog.Logger, error) {
 	level, err := zerolog.ParseLevel(settings.Level)
 	if err != nil {
@@ -57,6 +70,9 @@
 	if keys == nil {
 		p.log.Warn().Str("admin", p.settings.Admin).Msg("admin_keys is not set: the admin listener takes every caller")
 	}
+	if !p.settings.TLS.On() {
+		p.log.Warn().Msg("tls is not set: connections between own processes are open to all who reach them")
+	}
 	admin, closeAdmin, err := saddleadmin.New(p.settings.Admin, keys, ready, p.timeline)
 	if err != nil {
 		return err
--- a/internal/entry/saddleentry/config.go
+++ b/internal/entry/saddleentry/config.go
@@ -27,5 +27,14 @@
 	Seed        uint64        // of the choice of targets
 	Log         zerolog.Logger
 	Timeline    *saddletimeline.Ring
-	Network     fireflysaddle.Network // nil: TCP
+	Network     fireflysaddle.Network // between own processes; nil: TCP
+	Outside     fireflysaddle.Network // for callers; nil: as Network
+}
+
+// outside returns the network for callers.
+func (c *Config) outside() fireflysaddle.Network {
+	if c.Outside != nil {
+		return c.Outside
+	}
+	return c.Network
 }
--- a/internal/entry/saddleentry/server.go
+++ b/internal/entry/saddleentry/server.go
@@ -53,7 +53,7 @@
 // processes.
 func New(cfg Config) (*Server, func() error, error) {
 	cfg.Network = saddlelink.Or(cfg.Network)
-	lis, err := cfg.Network.Listen(cfg.Listen)
+	lis, err := cfg.outside().Listen(cfg.Listen)
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Listen)
 	}
--- a/internal/standin/saddleprocess/fleet.go
+++ b/internal/standin/saddleprocess/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclient"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlecert"
 	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlerelay"
 	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlestandin"
 	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleannounce"
@@ -23,6 +24,20 @@
 	Dir      string
 	Controls []*Process
 	replicas []replica
+	cert     *certificate // of all processes, nil: none
+}
+
+// certificate names the files by which processes prove themselves.
+type certificate struct {
+	cert, key, authority string
+}
+
+// settings returns the certificate's part of a settings file.
+func (c *certificate) settings() string {
+	if c == nil {
+		return ""
+	}
+	return fmt.Sprintf("tls.cert = %q\ntls.key = %q\ntls.authority = %q\n", c.cert, c.key, c.authority)
 }
 
 // replica is a control replica; others reach it at an address that may be a
@@ -36,7 +51,20 @@
 // New starts n control replicas.
 func New(t testing.TB, n int) *Fleet {
 	t.Helper()
-	f := &Fleet{Dir: t.TempDir()}
+	return newFleet(t, n, nil)
+}
+
+// NewUnderTLS is New for a fleet whose processes prove themselves by a
+// certificate of the authority.
+func NewUnderTLS(t testing.TB, n int, authority *saddlecert.Authority) *Fleet {
+	t.Helper()
+	cert, key := authority.Issue(t, "fleet-process")
+	return newFleet(t, n, &certificate{cert: cert, key: key, authority: authority.File})
+}
+
+func newFleet(t testing.TB, n int, cert *certificate) *Fleet {
+	t.Helper()
+	f := &Fleet{Dir: t.TempDir(), cert: cert}
 	for i := range n {
 		a := address(t)
 		f.replicas = append(f.replicas, replica{node: fmt.Sprintf("control-%d", i+1), listen: a, address: a})
@@ -94,7 +122,7 @@
 	}
 	return start(t, f.Dir, "control", node, admin, fmt.Sprintf(
 		"node = %q\ncentre = \"centre-1\"\nlisten = %q\nadmin = %q\ndata = %q\n%s",
-		node, listen, admin, f.DataFolder(node), replicas.String()))
+		node, listen, admin, f.DataFolder(node), f.cert.settings()+replicas.String()))
 }
 
 // Entry is an entry's process.
@@ -109,7 +137,7 @@
 	admin, listen := address(t), address(t)
 	p := start(t, f.Dir, "entry", node, admin, fmt.Sprintf(
 		"node = %q\ncentre = \"centre-1\"\nlisten = %q\nadmin = %q\n%s\n[attend]\ncontrols = [%s]\n",
-		node, listen, admin, extra, quoted(f.ControlAddresses())))
+		node, listen, admin, f.cert.settings()+extra, quoted(f.ControlAddresses())))
 	return &Entry{Process: p, Listen: listen}
 }
 
@@ -144,7 +172,7 @@
 	admin, announce := address(t), address(t)
 	p := start(t, f.Dir, "agent", node, admin, fmt.Sprintf(
 		"node = %q\ncentre = \"centre-1\"\nlisten = %q\nannounce = %q\nadmin = %q\n%s\n[attend]\ncontrols = [%s]\n",
-		node, listen, announce, admin, extra, quoted(f.ControlAddresses())))
+		node, listen, announce, admin, f.cert.settings()+extra, quoted(f.ControlAddresses())))
 	return &Agent{Process: p, Listen: listen, Announce: announce}
 }
 
@@ -181,7 +209,11 @@
 // unless it ends with exit code 0.
 func (f *Fleet) Ctl(t testing.TB, args ...string) string {
 	t.Helper()
-	cmd := exec.Command(Program(t, "saddlectl"), append(args, "-controls", strings.Join(f.ControlAddresses(), ","))...)
+	args = append(args, "-controls", strings.Join(f.ControlAddresses(), ","))
+	if f.cert != nil {
+		args = append(args, "-tls-cert", f.cert.cert, "-tls-key", f.cert.key, "-tls-authority", f.cert.authority)
+	}
+	cmd := exec.Command(Program(t, "saddlectl"), args...)
 	var out bytes.Buffer
 	cmd.Stdout = &out
 	cmd.Stderr = &out
