Demo: engines announce what they hold now, so that placements can be tried

Cause: saddlectl place, run against demo -hold, stayed at 'waiting': the demo announced each engine as it was at the start. After: 'held' within 3 s.

--- a/internal/demo/saddledemo/fleet.go
+++ b/internal/demo/saddledemo/fleet.go
@@ -186,13 +186,13 @@
 }
 
 // startAgent runs an agent beside a target and lets the target announce itself.
-func (f *fleet) startAgent(a saddleannounce.Announcement) error {
+func (f *fleet) startAgent(describe func() saddleannounce.Announcement) error {
 	listens, err := addresses(2)
 	if err != nil {
 		return err
 	}
 	s := saddlesettings.DefaultAgent()
-	s.Node = "agent-" + a.ID
+	s.Node = "agent-" + describe().ID
 	s.Centre = "centre-1"
 	s.Listen = listens[0]
 	s.Announce = listens[1]
@@ -201,7 +201,7 @@
 		return err
 	}
 	f.daemon(func(ctx context.Context, logs io.Writer) error { return saddledaemon.RunAgent(ctx, s, logs) })
-	f.wg.Go(func() { saddlestandin.Announce(f.ctx, s.Announce, a, announceEvery) })
+	f.wg.Go(func() { saddlestandin.AnnounceChanging(f.ctx, s.Announce, describe, announceEvery) })
 	return nil
 }
 
@@ -245,7 +245,7 @@
 	}
 	f.closing = append(f.closing, cleanup)
 	f.engines[id] = e
-	return f.startAgent(e.Announcement())
+	return f.startAgent(e.Announcement)
 }
 
 func (f *fleet) startDesks() error {
@@ -263,7 +263,7 @@
 		}
 		f.closing = append(f.closing, cleanup)
 		f.desks = append(f.desks, s)
-		if err := f.startAgent(s.Announcement()); err != nil {
+		if err := f.startAgent(s.Announcement); err != nil {
 			return err
 		}
 	}
