--- a/internal/tool/saddleverdict/main.go
+++ b/internal/tool/saddleverdict/main.go
@@ -21,7 +21,7 @@
 )
 
 // testCommand is the README's test command, with its output as JSON.
-var testCommand = []string{"go", "test", "-json", "-race", "./..."}
+var testCommand = []string{"go", "test", "-json", "-race", "-count=1", "./..."}
 
 // event is one line of go test -json.
 type event struct {
