Read-through: shutdown tests that fail without their mechanism; stages go to the wire in one place

Cause: trials on scratch copies showed two tests that passed without what they are for. TestAStoppedEntry... passed with connections closed at the stop, because its stream ended within the lame-duck time; TestAStoppedAgent... passed for a whole model and a head without the wait, because another attempt hid the cut. Both are stricter now: the stream outlasts the lame-duck time, and the long request must end in its one attempt at the engines where it began.

Also: ToWire and FromWire replace two copies of the same conversion.

--- a/internal/daemon/saddledaemon/fixture_test.go
+++ b/internal/daemon/saddledaemon/fixture_test.go
@@ -106,7 +106,13 @@
 // It returns the tokens.
 func (f *fixture) stream(t testing.TB, entry string, at func()) []string {
 	t.Helper()
-	body := fmt.Sprintf(`{"model":"drafting-models","prompt":%q,"max_tokens":%d,"stream":true}`, longPrompt, longTokens)
+	return f.streamOf(t, entry, longTokens, at)
+}
+
+// streamOf is stream with a number of tokens.
+func (f *fixture) streamOf(t testing.TB, entry string, n int, at func()) []string {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"drafting-models","prompt":%q,"max_tokens":%d,"stream":true}`, longPrompt, n)
 	resp, err := post(entry, "/v1/completions", "", body)
 	if err != nil {
 		t.Fatal(err)
@@ -141,6 +147,30 @@
 	return n
 }
 
+// cutOff returns how the longest request was cut off, empty when it was not: it
+// ran in more than one attempt, or its layers at more than one engine.
+func (f *fixture) cutOff() string {
+	byRequest := map[string][]saddlestandin.Execution{}
+	longest := ""
+	for _, e := range f.journal.All() {
+		byRequest[e.Request] = append(byRequest[e.Request], e)
+		if len(byRequest[e.Request]) > len(byRequest[longest]) {
+			longest = e.Request
+		}
+	}
+	engines := map[uint32]string{} // by first layer
+	for _, e := range byRequest[longest] {
+		if e.Attempt != 1 {
+			return fmt.Sprintf("attempt %d ran at %s", e.Attempt, e.Engine)
+		}
+		if before, ok := engines[e.From]; ok && before != e.Engine {
+			return fmt.Sprintf("%s took over from %s", e.Engine, before)
+		}
+		engines[e.From] = e.Engine
+	}
+	return ""
+}
+
 func expectedLong() []string {
 	return saddlestandin.Expected(longPrompt, layers, longTokens)
 }
--- a/internal/daemon/saddledaemon/leaving_processes_test.go
+++ b/internal/daemon/saddledaemon/leaving_processes_test.go
@@ -22,15 +22,18 @@
 	f := newFixture(t, "3s")
 	f.target(t, "drafting-1", 0, layers)
 	f.awaitTargets(t, 1)
-	tokens := f.stream(t, f.entry.Listen, func() {
+	tokens := f.streamOf(t, f.entry.Listen, outlastTokens, func() {
 		f.entry.Signal(syscall.SIGTERM)
 		saddleprocess.Await(t, "the entry to turn unready", awaitTime, f.unready)
 		is.Equal(len(awaitDraft(t, f.entry.Listen, "sent by the balancer still", 2)), 2)
 	})
-	is.Equal(tokens, expectedLong())
+	is.Equal(tokens, saddlestandin.Expected(longPrompt, layers, outlastTokens))
 	f.entry.Stop(t)
 }
 
+// outlastTokens take longer than the lame-duck time of 3 s.
+const outlastTokens = 500
+
 func (f *fixture) unready() error {
 	resp, err := http.Get("http://" + f.entry.Admin + "/ready")
 	if err != nil {
@@ -83,6 +86,7 @@
 				is.Equal(f.startsAt(stopped), before) // nothing new
 			})
 			is.Equal(tokens, expectedLong())
+			is.Equal(f.cutOff(), "") // it went on to its end where it ran
 			is.NoErr(saddlestandin.CheckOrder(f.journal.All()))
 			agents[stopped].Stop(t)
 		})
--- a/internal/entry/saddleentry/attempt.go
+++ b/internal/entry/saddleentry/attempt.go
@@ -136,8 +136,8 @@
 	in := &saddlewire.DraftRequest{
 		Ticket:    s.ticket(time.Now(), d.caller, a.number, head.Incarnation),
 		Model:     d.model,
-		Chain:     wireChain(a.chain),
-		Spares:    wireStages(a.spares),
+		Chain:     saddlechain.ToWire(a.chain.Stages()),
+		Spares:    saddlechain.ToWire(a.spares),
 		Prompt:    d.prompt,
 		Given:     a.given,
 		MaxTokens: d.maxTokens - uint32(len(a.given)),
@@ -204,22 +204,3 @@
 func faultBy(f *saddlewire.Fault) error {
 	return &fireflysaddle.TargetError{Target: fireflysaddle.TargetID(f.GetTarget()), Err: errors.New(f.GetMessage())}
 }
-
-func wireChain(chain saddlechain.Chain) []*saddlewire.Stage {
-	return wireStages(chain.Stages())
-}
-
-func wireStages(stages []saddlechain.Stage) []*saddlewire.Stage {
-	out := make([]*saddlewire.Stage, 0, len(stages))
-	for _, s := range stages {
-		out = append(out, &saddlewire.Stage{
-			Target:      string(s.Target),
-			Address:     s.Address,
-			Incarnation: uint64(s.Incarnation),
-			Group:       string(s.Group),
-			Version:     string(s.Version),
-			Layers:      &saddlewire.Layers{From: uint32(s.Layers.From), To: uint32(s.Layers.To), Of: uint32(s.Layers.Of)},
-		})
-	}
-	return out
-}
--- a/internal/entry/saddleentry/trycall.go
+++ b/internal/entry/saddleentry/trycall.go
@@ -38,7 +38,7 @@
 		ContentType: c.contentType,
 		Body:        c.body,
 		Key:         c.key,
-		Stage:       wireStages([]saddlechain.Stage{stage})[0],
+		Stage:       saddlechain.ToWire([]saddlechain.Stage{stage})[0],
 	})
 	if err != nil {
 		return nil, nil, watch.cause(err)
--- a/internal/entry/saddleroute/index.go
+++ b/internal/entry/saddleroute/index.go
@@ -132,11 +132,7 @@
 			Incarnation: incarnation,
 			Group:       fireflysaddle.Group(t.GetGroup()),
 			Version:     fireflysaddle.Version(t.GetVersion()),
-			Layers: fireflysaddle.LayerRange{
-				From: fireflysaddle.Layer(t.GetLayers().GetFrom()),
-				To:   fireflysaddle.Layer(t.GetLayers().GetTo()),
-				Of:   fireflysaddle.Layer(t.GetLayers().GetOf()),
-			},
+			Layers:      saddlechain.RangeFromWire(t.GetLayers()),
 		},
 	}
 }
--- a/internal/pipeline/saddlestage/driver.go
+++ b/internal/pipeline/saddlestage/driver.go
@@ -39,13 +39,13 @@
 
 // newDriver checks the chain; an error is a *saddlechain.CoverError.
 func newDriver(r *Runner, d Draft) (*driver, error) {
-	chain, err := saddlechain.New(stagesOf(d.Chain))
+	chain, err := saddlechain.New(saddlechain.FromWire(d.Chain))
 	if err != nil {
 		return nil, err
 	}
 	h := &driver{
 		chain:    chain,
-		spares:   stagesOf(d.Spares),
+		spares:   saddlechain.FromWire(d.Spares),
 		r:        r,
 		k:        key{request: d.Request, attempt: d.Attempt},
 		used:     map[string]bool{},
--- a/internal/pipeline/saddlestage/mend.go
+++ b/internal/pipeline/saddlestage/mend.go
@@ -113,7 +113,7 @@
 	}
 	h.repair++
 	h.adopt(plan)
-	chain := wireStages(plan.Chain.Stages())
+	chain := saddlechain.ToWire(plan.Chain.Stages())
 	h.r.table.rechain(&saddlewire.Frame{Request: h.k.request, Attempt: h.k.attempt, Repair: h.repair, Chain: chain})
 	for _, p := range plan.Replays {
 		h.send(plan.Chain.Stages()[p.Stage].Address, &saddlewire.Frame{
@@ -165,37 +165,3 @@
 	}
 	return lost
 }
-
-func stagesOf(in []*saddlewire.Stage) []saddlechain.Stage {
-	out := make([]saddlechain.Stage, 0, len(in))
-	for _, s := range in {
-		out = append(out, saddlechain.Stage{
-			Target:      fireflysaddle.TargetID(s.GetTarget()),
-			Address:     s.GetAddress(),
-			Incarnation: fireflysaddle.Incarnation(s.GetIncarnation()),
-			Group:       fireflysaddle.Group(s.GetGroup()),
-			Version:     fireflysaddle.Version(s.GetVersion()),
-			Layers: fireflysaddle.LayerRange{
-				From: fireflysaddle.Layer(s.GetLayers().GetFrom()),
-				To:   fireflysaddle.Layer(s.GetLayers().GetTo()),
-				Of:   fireflysaddle.Layer(s.GetLayers().GetOf()),
-			},
-		})
-	}
-	return out
-}
-
-func wireStages(in []saddlechain.Stage) []*saddlewire.Stage {
-	out := make([]*saddlewire.Stage, 0, len(in))
-	for _, s := range in {
-		out = append(out, &saddlewire.Stage{
-			Target:      string(s.Target),
-			Address:     s.Address,
-			Incarnation: uint64(s.Incarnation),
-			Group:       string(s.Group),
-			Version:     string(s.Version),
-			Layers:      &saddlewire.Layers{From: uint32(s.Layers.From), To: uint32(s.Layers.To), Of: uint32(s.Layers.Of)},
-		})
-	}
-	return out
-}
