--- /dev/null
+++ b/internal/command/saddlemain/reload.go
@@ -0,0 +1,36 @@
+package saddlemain
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// onReload calls reload whenever the process is told that its settings have
+// changed, until stop is called. Settings that are wrong are logged, and the ones
+// before stay in force.
+func onReload(logs io.Writer, reload func() error) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-signals:
+			}
+			if err := reload(); err != nil {
+				_, _ = fmt.Fprintf(logs, `{"level":"error","time":%q,"error":%q,"message":"settings not reloaded; those before stay in force"}`+"\n",
+					time.Now().UTC().Format(time.RFC3339), err.Error())
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
--- a/internal/command/saddlemain/run.go
+++ b/internal/command/saddlemain/run.go
@@ -11,6 +11,7 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
 	"github.com/fireflysaddle/fireflysaddle/internal/daemon/saddledaemon"
 	"github.com/fireflysaddle/fireflysaddle/internal/demo/saddledemo"
+	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddlelog"
 )
 
 // The exit codes of the daemons.
@@ -65,8 +66,18 @@
 	_ = tw.Flush()
 }
 
-// daemon reads a role's settings and runs it.
-func daemon[S any](ctx context.Context, role string, args []string, errOut io.Writer, load func(string, saddlesettings.Place) (S, error), run func(context.Context, S, io.Writer) error) int {
+// runner runs a role. New settings come whenever the file was read again.
+type runner[S any] func(ctx context.Context, settings S, logs io.Writer, reloads <-chan S) error
+
+// fixed is the runner of a role that takes up new settings at its next start.
+func fixed[S any](run func(context.Context, S, io.Writer) error) runner[S] {
+	return func(ctx context.Context, settings S, logs io.Writer, _ <-chan S) error {
+		return run(ctx, settings, logs)
+	}
+}
+
+// daemon reads a role's settings and runs it. Its log goes to out.
+func daemon[S any](ctx context.Context, role string, args []string, out, errOut io.Writer, load func(string, saddlesettings.Place) (S, error), run runner[S]) int {
 	fs := flag.NewFlagSet(role, flag.ContinueOnError)
 	fs.SetOutput(errOut)
 	file := fs.String("settings", "", "settings file")
@@ -79,27 +90,42 @@
 		_, _ = fmt.Fprintln(errOut, err)
 		return ExitSettings
 	}
-	if err := run(ctx, settings, errOut); err != nil {
+	logs, flush := saddlelog.New(out)
+	defer func() { _ = flush() }()
+	reloads := make(chan S, 1)
+	stop := onReload(logs, func() error {
+		next, err := load(*file, *place)
+		if err != nil {
+			return err
+		}
+		select {
+		case reloads <- next:
+		default: // the ones before were not taken up yet; the role takes none
+		}
+		return nil
+	})
+	defer stop()
+	if err := run(ctx, settings, logs, reloads); err != nil {
 		_, _ = fmt.Fprintf(errOut, "fireflysaddle %s: %v\n", role, err)
 		return ExitFailed
 	}
 	return ExitOK
 }
 
-func runEntry(ctx context.Context, args []string, _, errOut io.Writer) int {
-	return daemon(ctx, "entry", args, errOut, saddlesettings.LoadEntry, saddledaemon.RunEntry)
+func runEntry(ctx context.Context, args []string, out, errOut io.Writer) int {
+	return daemon(ctx, "entry", args, out, errOut, saddlesettings.LoadEntry, fixed(saddledaemon.RunEntry))
 }
 
 func runGateway(ctx context.Context, args []string, out, errOut io.Writer) int {
-	return daemon(ctx, "gateway", args, errOut, saddlesettings.LoadGateway, saddledaemon.RunGateway)
+	return daemon(ctx, "gateway", args, out, errOut, saddlesettings.LoadGateway, saddledaemon.RunGateway)
 }
 
-func runAgent(ctx context.Context, args []string, _, errOut io.Writer) int {
-	return daemon(ctx, "agent", args, errOut, saddlesettings.LoadAgent, saddledaemon.RunAgent)
+func runAgent(ctx context.Context, args []string, out, errOut io.Writer) int {
+	return daemon(ctx, "agent", args, out, errOut, saddlesettings.LoadAgent, fixed(saddledaemon.RunAgent))
 }
 
-func runControl(ctx context.Context, args []string, _, errOut io.Writer) int {
-	return daemon(ctx, "control", args, errOut, saddlesettings.LoadControl, saddledaemon.RunControl)
+func runControl(ctx context.Context, args []string, out, errOut io.Writer) int {
+	return daemon(ctx, "control", args, out, errOut, saddlesettings.LoadControl, fixed(saddledaemon.RunControl))
 }
 
 // placeFlags adds the flags for processes that share a settings file.
--- a/internal/control/saddlecontrol/attendee.go
+++ b/internal/control/saddlecontrol/attendee.go
@@ -66,6 +66,9 @@
 	if a.role != fireflysaddle.RoleAgent {
 		u.Members, u.Gone = c.members.since(a.version)
 	}
+	if a.role == fireflysaddle.RoleEntry {
+		u.Loads = c.members.loads()
+	}
 	if a.role != fireflysaddle.RoleAgent {
 		u.Registrations, u.Unregistered = c.registry.Since(a.registry)
 		a.registry = c.registry.Version()
--- a/internal/control/saddlecontrol/members.go
+++ b/internal/control/saddlecontrol/members.go
@@ -106,6 +106,17 @@
 	return members, gone
 }
 
+// loads returns what the drafts of each entry take.
+func (t *memberTable) loads() []*saddlewire.EntryLoad {
+	var out []*saddlewire.EntryLoad
+	for node, rec := range t.members {
+		if drafts := rec.member.GetLoad().GetDrafts(); len(drafts) > 0 {
+			out = append(out, &saddlewire.EntryLoad{Node: node, Drafts: drafts})
+		}
+	}
+	return out
+}
+
 // needsLoad reports whether a member's engine is to load something.
 func (t *memberTable) needsLoad(node string) bool {
 	rec, ok := t.members[node]
--- a/internal/control/saddleregistry/table.go
+++ b/internal/control/saddleregistry/table.go
@@ -82,12 +82,16 @@
 }
 
 // Newer reports whether a registration goes before another of the same target:
-// it is of a later start, or of the same start and sent later.
+// it is of a later start, of the same start and sent later, or completed by what
+// was learnt of the target since.
 func Newer(a, b *saddlewire.Registration) bool {
 	if a.GetIncarnation() != b.GetIncarnation() {
 		return a.GetIncarnation() > b.GetIncarnation()
 	}
-	return a.GetSequence() > b.GetSequence()
+	if a.GetSequence() != b.GetSequence() {
+		return a.GetSequence() > b.GetSequence()
+	}
+	return a.GetLooked() > b.GetLooked()
 }
 
 // sameToOthers compares what choosing a target depends on.
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -31,6 +31,10 @@
 	fetchAgain = 100 * time.Millisecond
 	// coverEvery is the time between looks whether a chain stands.
 	coverEvery = 100 * time.Millisecond
+	// probeEvery is the time between looks for engines that are due.
+	probeEvery = 100 * time.Millisecond
+	// probeTimeout bounds the question to an engine, which answers at once.
+	probeTimeout = 250 * time.Millisecond
 	// openAnyway is how long a gateway waits for a chain to stand before it calls
 	// itself ready: it can serve plain services without one.
 	openAnyway = 8 * time.Second
@@ -44,6 +48,7 @@
 	gateway   *saddlegateway.Gateway
 	attendant *saddleattend.Attendant
 	pool      *saddlelink.Pool
+	client    *platform.Client
 	leaving   atomic.Bool
 	covered   atomic.Bool
 	started   time.Time
@@ -54,7 +59,8 @@
 }
 
 // RunGateway runs a gateway until the context ends and its work in progress has.
-func RunGateway(ctx context.Context, settings saddlesettings.Gateway, logs io.Writer) error {
+// New settings name control replicas that are followed besides.
+func RunGateway(ctx context.Context, settings saddlesettings.Gateway, logs io.Writer, reloads <-chan saddlesettings.Gateway) error {
 	now := time.Now()
 	p, err := newProcess(now, settings.Common, fireflysaddle.RoleEntry, logs)
 	if err != nil {
@@ -64,8 +70,11 @@
 	defer func() { _ = closeClient() }()
 	pool, closePool := saddlelink.NewPoolOver(p.network)
 	defer func() { _ = closePool() }()
-	g := &gateway{settings: settings, process: p, pool: pool, started: now, fetch: make(chan struct{}, 1)}
-	g.fleet = saddlefleet.New(settings.Node, fireflysaddle.DataCentre(settings.Centre), p.log, func() { g.attendant.Wake() })
+	g := &gateway{settings: settings, process: p, pool: pool, client: client, started: now, fetch: make(chan struct{}, 1)}
+	g.fleet = saddlefleet.New(settings.Node, fireflysaddle.DataCentre(settings.Centre), p.log, func(address string) {
+		g.gateway.EngineDown(address)
+		g.attendant.Wake()
+	})
 	g.gateway = saddlegateway.New(saddlegateway.Config{
 		Forwarder:    client,
 		Fleet:        g.fleet,
@@ -82,9 +91,26 @@
 		Network:  p.network,
 		Member:   g.member,
 	}, g.take)
+	reloadCtx, stopReloads := context.WithCancel(ctx)
+	defer stopReloads()
+	go g.takeReloads(reloadCtx, reloads)
 	return p.serve(ctx, g.ready, g.run)
 }
 
+// takeReloads takes up settings that were read again.
+func (g *gateway) takeReloads(ctx context.Context, reloads <-chan saddlesettings.Gateway) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-reloads:
+			countReloads.Add(1)
+			g.attendant.Follow(s.Attend.Addresses())
+			g.process.log.Info().Strs("controls", s.Attend.Addresses()).Msg("settings reloaded")
+		}
+	}
+}
+
 // keyMargin is taken off the time for which keys are good: a replica's word may be
 // as old as its election timeout, and a request takes time to arrive.
 const keyMargin = time.Second
@@ -107,13 +133,14 @@
 		Leaving:     g.leaving.Load(),
 		Revision:    view.Revision,
 		Confirmed:   view.Confirmed,
-		Suspects:    g.fleet.Suspects(time.Now()),
+		Load:        &saddlewire.Load{Drafts: g.fleet.Drafts()},
+		Suspects:    g.fleet.Suspects(),
 	}
 }
 
 // take takes up each new view.
 func (g *gateway) take(v *saddleview.View) {
-	g.fleet.Update(time.Now(), v)
+	g.fleet.Update(v)
 	if v.Routing > g.held().GetVersion() {
 		select {
 		case g.fetch <- struct{}{}:
@@ -240,6 +267,30 @@
 	return true
 }
 
+// probe asks the engines that are passed over for their state.
+func (g *gateway) probe(ctx context.Context) {
+	tick := time.NewTicker(probeEvery)
+	defer tick.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-g.fleet.Doubts():
+		}
+		for _, t := range g.fleet.Due(time.Now()) {
+			wg.Go(func() {
+				callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+				defer cancel()
+				report, err := g.client.Report(callCtx, t.Address)
+				g.fleet.Probed(time.Now(), t, report, err)
+			})
+		}
+	}
+}
+
 // run serves until told to stop, and then until the requests in progress have
 // ended or the shutdown time is over.
 func (g *gateway) run(stop <-chan struct{}) error {
@@ -251,6 +302,7 @@
 	wg.Go(func() { _ = g.attendant.Run(ctx) })
 	wg.Go(func() { g.follow(ctx) })
 	wg.Go(func() { g.watchCover(ctx) })
+	wg.Go(func() { g.probe(ctx) })
 	in := platform.NewIngress(g.gateway, g.attendant.Now, g.process.log)
 	serveCtx, stopServing := context.WithCancel(ctx)
 	defer stopServing()
--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -75,6 +75,7 @@
 		View:    g.attendant.View,
 		Routing: func() *saddlerouting.Routing { return g.routing.open(ctx, g.current.Load(), g.process.log) },
 		Term:    g.leaseTerm,
+		Learnt:  g.learnt,
 		Log:     g.process.log,
 	})
 	api := platform.NewControl(g.replica, g.known, g.process.log)
@@ -181,6 +182,17 @@
 	return nil
 }
 
+// learnt has the replica know what an engine holds.
+func (g *groupReplica) learnt(ctx context.Context, reg *saddlewire.Registration) {
+	s := g.current.Load()
+	if s == nil {
+		return
+	}
+	if err := s.Register(ctx, reg); err != nil {
+		g.process.log.Warn().Err(err).Str("target", reg.GetId()).Msg("what was learnt of the target is lost")
+	}
+}
+
 func (g *groupReplica) leaseTerm() uint64 {
 	if s := g.current.Load(); s != nil {
 		return s.LeaseTerm()
--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -1,6 +1,7 @@
 package saddlefleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -28,18 +29,21 @@
 	// hopCost is the time that passing through one more engine adds to a token:
 	// a wait for its next step and the way there.
 	hopCost = float64(500 * time.Microsecond)
-	// crossCost stands for a change of data centre. A prompt's activations are
-	// tens of megabytes over a line that all engines share, so it is worth a
-	// chain that is slower by this much for each token.
-	crossCost = float64(6 * time.Millisecond)
+	// enterCost stands for a head in another data centre: the way there and back,
+	// and the bytes of the answer between data centres.
+	enterCost = float64(2 * time.Millisecond)
+	// crossCost stands for a change of data centre within a chain. A prompt's
+	// activations are tens of megabytes over a line that all engines share, so it
+	// is worth a chain that is slower by this much for each token.
+	crossCost = float64(8 * time.Millisecond)
+	// faultCost is what a recent failure of a head adds.
+	faultCost = float64(4 * time.Millisecond)
 	// loadCost is by what factor a full engine is dearer than an empty one.
-	loadCost = 2.0
-	// foreignShare is the part of another data centre's engines that an entry
-	// takes for its own, as a part of an even share.
-	foreignShare = 0.5
-	// shareSlack is by how much an entry may exceed its even share: callers are
-	// spread over the entries unevenly.
-	shareSlack = 1.4
+	loadCost = 1.0
+	// roomUsed is the part of an engine's room that drafts are planned for: answers
+	// turn out longer than estimated, and what the other entries have is known from
+	// half a second ago.
+	roomUsed = 0.95
 )
 
 // PickChain chooses a chain for a request that takes a number of tokens, passing
@@ -50,15 +54,18 @@
 	defer f.mu.Unlock()
 	found := f.findChain(now, pool, tokens, avoid)
 	if found == nil {
-		return Chain{}, nil, f.findChain(now, pool, 0, avoid) != nil, false
+		return Chain{}, nil, f.findChain(now, pool, -1, avoid) != nil, false
 	}
 	for _, p := range found {
-		p.target.running++
-		p.target.reserved += float64(tokens * (p.to - p.from))
 		c.Parts = append(c.Parts, fireflysaddle.ChainPart{Address: p.target.Address, From: p.from, To: p.to})
 	}
 	c.Head = found[0].target.Target
-	return c, sync.OnceFunc(func() { f.release(found, tokens) }), false, true
+	f.reserve(found, pool.Model, float64(tokens), 1)
+	return c, sync.OnceFunc(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.reserve(found, pool.Model, float64(tokens), -1)
+	}), false, true
 }
 
 type part struct {
@@ -66,15 +73,18 @@
 	from, to int
 }
 
-func (f *Fleet) release(parts []part, tokens int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// reserve notes what a request takes, or with sign -1 that it has ended.
+func (f *Fleet) reserve(parts []part, model *saddlerouting.Model, tokens float64, sign int) {
 	for _, p := range parts {
-		p.target.running--
-		p.target.reserved -= float64(tokens * (p.to - p.from))
+		layers := float64(p.to - p.from)
+		p.target.running += sign
+		p.target.reserved += float64(sign) * tokens * layers
+		f.mine[p.target.Centre] += float64(sign) * tokens * layers / float64(model.Layers)
 	}
 }
 
+// findChain returns the cheapest chain with room for a number of tokens; -1: room
+// does not matter.
 func (f *Fleet) findChain(now time.Time, pool *saddlerouting.Pool, tokens int, avoid []string) []part {
 	model := pool.Model
 	if model == nil {
@@ -83,18 +93,18 @@
 	var holders []saddlepath.Holder
 	var of []*target
 	centres := map[fireflysaddle.DataCentre]int{f.centre: 0}
-	for _, t := range f.modelHolders(now, pool.Group, avoid) {
-		if _, ok := centres[t.Centre]; !ok {
-			centres[t.Centre] = len(centres)
-		}
-		acc, ok := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
-		if !ok {
+	for _, t := range f.groups[pool.Group] {
+		acc, known := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
+		if !known || !t.usable(now) || slices.Contains(avoid, t.Address) {
 			continue
 		}
 		load, fits := f.load(model, acc, t, tokens)
 		if !fits {
 			continue
 		}
+		if _, ok := centres[t.Centre]; !ok {
+			centres[t.Centre] = len(centres)
+		}
 		for _, held := range t.reg.GetLayers() {
 			holders = append(holders, saddlepath.Holder{
 				From:     int(held.GetFrom()),
@@ -102,33 +112,43 @@
 				Centre:   centres[t.Centre],
 				PerLayer: float64(model.StepTime(acc, 1)) * (1 + loadCost*load),
 				PerHop:   hopCost,
+				AsHead:   faultCost * t.recentFaults(now),
 			})
 			of = append(of, t)
 		}
 	}
 	var out []part
-	for _, p := range saddlepath.Find(holders, model.Layers, 0, crossCost) {
+	for _, p := range saddlepath.Find(holders, model.Layers, 0, saddlepath.Costs{Enter: enterCost, Cross: crossCost}) {
 		out = append(out, part{target: of[p.Holder], from: p.From, to: p.To})
 	}
 	return out
 }
 
-// load estimates how full an engine is from what this entry has there, and
-// whether a request of a number of tokens fits into this entry's part.
+// load estimates how full an engine is, and whether a request of a number of
+// tokens fits: from what this entry has there, and an even part of what the others
+// have in its data centre.
 func (f *Fleet) load(model *saddlerouting.Model, acc saddlerouting.Accelerator, t *target, tokens int) (load float64, fits bool) {
 	layers := 0
 	for _, held := range t.reg.GetLayers() {
 		layers += int(held.GetTo() - held.GetFrom())
 	}
-	room := float64(model.Room(acc, layers) * layers)
-	if room <= 0 {
+	if layers == 0 {
 		return 0, false
 	}
-	share := shareSlack / float64(f.near)
-	if t.Centre != f.centre {
-		share = shareSlack * foreignShare / float64(f.entries)
+	room := float64(model.Room(acc, layers)*layers) * roomUsed
+	taken := t.reserved + f.others[t.Centre]*float64(layers)
+	if tokens < 0 {
+		return 0, true
+	}
+	if room <= 0 {
+		return 1, false
 	}
-	mine := room * min(1, share)
-	after := t.reserved + float64(tokens*layers)
-	return t.reserved / mine, after <= mine
+	return taken / room, taken+float64(tokens*layers) <= room
+}
+
+// Covered reports whether the engines of a group hold all layers of its model.
+func (f *Fleet) Covered(now time.Time, pool *saddlerouting.Pool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.findChain(now, pool, -1, nil) != nil
 }
--- a/internal/direct/saddlefleet/counters.go
+++ b/internal/direct/saddlefleet/counters.go
@@ -2,4 +2,4 @@
 
 import "expvar"
 
-var countSuspected = expvar.NewInt("target_passed_over_total")
+var countPassedOver = expvar.NewInt("target_passed_over_total")
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -23,31 +23,65 @@
 	running  int     // requests that this entry has there
 	reserved float64 // tokens x layers that this entry's requests take there
 
-	failures  int       // in a row
-	suspect   time.Time // until when others are chosen first
-	reason    string
-	firstSeen time.Time
+	passedOver bool      // it seems to have failed
+	confirmed  bool      // it did not tell its state when asked
+	failures   int       // in a row, of probes or of requests
+	lookAt     time.Time // passed over: when it is looked at again
+	hinted     bool      // another entry passes it over, and this one has not looked yet
+	probing    bool
+	faults     float64   // recent failures of its own, halved each faultsHalf
+	faultsAt   time.Time // of the last one
 }
 
 const (
-	// suspectFirst is how long a target is passed over after one failure: about
-	// twice a heartbeat of a target that was started again.
-	suspectFirst = time.Second
-	// suspectMost bounds that time, so that one that is well again is soon used.
-	suspectMost = 4 * time.Second
+	// lookFirst is when a target that was passed over is looked at again: a cut or
+	// a lost packet is over by then. The time doubles up to lookMost; a target that
+	// was started again comes with a new registration.
+	lookFirst = 300 * time.Millisecond
+	lookMost  = 1200 * time.Millisecond
+	// faultsHalf is the time in which the failures of a target that goes on
+	// answering count half.
+	faultsHalf = 2 * time.Second
 )
 
-// fail notes a failure and passes the target over for a while.
-func (t *target) fail(now time.Time, reason string) {
+// engine reports whether the target holds layers of a model, and so can be asked
+// for its state.
+func (t *target) engine() bool { return t.reg.GetAccelerator() != "" }
+
+func (t *target) fail(now time.Time) {
+	t.passedOver = true
+	t.lookAt = now.Add(min(lookMost, lookFirst<<min(t.failures, 4)))
 	t.failures++
-	wait := min(suspectMost, suspectFirst<<min(t.failures-1, 2))
-	t.suspect = now.Add(wait)
-	t.reason = reason
 }
 
 func (t *target) good() {
+	t.passedOver = false
+	t.confirmed = false
 	t.failures = 0
-	t.suspect = time.Time{}
 }
 
-func (t *target) suspected(now time.Time) bool { return now.Before(t.suspect) }
+// usable reports whether requests may be sent there: to a plain service that was
+// passed over the next one goes as a probe.
+func (t *target) usable(now time.Time) bool {
+	return !t.passedOver || (!t.engine() && now.After(t.lookAt))
+}
+
+// fault notes a failure that is no sign that the target is down.
+func (t *target) fault(now time.Time) {
+	t.faults = t.recentFaults(now) + 1
+	t.faultsAt = now
+}
+
+func (t *target) recentFaults(now time.Time) float64 {
+	for f, age := t.faults, now.Sub(t.faultsAt); ; f, age = f/2, age-faultsHalf {
+		if f < faultsGone {
+			return 0
+		}
+		if age < faultsHalf {
+			return f
+		}
+	}
+}
+
+// faultsGone is where failures of long ago are forgotten.
+const faultsGone = 0.1
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -32,6 +32,7 @@
 	mu      sync.Mutex
 	budgets map[fireflysaddle.Group]*saddleretry.Budget
 	reports map[string]*inspection
+	watched watched
 }
 
 // New returns a gateway that knows no configuration.
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -61,7 +61,7 @@
 	defer cancel()
 	reply, err := j.cfg.Forwarder.Forward(ctx, f)
 	if err != nil {
-		return false, j.noReply(target.Address, err)
+		return false, j.noReply(target.Address, time.Since(now), err)
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun {
@@ -71,10 +71,10 @@
 	j.firstAt = time.Now()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, keptAnswer))
 	if err != nil {
-		j.cfg.Fleet.Failed(time.Now(), target.Address, "answer broke off")
+		j.cfg.Fleet.Faulty(time.Now(), target.Address, "answer broke off")
 		return false, "answer broke off: " + err.Error()
 	}
-	j.cfg.Fleet.Answered(time.Now(), target.Address)
+	j.cfg.Fleet.Works(time.Now(), target.Address)
 	if j.worthAnother(reply.Status) {
 		return false, "target answered " + http.StatusText(reply.Status)
 	}
@@ -82,14 +82,22 @@
 	return true, ""
 }
 
-// noReply takes in that no answer came and returns why.
-func (j *job) noReply(address string, err error) string {
+// noReply takes in that no answer came and returns why. waited is for how long.
+func (j *job) noReply(address string, waited time.Duration, err error) string {
 	var notSent *fireflysaddle.NotSentError
-	if !errors.As(err, &notSent) {
+	sent := !errors.As(err, &notSent)
+	if sent {
 		j.runs++
 	}
-	if !errors.Is(err, context.Canceled) {
-		j.cfg.Fleet.Failed(time.Now(), address, err.Error())
+	now := time.Now()
+	switch {
+	case errors.Is(err, context.Canceled):
+	case errors.Is(err, context.DeadlineExceeded) && waited < j.route.Aim:
+		// the caller left it no time, which says nothing of the target
+	case !sent:
+		j.cfg.Fleet.Down(now, address, err.Error())
+	default:
+		j.cfg.Fleet.Faulty(now, address, err.Error())
 	}
 	return err.Error()
 }
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -108,7 +108,10 @@
 	}()
 	reply, err := j.cfg.Forwarder.Forward(ctx, f)
 	if err != nil {
-		return false, j.noReply(chain.Head.Address, err)
+		if cause := context.Cause(ctx); cause != nil {
+			err = &fireflysaddle.TargetError{Target: chain.Head.ID, Err: cause}
+		}
+		return false, j.noReply(chain.Head.Address, time.Since(now), err)
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun {
@@ -125,7 +128,7 @@
 func (j *job) notRun(reply *fireflysaddle.Reply) string {
 	if reply.AtFault != "" {
 		j.avoid = append(j.avoid, reply.AtFault)
-		j.cfg.Fleet.Failed(time.Now(), reply.AtFault, "refused its part: "+strconv.Itoa(reply.Status))
+		j.cfg.Fleet.Down(time.Now(), reply.AtFault, "refused its part: "+strconv.Itoa(reply.Status))
 	}
 	return "not run, " + strconv.Itoa(reply.Status) + " at " + reply.AtFault
 }
@@ -152,6 +155,8 @@
 		if err != nil && !errors.Is(err, io.EOF) {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
+			} else {
+				j.cfg.Fleet.Faulty(time.Now(), j.chain[0], err.Error())
 			}
 			return false, "stream broke off: " + err.Error()
 		}
@@ -176,7 +181,6 @@
 			return true, ""
 		}
 	}
-	j.cfg.Fleet.Answered(time.Now(), j.chain...)
 	countServed.Add(1)
 	j.finish("answered", "", "")
 	return true, ""
--- a/internal/direct/saddlegateway/watch.go
+++ b/internal/direct/saddlegateway/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,22 +17,25 @@
 )
 
 const (
-	// firstLook is after how long without an event the head of a chain is asked:
-	// an answer that is on time has begun by then.
-	firstLook = 500 * time.Millisecond
-	// gapLook is the same between events, a few times the usual pause and twice
-	// one that is on time.
-	gapLook = 400 * time.Millisecond
+	// firstLook is after how long without an event the head of a chain is asked: a
+	// first event usually comes within a tenth of a second.
+	firstLook = 170 * time.Millisecond
+	// gapLook is the same between events, which usually come each thirtieth of a
+	// second.
+	gapLook = 250 * time.Millisecond
 	// lookAgain is the time between further looks; reports are a fifth of a second
 	// old.
-	lookAgain = 250 * time.Millisecond
+	lookAgain = 130 * time.Millisecond
 	// hardSilence is after how long an attempt ends whatever the head says: a
 	// caller leaves after two seconds without an event.
-	hardSilence = 1500 * time.Millisecond
+	hardSilence = 1400 * time.Millisecond
 	// reportTimeout bounds the question to a head.
 	reportTimeout = 200 * time.Millisecond
 	// reportFresh is how long an answer serves all streams of a head.
-	reportFresh = 150 * time.Millisecond
+	reportFresh = 100 * time.Millisecond
+	// stalledWith is for how long a stream must be silent to be ended when an
+	// engine of its chain is found to be down.
+	stalledWith = 120 * time.Millisecond
 )
 
 var (
@@ -43,8 +48,7 @@
 	job    *job
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	head   saddlefleet.Target
-	parts  int
+	chain  saddlefleet.Chain
 	last   atomic.Int64 // nanoseconds since begun: of the last event
 	begun  time.Time
 	timer  *time.Timer
@@ -53,8 +57,9 @@
 
 // watch begins to watch an attempt.
 func (j *job) watch(ctx context.Context, cancel context.CancelCauseFunc, chain saddlefleet.Chain) *watchdog {
-	w := &watchdog{job: j, ctx: ctx, cancel: cancel, head: chain.Head, parts: len(chain.Parts), begun: time.Now()}
+	w := &watchdog{job: j, ctx: ctx, cancel: cancel, chain: chain, begun: time.Now()}
 	w.timer = time.AfterFunc(firstLook, w.look)
+	j.watched.add(w)
 	return w
 }
 
@@ -64,47 +69,104 @@
 	w.timer.Reset(gapLook)
 }
 
-func (w *watchdog) stop() { w.timer.Stop() }
+func (w *watchdog) stop() {
+	w.timer.Stop()
+	w.job.watched.remove(w)
+}
+
+// silent returns for how long there was no event.
+func (w *watchdog) silent() time.Duration { return time.Since(w.begun) - time.Duration(w.last.Load()) }
+
+// end ends the attempt for an engine that does not work.
+func (w *watchdog) end(address string, cause error) {
+	w.fault.Store(&address)
+	w.cancel(cause)
+}
 
 // look asks the head why there is no event, and ends the attempt if it waits for
 // an engine that does not go on.
 func (w *watchdog) look() {
-	silent := time.Since(w.begun) - time.Duration(w.last.Load())
 	if w.ctx.Err() != nil {
 		return
 	}
-	if silent > hardSilence {
+	if w.silent() > hardSilence {
 		w.cancel(errSilent)
 		return
 	}
-	if w.parts == 0 {
+	if len(w.chain.Parts) == 0 {
 		w.timer.Reset(lookAgain)
 		return
 	}
-	report, err := w.job.inspect(w.ctx, w.head.Address)
+	report, err := w.job.inspect(w.ctx, w.chain.Head.Address)
 	if w.ctx.Err() != nil {
 		return
 	}
 	if err != nil {
-		w.job.cfg.Fleet.Failed(time.Now(), w.head.Address, "does not report: "+err.Error())
-		w.fault.Store(&w.head.Address)
-		w.cancel(errHeadSilent)
+		w.job.cfg.Fleet.Down(time.Now(), w.chain.Head.Address, "does not report: "+err.Error())
+		w.end(w.chain.Head.Address, errHeadSilent)
 		return
 	}
 	for _, s := range report.Stalled {
-		if s.Request != w.job.call.ID {
+		through := slices.ContainsFunc(w.chain.Parts, func(p fireflysaddle.ChainPart) bool { return p.Address == s.Address })
+		if !through {
 			continue
 		}
-		w.job.cfg.Fleet.Failed(time.Now(), s.Address, "its chain stalls")
-		w.fault.Store(&s.Address)
-		w.cancel(fmt.Errorf("the chain waits for the engine at %s", s.Address))
+		w.job.cfg.Fleet.Down(time.Now(), s.Address, "chains through it stall")
+		w.end(s.Address, fmt.Errorf("the chain waits for the engine at %s", s.Address))
 		return
 	}
-	w.job.event(zerolog.InfoLevel).Str("head", w.head.Address).Int64("silent_ms", silent.Milliseconds()).
+	w.job.event(zerolog.DebugLevel).Str("head", w.chain.Head.Address).Int64("silent_ms", w.silent().Milliseconds()).
 		Int("queued", report.Queued).Int("running", report.Running).Msg("no event, but the chain goes on")
 	w.timer.Reset(lookAgain)
 }
 
+// watched holds the attempts in progress by the engines of their chains.
+type watched struct {
+	mu        sync.Mutex
+	byAddress map[string]map[*watchdog]struct{}
+}
+
+func (s *watched) add(w *watchdog) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byAddress == nil {
+		s.byAddress = map[string]map[*watchdog]struct{}{}
+	}
+	for _, p := range w.chain.Parts {
+		if s.byAddress[p.Address] == nil {
+			s.byAddress[p.Address] = map[*watchdog]struct{}{}
+		}
+		s.byAddress[p.Address][w] = struct{}{}
+	}
+}
+
+func (s *watched) remove(w *watchdog) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range w.chain.Parts {
+		delete(s.byAddress[p.Address], w)
+		if len(s.byAddress[p.Address]) == 0 {
+			delete(s.byAddress, p.Address)
+		}
+	}
+}
+
+// through returns the attempts whose chains pass through an engine.
+func (s *watched) through(address string) []*watchdog {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.byAddress[address]))
+}
+
+// EngineDown ends the attempts that wait for an engine that is found to be down.
+func (g *Gateway) EngineDown(address string) {
+	for _, w := range g.watched.through(address) {
+		if w.silent() > stalledWith {
+			w.end(address, fmt.Errorf("the engine at %s is down", address))
+		}
+	}
+}
+
 // inspection is an answer of a head that serves all who ask within a short time.
 type inspection struct {
 	mu     sync.Mutex
--- a/internal/direct/saddlepath/find.go
+++ b/internal/direct/saddlepath/find.go
@@ -11,6 +11,7 @@
 	Centre   int     // number of its data centre
 	PerLayer float64 // cost of one layer there
 	PerHop   float64 // cost of passing through it
+	AsHead   float64 // further cost of being the first of a chain
 }
 
 // Part is a part of a chain: a holder, by its index, and the layers it runs.
@@ -19,13 +20,23 @@
 	From, To int
 }
 
+// Costs are those of changes of data centre.
+type Costs struct {
+	Enter float64 // before the first part
+	Cross float64 // between parts
+}
+
 // Find returns the cheapest chain over all layers whose first part is reached
-// from a data centre, nil when the holders do not cover the layers. Each change of
-// data centre costs cross. No holder stands in a chain twice.
-func Find(holders []Holder, layers, centre int, cross float64) []Part {
+// from a data centre, nil when the holders do not cover the layers. No holder
+// stands in a chain twice.
+func Find(holders []Holder, layers, centre int, costs Costs) []Part {
 	s := newSearch(holders, layers)
 	s.relax(state{at: 0, centre: centre}, step{cost: 0, from: -1})
 	for at := range layers {
+		cross := costs.Cross
+		if at == 0 {
+			cross = costs.Enter
+		}
 		s.extend(at, cross)
 	}
 	return s.best()
@@ -87,6 +98,9 @@
 				continue
 			}
 			cost := s.steps[from].cost + h.PerHop
+			if at == 0 {
+				cost += h.AsHead
+			}
 			if h.Centre != s.where[from].centre {
 				cost += cross
 			}
--- a/internal/node/saddleattend/attendant.go
+++ b/internal/node/saddleattend/attendant.go
@@ -28,6 +28,7 @@
 	events chan event
 	notify func(*saddleview.View)
 
+	more      chan []string // addresses to follow besides
 	followers followers
 
 	clockMu sync.Mutex
@@ -48,6 +49,7 @@
 	a := &Attendant{
 		cfg:     cfg,
 		events:  make(chan event, updateQueue),
+		more:    make(chan []string, 1),
 		notify:  notify,
 		clock:   saddleclock.New(now, 0),
 		started: now,
@@ -71,6 +73,15 @@
 // Wake sends the next heartbeats at once, for a change that must not wait.
 func (a *Attendant) Wake() { a.followers.wake() }
 
+// Follow keeps in touch with further replicas, until a confirmed one names those
+// that there are.
+func (a *Attendant) Follow(addresses []string) {
+	select {
+	case a.more <- addresses:
+	default: // the same are asked for already, or will be at the next start
+	}
+}
+
 // Run keeps in touch until the context ends: first with the replicas of the
 // settings, then with those that a confirmed replica names, so that a replaced
 // replica needs no new settings on any VM.
@@ -92,6 +103,11 @@
 		select {
 		case <-ctx.Done():
 			return
+		case addresses := <-a.more:
+			for _, address := range addresses {
+				a.followers.start(ctx, address, a.follow)
+			}
+			continue
 		case <-settle.C:
 			b.Settle()
 		case e := <-a.events:
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -24,6 +24,8 @@
 	staleConfiguration bool // changed since last was built
 	staleMembers       bool
 	staleRegistry      bool
+
+	loads []*saddlewire.EntryLoad // as the replica heard last has them
 }
 
 // source is what one replica said.
@@ -83,6 +85,9 @@
 		delete(s.members, node)
 	}
 	b.updateRegistry(s, u)
+	if len(u.GetLoads()) > 0 {
+		b.loads = u.GetLoads()
+	}
 }
 
 // note marks what an update may change.
@@ -148,6 +153,7 @@
 		v.Registrations, v.Departed = b.mergedRegistry()
 	}
 	b.noteRouting(v)
+	v.Loads = b.loads
 	b.staleRegistry = false
 	b.staleConfiguration = false
 	b.staleMembers = false
--- a/internal/node/saddleview/registry.go
+++ b/internal/node/saddleview/registry.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleregistry"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -56,7 +57,7 @@
 	departed := map[string]uint64{}
 	for _, s := range b.sources {
 		for id, reg := range s.registrations {
-			if old, ok := registrations[id]; !ok || newer(reg, old) {
+			if old, ok := registrations[id]; !ok || saddleregistry.Newer(reg, old) {
 				registrations[id] = reg
 			}
 		}
@@ -77,11 +78,3 @@
 	}
 	return registrations, departed
 }
-
-// newer reports whether a was sent after b, by the same target.
-func newer(a, b *saddlewire.Registration) bool {
-	if a.GetIncarnation() != b.GetIncarnation() {
-		return a.GetIncarnation() > b.GetIncarnation()
-	}
-	return a.GetSequence() > b.GetSequence()
-}
--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
@@ -32,7 +33,11 @@
 	// fenceTerm is the place of the term in a fencing token.
 	fenceTerm = 1 << 20
 	// suspecters is the number of entries by whose word an engine counts as lost.
-	suspecters = 1
+	suspecters = 2
+	// watchEvery is the time between looks at an engine that loads, and watchMost
+	// how often it is looked at beyond the time that its load should take.
+	watchEvery = 200 * time.Millisecond
+	watchMost  = 8
 )
 
 // Config holds what a placer needs.
@@ -41,6 +46,8 @@
 	View    func() *saddleview.View
 	Routing func() *saddlerouting.Routing // nil: none known
 	Term    func() uint64                 // that this replica leads with a lease, else 0
+	// Learnt takes in what an engine holds before it says so itself.
+	Learnt func(ctx context.Context, reg *saddlewire.Registration)
 	Log     zerolog.Logger
 }
 
@@ -173,19 +180,16 @@
 // held returns what an engine holds by its heartbeats, or was ordered to hold.
 func (p *Placer) held(now time.Time, reg *saddlewire.Registration) saddleplan.Range {
 	id := fireflysaddle.TargetID(reg.GetId())
+	var says saddleplan.Range
 	if list := reg.GetLayers(); len(list) > 0 {
-		delete(p.orders, id)
-		return saddleplan.Range{From: int(list[0].GetFrom()), To: int(list[0].GetTo())}
+		says = saddleplan.Range{From: int(list[0].GetFrom()), To: int(list[0].GetTo())}
 	}
 	o, ok := p.orders[id]
-	if !ok {
-		return saddleplan.Range{}
+	if ok && o.incarnation == reg.GetIncarnation() && o.layers != says && now.Before(o.until) {
+		return o.layers
 	}
-	if o.incarnation != reg.GetIncarnation() || now.After(o.until) {
-		delete(p.orders, id)
-		return saddleplan.Range{}
-	}
-	return o.layers
+	delete(p.orders, id)
+	return says
 }
 
 // suspects counts the entries that pass over each target.
@@ -212,6 +216,9 @@
 	countOrders.Add(1)
 	wg.Go(func() {
 		err := p.send(ctx, reg.GetAddress(), fireflysaddle.PlaceOrder{From: layers.From, To: layers.To, Fence: fence})
+		if err == nil {
+			defer p.watch(ctx, loading, reg, layers)
+		}
 		select {
 		case p.done <- outcome{id: fireflysaddle.TargetID(reg.GetId()), order: o, err: err}:
 		case <-ctx.Done():
@@ -219,6 +226,53 @@
 	})
 }
 
+// watch looks at an engine until it holds what it was ordered to hold, and has that
+// known at once: its next heartbeat may be a second away.
+func (p *Placer) watch(ctx context.Context, loading time.Duration, reg *saddlewire.Registration, layers saddleplan.Range) {
+	if !wait(ctx, loading) {
+		return
+	}
+	for range watchMost {
+		if !wait(ctx, watchEvery) {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		report, err := p.cfg.Orders.Report(callCtx, reg.GetAddress())
+		cancel()
+		if err != nil {
+			p.cfg.Log.Warn().Err(err).Str("target", reg.GetId()).Msg("engine that loads does not report")
+			return
+		}
+		for _, h := range report.Holdings {
+			if h.From == layers.From && h.To == layers.To {
+				p.learnt(ctx, reg, layers)
+				return
+			}
+		}
+	}
+}
+
+func (p *Placer) learnt(ctx context.Context, reg *saddlewire.Registration, layers saddleplan.Range) {
+	now := p.cfg.View().Registrations[reg.GetId()]
+	if now.GetIncarnation() != reg.GetIncarnation() {
+		return
+	}
+	next, _ := proto.Clone(now).(*saddlewire.Registration)
+	next.Layers = []*saddlewire.HeldLayers{{From: uint32(layers.From), To: uint32(layers.To)}}
+	next.Looked = now.GetLooked() + 1
+	p.cfg.Log.Info().Str("target", reg.GetId()).Int("from", layers.From).Int("to", layers.To).Msg("engine holds its layers")
+	p.cfg.Learnt(ctx, next)
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // send gives an order to an engine that has been given none; where it has been,
 // it asks how many and gives it again.
 func (p *Placer) send(ctx context.Context, address string, o fireflysaddle.PlaceOrder) error {
--- a/internal/place/saddleplan/plan.go
+++ b/internal/place/saddleplan/plan.go
@@ -31,6 +31,9 @@
 	// the drafts that a data centre's callers have open at a peak, about eighty of
 	// a thousand tokens, and a quarter more.
 	wantedRoom = 100_000
+	// fairRoom is what one engine may be brought down to so that it takes the layers
+	// of a lost one alone.
+	fairRoom = 60_000
 	// leastRoom is what a stage is given when layers would be held by no one
 	// otherwise: a dozen drafts.
 	leastRoom = 12_000
@@ -79,20 +82,41 @@
 
 func planCentre(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
 	holes := uncovered(model, engines)
-	var empty []Engine
-	for _, e := range engines {
-		if e.Held.Len() == 0 && !e.Lost {
-			empty = append(empty, e)
-		}
-	}
-	if len(holes) == 0 || len(empty) == 0 {
+	live := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Lost })
+	empty := slices.DeleteFunc(slices.Clone(live), func(e Engine) bool { return e.Held.Len() > 0 })
+	switch {
+	case len(holes) == 0 || len(live) == 0:
 		return nil
+	case len(empty) == len(live):
+		return layOut(model, live, spares)
 	}
-	missing := 0
-	for _, h := range holes {
-		missing += h.Len()
+	if out := fill(model, empty, holes); out != nil {
+		return out
+	}
+	return moved(live, layOut(model, inOrder(live), 0))
+}
+
+// inOrder returns engines by the layers that they hold, so that a new layout moves
+// as few as it can; the empty ones come last.
+func inOrder(engines []Engine) []Engine {
+	out := slices.Clone(engines)
+	slices.SortStableFunc(out, func(a, b Engine) int {
+		if (a.Held.Len() == 0) != (b.Held.Len() == 0) {
+			return cmp.Compare(b.Held.Len(), a.Held.Len())
+		}
+		return cmp.Compare(a.Held.From, b.Held.From)
+	})
+	return out
+}
+
+// moved leaves out the engines that hold what they are to hold.
+func moved(engines []Engine, plan map[fireflysaddle.TargetID]Range) map[fireflysaddle.TargetID]Range {
+	for _, e := range engines {
+		if plan[e.ID] == e.Held {
+			delete(plan, e.ID)
+		}
 	}
-	return fill(model, empty, holes, sizes(model, empty, missing))
+	return plan
 }
 
 // uncovered returns the ranges of layers that no engine holds.
@@ -120,25 +144,20 @@
 	return out
 }
 
-// sizes returns how many layers each engine may take: with the most room with
-// which all that is missing finds a place and some engines stay empty, else with
-// the most room with which it finds a place.
-func sizes(model *saddlerouting.Model, empty []Engine, missing int) []int {
-	keep := spares
-	if missing < model.Layers {
-		keep = 0 // spares are for this
-	}
+// layOut gives all layers to the engines in turn, with the most room with which
+// they hold them, and leaves some of the last engines empty if it can. It returns
+// nil when they cannot hold all.
+func layOut(model *saddlerouting.Model, engines []Engine, keep int) map[fireflysaddle.TargetID]Range {
 	for ; keep >= 0; keep-- {
-		usable := empty[:max(1, len(empty)-keep)]
+		usable := engines[:max(1, len(engines)-keep)]
 		for room := wantedRoom; room >= leastRoom; room -= roomStep {
-			list, sum := sizesAt(model, usable, room)
-			if sum >= missing {
-				return list
+			sizes, sum := sizesAt(model, usable, room)
+			if sum >= model.Layers && (keep == 0 || room >= fairRoom) {
+				return inTurn(model, usable, sizes)
 			}
 		}
 	}
-	list, _ := sizesAt(model, empty, leastRoom)
-	return list
+	return nil
 }
 
 func sizesAt(model *saddlerouting.Model, engines []Engine, room int) ([]int, int) {
@@ -151,19 +170,70 @@
 	return out, sum
 }
 
-// fill gives the holes to the engines in turn.
-func fill(model *saddlerouting.Model, empty []Engine, holes []Range, sizes []int) map[fireflysaddle.TargetID]Range {
+func inTurn(model *saddlerouting.Model, engines []Engine, sizes []int) map[fireflysaddle.TargetID]Range {
+	out := map[fireflysaddle.TargetID]Range{}
+	at := 0
+	for i, e := range engines {
+		if n := min(sizes[i], model.Layers-at); n > 0 {
+			out[e.ID] = Range{From: at, To: at + n}
+			at += n
+		}
+	}
+	return out
+}
+
+// fill gives the holes to empty engines: to as few as can have a fair room, else
+// with the most room with which there are enough. It returns nil when there are
+// not enough.
+func fill(model *saddlerouting.Model, empty []Engine, holes []Range) map[fireflysaddle.TargetID]Range {
+	var best map[fireflysaddle.TargetID]Range
+	for room := wantedRoom; room >= leastRoom; room -= roomStep {
+		if room < fairRoom && best != nil {
+			break
+		}
+		sizes, _ := sizesAt(model, empty, room)
+		out := fillAt(empty, sizes, holes)
+		if out != nil && (best == nil || len(out) < len(best)) {
+			best = out
+		}
+	}
+	return best
+}
+
+// fillAt gives each hole to the smallest engine that can take it whole, or in
+// parts to the largest ones. It returns nil when some layers are left.
+func fillAt(empty []Engine, sizes []int, holes []Range) map[fireflysaddle.TargetID]Range {
 	out := map[fireflysaddle.TargetID]Range{}
-	next := 0
 	for _, h := range holes {
-		for h.Len() > 0 && next < len(sizes) {
-			n := min(sizes[next], h.Len())
-			if n > 0 {
-				out[empty[next].ID] = Range{From: h.From, To: h.From + n}
-				h.From += n
+		for h.Len() > 0 {
+			best := -1
+			for i, e := range empty {
+				if _, used := out[e.ID]; used || sizes[i] == 0 {
+					continue
+				}
+				if best < 0 || suits(sizes[i], sizes[best], h.Len()) {
+					best = i
+				}
 			}
-			next++
+			if best < 0 {
+				return nil
+			}
+			n := min(sizes[best], h.Len())
+			out[empty[best].ID] = Range{From: h.From, To: h.From + n}
+			h.From += n
 		}
 	}
 	return out
 }
+
+// suits reports whether an engine of size a suits a hole better than one of size
+// b.
+func suits(a, b, hole int) bool {
+	if (a >= hole) != (b >= hole) {
+		return a >= hole
+	}
+	if a >= hole {
+		return a < b
+	}
+	return a > b
+}
--- a/internal/standin/saddleprocess/process.go
+++ b/internal/standin/saddleprocess/process.go
@@ -75,6 +75,7 @@
 func (p *Process) Start(t testing.TB) {
 	t.Helper()
 	cmd := exec.Command(Program(t, "fireflysaddle"), p.role, "-settings", p.settings)
+	cmd.Stdout = p.logs
 	cmd.Stderr = p.logs
 	if err := cmd.Start(); err != nil {
 		t.Fatalf("start %s: %v", p.Node, err)
