--- a/internal/direct/saddlegateway/counters.go
+++ b/internal/direct/saddlegateway/counters.go
@@ -17,6 +17,7 @@
 	countRefused     = expvar.NewInt("gateway_refused_total")
 	countBroken      = expvar.NewInt("gateway_broken_off_total")
 	countGone        = expvar.NewInt("gateway_callers_gone_total")
+	countWaiting     = expvar.NewInt("gateway_waited_total")
 	countBudgetSpent = expvar.NewInt("gateway_retry_budget_spent_total")
 	countInspections = expvar.NewInt("gateway_inspections_total")
 )
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -19,6 +19,9 @@
 	// denyAge is how old the word of a majority may be for a route or key to be
 	// called unknown; beyond it a newer configuration may know them.
 	denyAge = 2 * time.Second
+	// readyWait is how long a request waits for a configuration; its caller leaves
+	// after two seconds without an answer.
+	readyWait = 1200 * time.Millisecond
 	// maxSends bounds how often one request is sent, with those times that it did
 	// not run.
 	maxSends = 4
@@ -30,20 +33,28 @@
 	state atomic.Pointer[State]
 
 	mu      sync.Mutex
+	changed chan struct{} // closed when the state is taken up anew
 	budgets map[fireflysaddle.Group]*saddleretry.Budget
 	reports map[string]*inspection
 	watched watched
+	waiting waiting
 }
 
 // New returns a gateway that knows no configuration.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, budgets: map[fireflysaddle.Group]*saddleretry.Budget{}, reports: map[string]*inspection{}}
+	g := &Gateway{cfg: cfg, changed: make(chan struct{}), budgets: map[fireflysaddle.Group]*saddleretry.Budget{}, reports: map[string]*inspection{}}
 	g.state.Store(&State{})
 	return g
 }
 
 // Use takes up a configuration and how fresh it is.
-func (g *Gateway) Use(s State) { g.state.Store(&s) }
+func (g *Gateway) Use(s State) {
+	g.state.Store(&s)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
 
 // State returns the configuration that is served by.
 func (g *Gateway) State() State { return *g.state.Load() }
@@ -51,9 +62,9 @@
 // Serve answers a call that arrived at a time by the gateway's clock. It returns
 // once the answer has ended.
 func (g *Gateway) Serve(ctx context.Context, clock func() time.Time, call *Call, w Responder) {
-	j := &job{Gateway: g, call: call, w: w, state: g.State(), arrived: clock(), begun: time.Now()}
+	j := &job{Gateway: g, call: call, w: w, begun: time.Now()}
 	countCalls.Add(1)
-	route, tenant, refusal := g.admit(j.arrived, j.state, call)
+	route, tenant, refusal := j.awaitAdmission(ctx, clock)
 	if refusal != nil {
 		j.route = route
 		j.refuse(*refusal)
@@ -110,6 +121,35 @@
 	return route, tenant, nil
 }
 
+// awaitAdmission admits the call, and waits a little for a configuration that can
+// be trusted: a process that has just started has one within a second or two.
+func (j *job) awaitAdmission(ctx context.Context, clock func() time.Time) (*saddlerouting.Route, *saddlerouting.Tenant, *Refusal) {
+	wait := readyWait
+	if j.call.Timeout > 0 {
+		wait = min(wait, j.call.Timeout/2)
+	}
+	over := time.NewTimer(wait)
+	defer over.Stop()
+	for {
+		j.mu.Lock()
+		changed := j.changed
+		j.mu.Unlock()
+		j.state = j.State()
+		j.arrived = clock()
+		route, tenant, refusal := j.admit(j.arrived, j.state, j.call)
+		if refusal == nil || refusal.Code != fireflysaddle.CodeNoMajority {
+			return route, tenant, refusal
+		}
+		select {
+		case <-changed:
+		case <-over.C:
+			return route, tenant, refusal
+		case <-ctx.Done():
+			return route, tenant, refusal
+		}
+	}
+}
+
 func notReady(message string) *Refusal {
 	return &Refusal{Code: fireflysaddle.CodeNoMajority, Message: message, RetryAfter: retryNotReady}
 }
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -16,12 +16,9 @@
 )
 
 const (
-	// roomWaits is which part of the route's aim a draft waits for room in a chain
-	// before it is refused: it is served on time after that, and held for too
-	// short to matter to its caller.
-	roomWaits = 8
-	// roomLook is the time between looks for room.
-	roomLook = 10 * time.Millisecond
+	// roomWait is how long a draft waits for a chain with room before it is
+	// refused; its caller leaves after two seconds without an event.
+	roomWait = 1200 * time.Millisecond
 	// retryNoRoom and retryNoChain are when to come back: drafts end within
 	// seconds, and an engine that is lost is replaced within seconds.
 	retryNoRoom  = time.Second
@@ -67,24 +64,32 @@
 		j.tried = append(j.tried, t.ID)
 		return saddlefleet.Chain{Head: t}, done, nil
 	}
-	until := time.Now().Add(j.route.Aim / roomWaits)
+	return j.awaitChain(ctx)
+}
+
+// awaitChain chooses a chain once there is one with room.
+func (j *job) awaitChain(ctx context.Context) (saddlefleet.Chain, func(), *Refusal) {
+	chain, done, full, ok := j.cfg.Fleet.PickChain(time.Now(), j.pool, j.call.tokens(), j.avoid)
+	if ok {
+		return chain, done, nil
+	}
+	began := time.Now()
+	ticket := j.waiting.join()
+	defer ticket.leave()
 	for {
-		now := time.Now()
-		chain, done, full, ok := j.cfg.Fleet.PickChain(now, j.pool, j.call.tokens(), j.avoid)
+		if wait := roomWait - time.Since(began); wait <= 0 || ctx.Err() != nil || !ticket.turn(ctx, wait) {
+			break
+		}
+		chain, done, full, ok = j.cfg.Fleet.PickChain(time.Now(), j.pool, j.call.tokens(), j.avoid)
 		if ok {
+			j.event(zerolog.InfoLevel).Int64("waited_ms", time.Since(began).Milliseconds()).Msg("chain found after a wait")
 			return chain, done, nil
 		}
-		if now.After(until) || ctx.Err() != nil {
-			if full {
-				return chain, nil, &Refusal{Code: fireflysaddle.CodeOverloaded, Message: "no chain has room", RetryAfter: retryNoRoom}
-			}
-			return chain, nil, &Refusal{Code: fireflysaddle.CodeNoTarget, Message: "no engines hold all layers", RetryAfter: retryNoChain}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(roomLook):
-		}
 	}
+	if full {
+		return chain, nil, &Refusal{Code: fireflysaddle.CodeOverloaded, Message: "no chain has room", RetryAfter: retryNoRoom}
+	}
+	return chain, nil, &Refusal{Code: fireflysaddle.CodeNoTarget, Message: "no engines hold all layers", RetryAfter: retryNoChain}
 }
 
 // tryStream sends the call along one chain. It reports whether the call has
--- a/internal/link/saddlelink/dial.go
+++ b/internal/link/saddlelink/dial.go
@@ -9,8 +9,10 @@
 	"github.com/fireflysaddle/fireflysaddle"
 )
 
-// dialTimeout bounds the opening of one connection.
-const dialTimeout = time.Second
+// dialTimeout bounds the opening of one connection. Between data centres that are
+// tens of milliseconds apart it takes a tenth of that; a first packet that was lost
+// is sent again after a second, and dialling anew is sooner.
+const dialTimeout = 400 * time.Millisecond
 
 // Dial opens a TCP connection that the caller closes. An error is a
 // *fireflysaddle.NotSentError.
--- a/internal/node/saddleattend/attendant.go
+++ b/internal/node/saddleattend/attendant.go
@@ -17,6 +17,8 @@
 const (
 	updateQueue    = 64 // updates waiting to be merged
 	settleSilences = 3  // silence times that a start waits for a confirmed configuration
+
+	redialAfter = 150 * time.Millisecond // pause before a replica is dialled again
 )
 
 // Attendant publishes the node's view. View and Wake are safe for concurrent
@@ -160,7 +162,7 @@
 		a.post(ctx, event{replica: address})
 		select {
 		case <-ctx.Done():
-		case <-time.After(a.cfg.Beat):
+		case <-time.After(redialAfter):
 		}
 	}
 }
