--- a/internal/config/saddlesettings/attend.go
+++ b/internal/config/saddlesettings/attend.go
@@ -12,9 +12,9 @@
 	Controls []string `toml:"controls"` // drpc addresses of the control replicas
 	// Port, if not 0, goes in place of the ports of Controls, which may be known by
 	// another of their listeners.
-	Port int `toml:"port"`
-	Beat     Duration `toml:"beat"`     // time between heartbeats
-	Silence  Duration `toml:"silence"`  // a replica silent for longer is dialled anew
+	Port    int      `toml:"port"`
+	Beat    Duration `toml:"beat"`    // time between heartbeats
+	Silence Duration `toml:"silence"` // a replica silent for longer is dialled anew
 }
 
 const (
--- a/internal/control/saddlecontrol/config.go
+++ b/internal/control/saddlecontrol/config.go
@@ -29,6 +29,7 @@
 	Election      time.Duration
 	Lost          time.Duration // silence after which a node is taken for lost
 	Unregister    time.Duration // silence after which a target without an agent is no longer registered
+	Registry      string        // file for the registrations, empty: they are not saved
 	SnapshotEvery int           // log entries between snapshots
 	Loads         int           // engines that load at the same time, 0: without bound
 	Log           zerolog.Logger
--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -76,7 +76,7 @@
 		Voters:    cfg.Voters,
 		Silent:    cfg.Silent,
 	}, loaded.Hard, loaded.Snapshot, loaded.Entries)
-	return &core{
+	c := &core{
 		cfg:          cfg,
 		store:        store,
 		replica:      replica,
@@ -91,7 +91,9 @@
 		started:      now,
 		applied:      loaded.Snapshot.GetIndex(),
 		lastSnapshot: loaded.Snapshot.GetIndex(),
-	}, nil
+	}
+	c.restoreRegistry(c.now())
+	return c, nil
 }
 
 // firstMembers returns the replicas of a new group; one that joins an old group
--- a/internal/control/saddlecontrol/server.go
+++ b/internal/control/saddlecontrol/server.go
@@ -73,6 +73,9 @@
 	if s.cfg.Voters > 0 {
 		wg.Go(func() { s.keepJoined(ctx) })
 	}
+	if s.cfg.Registry != "" {
+		wg.Go(func() { s.keepRegistry(ctx) })
+	}
 	err := s.core.run(ctx, s.events)
 	close(s.done)
 	cancel()
--- a/internal/control/saddleidentity/identity.go
+++ b/internal/control/saddleidentity/identity.go
@@ -15,8 +15,10 @@
 const (
 	fileName = "identity.json"
 	logName  = "log"
-	dirPerm  = 0o700
-	filePerm = 0o600
+	// registryName is in no way part of the identity, but lives beside it.
+	registryName = "registrations"
+	dirPerm      = 0o700
+	filePerm     = 0o600
 )
 
 // Identity is who a replica is in its group.
@@ -67,6 +69,9 @@
 // LogDir is the folder of the replica's log.
 func LogDir(dir string) string { return filepath.Join(dir, logName) }
 
+// RegistryFile is the file of the targets' registrations.
+func RegistryFile(dir string) string { return filepath.Join(dir, registryName) }
+
 func create(now time.Time, cfg Config) (Identity, error) {
 	id := Identity{ID: fmt.Sprintf("%s#%d", cfg.Address, now.UnixNano()), Join: true}
 	if cfg.First {
--- /dev/null
+++ b/internal/control/saddleregistry/file.go
@@ -0,0 +1,70 @@
+package saddleregistry
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+const filePerm = 0o600
+
+// All returns all registrations, for Save.
+func (t *Table) All() *saddlewire.Update {
+	out := &saddlewire.Update{}
+	for _, rec := range t.records {
+		out.Registrations = append(out.Registrations, rec.registration)
+	}
+	return out
+}
+
+// Restore takes in what an earlier process had saved, as if it were said now:
+// what is no longer true is found out by silence, as ever.
+func (t *Table) Restore(now time.Time, saved *saddlewire.Update) {
+	for _, reg := range saved.GetRegistrations() {
+		t.Take(now, reg)
+	}
+}
+
+// Save writes registrations to a file, which is durable when it returns. It spares
+// a process that starts anew the wait for all heartbeats; what is lost of it costs
+// no more than that.
+func Save(name string, saved *saddlewire.Update) error {
+	data, err := proto.Marshal(saved)
+	if err != nil {
+		return eris.Wrap(err, "encode the registrations")
+	}
+	file, err := os.OpenFile(name+".new", os.O_CREATE|os.O_WRONLY|os.O_TRUNC, filePerm)
+	if err != nil {
+		return eris.Wrapf(err, "create %s.new", name)
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err = errors.Join(err, file.Close()); err != nil {
+		return eris.Wrapf(err, "write %s.new", name)
+	}
+	return eris.Wrapf(os.Rename(name+".new", name), "rename to %s", name)
+}
+
+// Load reads what Save wrote, nil when there is nothing.
+func Load(name string) (*saddlewire.Update, error) {
+	data, err := os.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, eris.Wrapf(err, "read %s", name)
+	}
+	saved := &saddlewire.Update{}
+	if err := proto.Unmarshal(data, saved); err != nil {
+		return nil, eris.Wrapf(err, "decode %s", name)
+	}
+	return saved, nil
+}
--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -159,6 +159,7 @@
 	cfg.Data = saddleidentity.LogDir(g.settings.Data)
 	cfg.Replicas = id.Members
 	cfg.Join = id.Join
+	cfg.Registry = saddleidentity.RegistryFile(g.settings.Data)
 	cfg.Contacts = g.contacts
 	cfg.Voters = g.settings.Group.Voters()
 	cfg.Silent = g.settings.Group.Silent.Std()
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -19,16 +19,16 @@
 	centre fireflysaddle.DataCentre
 	log    zerolog.Logger
 
-	mu       sync.Mutex
-	targets  map[fireflysaddle.TargetID]*target
-	groups   map[fireflysaddle.Group][]*target // that take new work, by id
-	address  map[string]*target                // that take new work
-	others   map[fireflysaddle.DataCentre]float64
-	mine     map[fireflysaddle.DataCentre]float64
-	entries  int // entries that share the engines, this one among them
-	turn     int
-	doubts   chan struct{} // of capacity 1
-	onDown   func(address string)
+	mu      sync.Mutex
+	targets map[fireflysaddle.TargetID]*target
+	groups  map[fireflysaddle.Group][]*target // that take new work, by id
+	address map[string]*target                // that take new work
+	others  map[fireflysaddle.DataCentre]float64
+	mine    map[fireflysaddle.DataCentre]float64
+	entries int // entries that share the engines, this one among them
+	turn    int
+	doubts  chan struct{} // of capacity 1
+	onDown  func(address string)
 }
 
 // New returns a fleet without targets. onDown is called when an engine is found
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -31,9 +31,29 @@
 	events  int  // events handed on
 	lastID  string
 	firstAt time.Time // of the first event or byte
+	lastAt  time.Time // of the last event
 	tried   []fireflysaddle.TargetID
-	avoid   []string // addresses
-	chain   []string // addresses of the chain used last
+	avoid   map[string]time.Time // addresses to pass over, and until when
+	chain   []string             // addresses of the chain used last
+}
+
+// passOver leaves an engine out of the call's further chains for a while.
+func (j *job) passOver(now time.Time, address string, d time.Duration) {
+	if j.avoid == nil {
+		j.avoid = map[string]time.Time{}
+	}
+	j.avoid[address] = now.Add(d)
+}
+
+// avoided returns the addresses that are left out now.
+func (j *job) avoided(now time.Time) []string {
+	var out []string
+	for address, until := range j.avoid {
+		if now.Before(until) {
+			out = append(out, address)
+		}
+	}
+	return out
 }
 
 // forward fills in a sending of the call.
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -159,4 +159,3 @@
 		}
 	}
 }
-
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -19,6 +19,10 @@
 	// roomWait is how long a draft waits for a chain with room before it is
 	// refused; its caller leaves after two seconds without an event.
 	roomWait = 1200 * time.Millisecond
+	// avoidDown and avoidFull are for how long a request passes over an engine that
+	// does not work, or that refused it.
+	avoidDown = 10 * time.Second
+	avoidFull = 200 * time.Millisecond
 	// retryNoRoom and retryNoChain are when to come back: drafts end within
 	// seconds, and an engine that is lost is replaced within seconds.
 	retryNoRoom  = time.Second
@@ -45,7 +49,7 @@
 			return
 		}
 		j.event(zerolog.InfoLevel).Strs("chain", j.chain).Str("reason", why).Int("runs", j.runs).
-			Int("events", j.events).Str("last_event", j.lastID).Strs("avoid", j.avoid).Msg("attempt failed")
+			Int("events", j.events).Str("last_event", j.lastID).Strs("avoid", j.avoided(time.Now())).Msg("attempt failed")
 		if ctx.Err() != nil || (j.runs > 0 && (!j.route.Repeatable() || j.runs >= j.route.MaxAttempts)) {
 			j.giveUp(ctx, fireflysaddle.CodeTargetFailed, why, retryNoRoom)
 			return
@@ -69,20 +73,19 @@
 
 // awaitChain chooses a chain once there is one with room.
 func (j *job) awaitChain(ctx context.Context) (saddlefleet.Chain, func(), *Refusal) {
-	chain, done, full, ok := j.cfg.Fleet.PickChain(time.Now(), j.pool, j.call.tokens(), j.avoid)
+	chain, done, full, ok := j.cfg.Fleet.PickChain(time.Now(), j.pool, j.call.tokens(), j.avoided(time.Now()))
 	if ok {
 		return chain, done, nil
 	}
-	began := time.Now()
 	ticket := j.waiting.join()
 	defer ticket.leave()
 	for {
-		if wait := roomWait - time.Since(began); wait <= 0 || ctx.Err() != nil || !ticket.turn(ctx, wait) {
+		if wait := roomWait - j.quiet(); wait <= 0 || ctx.Err() != nil || !ticket.turn(ctx, wait) {
 			break
 		}
-		chain, done, full, ok = j.cfg.Fleet.PickChain(time.Now(), j.pool, j.call.tokens(), j.avoid)
+		chain, done, full, ok = j.cfg.Fleet.PickChain(time.Now(), j.pool, j.call.tokens(), j.avoided(time.Now()))
 		if ok {
-			j.event(zerolog.InfoLevel).Int64("waited_ms", time.Since(began).Milliseconds()).Msg("chain found after a wait")
+			j.event(zerolog.InfoLevel).Int64("waited_ms", time.Since(j.begun).Milliseconds()).Msg("chain found after a wait")
 			return chain, done, nil
 		}
 	}
@@ -92,6 +95,14 @@
 	return chain, nil, &Refusal{Code: fireflysaddle.CodeNoTarget, Message: "no engines hold all layers", RetryAfter: retryNoChain}
 }
 
+// quiet returns for how long the caller has had nothing.
+func (j *job) quiet() time.Duration {
+	if j.lastAt.IsZero() {
+		return time.Since(j.begun)
+	}
+	return time.Since(j.lastAt)
+}
+
 // tryStream sends the call along one chain. It reports whether the call has
 // ended, else why the attempt failed.
 func (j *job) tryStream(ctx context.Context, chain saddlefleet.Chain) (ended bool, why string) {
@@ -108,7 +119,7 @@
 	defer func() {
 		watch.stop()
 		if at := watch.fault.Load(); at != nil {
-			j.avoid = append(j.avoid, *at)
+			j.passOver(time.Now(), *at, avoidDown)
 		}
 	}()
 	reply, err := j.cfg.Forwarder.Forward(ctx, f)
@@ -132,7 +143,7 @@
 // notRun takes in that an engine refused the request, and which one is the cause.
 func (j *job) notRun(reply *fireflysaddle.Reply) string {
 	if reply.AtFault != "" {
-		j.avoid = append(j.avoid, reply.AtFault)
+		j.passOver(time.Now(), reply.AtFault, avoidFull)
 		j.cfg.Fleet.Down(time.Now(), reply.AtFault, "refused its part: "+strconv.Itoa(reply.Status))
 	}
 	return "not run, " + strconv.Itoa(reply.Status) + " at " + reply.AtFault
@@ -203,6 +214,7 @@
 		return err
 	}
 	j.events++
+	j.lastAt = time.Now()
 	if e.ID != "" {
 		j.lastID = e.ID
 	}
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -18,7 +18,7 @@
 	Connected   int  // replicas heard
 	MayLoad     bool // agents: the leader lets the engine begin a load
 
-	Routing        uint64 // highest version of the routing configuration known
+	Routing        uint64   // highest version of the routing configuration known
 	RoutingSources []string // replicas that hold it
 	// ConfirmedNs is the node's own time, in nanoseconds, from which on it knows
 	// all that a majority had accepted by then.
--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -48,7 +48,7 @@
 	Term    func() uint64                 // that this replica leads with a lease, else 0
 	// Learnt takes in what an engine holds before it says so itself.
 	Learnt func(ctx context.Context, reg *saddlewire.Registration)
-	Log     zerolog.Logger
+	Log    zerolog.Logger
 }
 
 // Placer gives the orders. Run owns its state.
--- a/internal/place/saddleplan/plan.go
+++ b/internal/place/saddleplan/plan.go
@@ -27,13 +27,13 @@
 func (r Range) Len() int { return r.To - r.From }
 
 const (
-	// wantedRoom is the number of tokens for which each stage of a chain has room:
-	// the drafts that a data centre's callers have open at a peak, about eighty of
-	// a thousand tokens, and a quarter more.
-	wantedRoom = 100_000
-	// fairRoom is what one engine may be brought down to so that it takes the layers
-	// of a lost one alone.
-	fairRoom = 60_000
+	// wantedRoom is the most tokens for which a stage of a chain is given room: an
+	// engine takes under two hundred requests of a thousand tokens as the first of
+	// a chain.
+	wantedRoom = 160_000
+	// fairRoom is what empty engines may be brought down to when they take the
+	// layers of a lost one; below it all engines of the data centre share them.
+	fairRoom = 80_000
 	// leastRoom is what a stage is given when layers would be held by no one
 	// otherwise: a dozen drafts.
 	leastRoom = 12_000
@@ -41,7 +41,7 @@
 	roomStep = 4_000
 	// spares is the number of engines of a data centre that are left empty if the
 	// others can hold the model, to take over the layers of a lost one at once.
-	spares = 2
+	spares = 1
 )
 
 // Plan returns the engines that are to hold other layers than they do. In each
@@ -90,10 +90,13 @@
 	case len(empty) == len(live):
 		return layOut(model, live, spares)
 	}
-	if out := fill(model, empty, holes); out != nil {
+	if out := fill(model, empty, holes, fairRoom); out != nil {
 		return out
 	}
-	return moved(live, layOut(model, inOrder(live), 0))
+	if out := layOut(model, inOrder(live), 0); out != nil {
+		return moved(live, out)
+	}
+	return fill(model, empty, holes, leastRoom)
 }
 
 // inOrder returns engines by the layers that they hold, so that a new layout moves
@@ -182,15 +185,11 @@
 	return out
 }
 
-// fill gives the holes to empty engines: to as few as can have a fair room, else
-// with the most room with which there are enough. It returns nil when there are
-// not enough.
-func fill(model *saddlerouting.Model, empty []Engine, holes []Range) map[fireflysaddle.TargetID]Range {
+// fill gives the holes to empty engines, to as few as can have some room, and then
+// with the most room. It returns nil when there are not enough.
+func fill(model *saddlerouting.Model, empty []Engine, holes []Range, least int) map[fireflysaddle.TargetID]Range {
 	var best map[fireflysaddle.TargetID]Range
-	for room := wantedRoom; room >= leastRoom; room -= roomStep {
-		if room < fairRoom && best != nil {
-			break
-		}
+	for room := wantedRoom; room >= least; room -= roomStep {
 		sizes, _ := sizesAt(model, empty, room)
 		out := fillAt(empty, sizes, holes)
 		if out != nil && (best == nil || len(out) < len(best)) {
