--- a/internal/control/saddlecontrol/attendee.go
+++ b/internal/control/saddlecontrol/attendee.go
@@ -68,6 +68,10 @@
 	}
 	if a.role == fireflysaddle.RoleEntry {
 		u.Loads = c.members.loads()
+		if c.replica.LeaseValid(now) {
+			u.Leads = true
+			u.Paces = c.paces
+		}
 	}
 	if a.role != fireflysaddle.RoleAgent {
 		u.Registrations, u.Unregistered = c.registry.Since(a.registry)
--- a/internal/control/saddlecontrol/members.go
+++ b/internal/control/saddlecontrol/members.go
@@ -64,6 +64,7 @@
 		a.GetAddress() == b.GetAddress() &&
 		a.GetAdmin() == b.GetAdmin() &&
 		slices.Equal(a.GetSuspects(), b.GetSuspects()) &&
+		slices.Equal(a.GetSlow(), b.GetSlow()) &&
 		proto.Equal(a.GetTarget(), b.GetTarget())
 }
 
--- a/internal/control/saddlecontrol/register.go
+++ b/internal/control/saddlecontrol/register.go
@@ -29,6 +29,22 @@
 
 func (e findEvent) handle(_ time.Time, c *core) { e.reply <- c.registry.Find(e.id) }
 
+// pacesEvent brings the paces of slow engines.
+type pacesEvent struct {
+	paces []*saddlewire.Pace
+}
+
+func (e pacesEvent) handle(_ time.Time, c *core) {
+	c.paces = e.paces
+	c.wakeAttendees()
+}
+
+// SetPaces has the entries know which engines are slow. It replaces what was said
+// before.
+func (s *Server) SetPaces(ctx context.Context, paces []*saddlewire.Pace) error {
+	return s.post(ctx, pacesEvent{paces: paces})
+}
+
 func (c *core) register(now time.Time, reg *saddlewire.Registration) registration {
 	if c.registry.Take(now, reg) {
 		c.cfg.Log.Info().Str("target", reg.GetId()).Str("group", reg.GetGroup()).Str("address", reg.GetAddress()).
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -134,6 +134,7 @@
 		Revision:    view.Revision,
 		Confirmed:   view.Confirmed,
 		Load:        &saddlewire.Load{Drafts: g.fleet.Drafts()},
+		Slow:        g.gateway.Slow(time.Now()),
 		Suspects:    g.fleet.Suspects(),
 	}
 }
--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -76,6 +76,7 @@
 		Routing: func() *saddlerouting.Routing { return g.routing.open(ctx, g.current.Load(), g.process.log) },
 		Term:    g.leaseTerm,
 		Learnt:  g.learnt,
+		Paces:   g.setPaces,
 		Log:     g.process.log,
 	})
 	api := platform.NewControl(g.replica, g.known, g.process.log)
@@ -183,6 +184,17 @@
 	return nil
 }
 
+// setPaces has the entries know which engines are slow.
+func (g *groupReplica) setPaces(ctx context.Context, paces []*saddlewire.Pace) {
+	s := g.current.Load()
+	if s == nil {
+		return
+	}
+	if err := s.SetPaces(ctx, paces); err != nil {
+		g.process.log.Warn().Err(err).Msg("paces of engines not passed on")
+	}
+}
+
 // learnt has the replica know what an engine holds.
 func (g *groupReplica) learnt(ctx context.Context, reg *saddlewire.Registration) {
 	s := g.current.Load()
--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -14,6 +14,8 @@
 type Chain struct {
 	Head  Target
 	Parts []fireflysaddle.ChainPart
+	// Centres are the data centres that it passes through, without repeats.
+	Centres []fireflysaddle.DataCentre
 }
 
 // Addresses returns the engines' addresses.
@@ -58,6 +60,9 @@
 	}
 	for _, p := range found {
 		c.Parts = append(c.Parts, fireflysaddle.ChainPart{Address: p.target.Address, From: p.from, To: p.to})
+		if !slices.Contains(c.Centres, p.target.Centre) {
+			c.Centres = append(c.Centres, p.target.Centre)
+		}
 	}
 	c.Head = found[0].target.Target
 	f.reserve(found, pool.Model, float64(tokens), 1)
@@ -110,7 +115,7 @@
 				From:     int(held.GetFrom()),
 				To:       int(held.GetTo()),
 				Centre:   centres[t.Centre],
-				PerLayer: float64(model.StepTime(acc, 1)) * (1 + loadCost*load),
+				PerLayer: float64(model.StepTime(acc, 1)) * t.pace * (1 + loadCost*load),
 				PerHop:   hopCost,
 				AsHead:   faultCost * t.recentFaults(now),
 			})
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -49,6 +49,7 @@
 	address := make(map[string]*target, len(v.Registrations))
 	for id, reg := range v.Registrations {
 		t := f.keep(fireflysaddle.TargetID(id), reg)
+		t.pace = max(1, v.Paces[id])
 		targets[t.ID] = t
 		if v.Leaving(reg) {
 			continue
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -19,6 +19,7 @@
 	Target
 	reg         *saddlewire.Registration
 	incarnation uint64
+	pace        float64 // factor by which it is slower than its kind, at least 1
 
 	running  int     // requests that this entry has there
 	reserved float64 // tokens x layers that this entry's requests take there
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -38,6 +38,7 @@
 	reports map[string]*inspection
 	watched watched
 	waiting waiting
+	slow    slowness
 }
 
 // New returns a gateway that knows no configuration.
@@ -92,6 +93,9 @@
 	j.plain(ctx)
 }
 
+// Slow returns the data centres whose drafts go slowly.
+func (g *Gateway) Slow(now time.Time) []string { return g.slow.centres(now) }
+
 // admit finds the route and the workspace of a call, or says why it is refused.
 func (g *Gateway) admit(now time.Time, s State, call *Call) (*saddlerouting.Route, *saddlerouting.Tenant, *Refusal) {
 	if s.Routing == nil {
--- a/internal/direct/saddlegateway/watch.go
+++ b/internal/direct/saddlegateway/watch.go
@@ -65,7 +65,8 @@
 
 // saw notes an event.
 func (w *watchdog) saw() {
-	w.last.Store(int64(time.Since(w.begun)))
+	at := int64(time.Since(w.begun))
+	w.job.slow.note(time.Now(), w.chain.Centres, time.Duration(at-w.last.Swap(at)))
 	w.timer.Reset(gapLook)
 }
 
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -26,6 +26,7 @@
 	staleRegistry      bool
 
 	loads []*saddlewire.EntryLoad // as the replica heard last has them
+	paces map[string]float64      // as the leader heard last has them
 }
 
 // source is what one replica said.
@@ -88,6 +89,12 @@
 	if len(u.GetLoads()) > 0 {
 		b.loads = u.GetLoads()
 	}
+	if u.GetLeads() {
+		b.paces = make(map[string]float64, len(u.GetPaces()))
+		for _, p := range u.GetPaces() {
+			b.paces[p.GetTarget()] = p.GetFactor()
+		}
+	}
 }
 
 // note marks what an update may change.
@@ -154,6 +161,7 @@
 	}
 	b.noteRouting(v)
 	v.Loads = b.loads
+	v.Paces = b.paces
 	b.staleRegistry = false
 	b.staleConfiguration = false
 	b.staleMembers = false
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -24,6 +24,7 @@
 	// all that a majority had accepted by then.
 	ConfirmedNs   int64
 	Registrations map[string]*saddlewire.Registration // targets without an agent, by id
+	Paces         map[string]float64                  // of slow engines, by target
 	Loads         []*saddlewire.EntryLoad             // what the entries' drafts take
 	Departed      map[string]uint64                   // latest incarnation that takes no new work, by target
 }
--- a/internal/place/saddleplacer/counters.go
+++ b/internal/place/saddleplacer/counters.go
@@ -2,4 +2,8 @@
 
 import "expvar"
 
-var countOrders = expvar.NewInt("placement_orders_total")
+// Counters of placement; docs/OPERATIONS.md lists them.
+var (
+	countOrders = expvar.NewInt("placement_orders_total")
+	countLooks  = expvar.NewInt("placement_looks_total")
+)
--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -27,6 +27,9 @@
 	// orderSlack is for how long after its loading time an order may be unseen in
 	// the engine's heartbeats before it is given again.
 	orderSlack = 4 * time.Second
+	// refusedFor is for how long an engine that refused an order is given none: it is
+	// busy with an earlier one, or its report of it is still to come.
+	refusedFor = time.Second
 	// leadFor is how long a leader listens before it gives orders: engines report
 	// what they hold within that time.
 	leadFor = 2 * time.Second
@@ -48,7 +51,9 @@
 	Term    func() uint64                 // that this replica leads with a lease, else 0
 	// Learnt takes in what an engine holds before it says so itself.
 	Learnt func(ctx context.Context, reg *saddlewire.Registration)
-	Log    zerolog.Logger
+	// Paces takes in which engines are slow, in place of what it was given before.
+	Paces func(ctx context.Context, paces []*saddlewire.Pace)
+	Log   zerolog.Logger
 }
 
 // Placer gives the orders. Run owns its state.
@@ -60,7 +65,9 @@
 	engines map[fireflysaddle.TargetID]uint64 // incarnations known at the last look
 	changed time.Time                         // of the set of engines
 	fence   uint64
+	refused map[fireflysaddle.TargetID]time.Time // engines that refused an order, and until when they are given none
 	done    chan outcome
+	paces   paces
 }
 
 // order is one that was given and is not yet seen in the engine's heartbeats.
@@ -85,7 +92,9 @@
 		cfg:     cfg,
 		orders:  map[fireflysaddle.TargetID]order{},
 		engines: map[fireflysaddle.TargetID]uint64{},
+		refused: map[fireflysaddle.TargetID]time.Time{},
 		done:    make(chan outcome, 256),
+		paces:   newPaces(),
 	}
 }
 
@@ -100,7 +109,9 @@
 		case <-ctx.Done():
 			return
 		case o := <-p.done:
-			p.note(o)
+			p.note(time.Now(), o)
+		case l := <-p.paces.looked:
+			p.notePace(ctx, l)
 		case <-tick.C:
 			p.look(ctx, time.Now(), &wg)
 		}
@@ -112,11 +123,13 @@
 	term := p.cfg.Term()
 	if term == 0 {
 		p.term = 0
+		p.paces.clear()
 		return
 	}
 	if term != p.term {
 		p.term, p.ledAt, p.fence = term, now, 0
 		clear(p.orders)
+		clear(p.refused)
 		p.cfg.Log.Info().Uint64("term", term).Msg("placement begins")
 	}
 	routing := p.cfg.Routing()
@@ -127,6 +140,7 @@
 	for _, pool := range routing.Pools {
 		if pool.Model != nil {
 			p.place(ctx, now, wg, pool, view)
+			p.lookAtPaces(ctx, now, wg, pool, view)
 		}
 	}
 }
@@ -146,6 +160,7 @@
 			Accelerator: fireflysaddle.Accelerator(reg.GetAccelerator()),
 			Held:        p.held(now, reg),
 			Lost:        lost[id] >= suspecters,
+			Slow:        p.paces.factors[id] >= paceLost,
 		}
 		holding = holding || e.Held.Len() > 0
 		engines = append(engines, e)
@@ -159,6 +174,9 @@
 		return
 	}
 	for id, layers := range saddleplan.Plan(pool.Model, engines) {
+		if now.Before(p.refused[id]) {
+			continue
+		}
 		p.give(ctx, now, wg, pool.Model, regs[id], layers)
 	}
 }
@@ -294,7 +312,7 @@
 
 // note takes in the answer to an order. One that was refused is dropped, so that
 // the next look plans anew; one without an answer may still be carried out.
-func (p *Placer) note(o outcome) {
+func (p *Placer) note(now time.Time, o outcome) {
 	e := p.cfg.Log.Info()
 	if o.err != nil {
 		e = p.cfg.Log.Warn().Err(o.err)
@@ -303,5 +321,6 @@
 	var refused *fireflysaddle.OrderError
 	if errors.As(o.err, &refused) && p.orders[o.id].given.Equal(o.order.given) {
 		delete(p.orders, o.id)
+		p.refused[o.id] = now.Add(refusedFor)
 	}
 }
--- a/internal/place/saddleplan/plan.go
+++ b/internal/place/saddleplan/plan.go
@@ -16,6 +16,7 @@
 	Accelerator fireflysaddle.Accelerator
 	Held        Range // that it holds or was ordered to hold; empty: nothing
 	Lost        bool  // it seems to have failed: what it holds does not count
+	Slow        bool  // it works, but so slowly that others are better given its layers
 }
 
 // Range is the layers [From, To).
@@ -31,8 +32,8 @@
 	// engine takes under two hundred requests of a thousand tokens as the first of
 	// a chain.
 	wantedRoom = 160_000
-	// fairRoom is what empty engines may be brought down to when they take the
-	// layers of a lost one; below it all engines of the data centre share them.
+	// fairRoom is what engines may be brought down to when they take over the layers
+	// of one that still works, and with which some are left empty.
 	fairRoom = 80_000
 	// leastRoom is what a stage is given when layers would be held by no one
 	// otherwise: a dozen drafts.
@@ -45,8 +46,10 @@
 )
 
 // Plan returns the engines that are to hold other layers than they do. In each
-// data centre the engines hold every layer once, the fastest ones first; engines
-// that hold something keep it, and empty ones take what nobody holds.
+// data centre the engines hold every layer once, the fastest ones first. Later
+// only layers that nobody holds are given out: to empty engines and to those that
+// hold the layers before and after. No engine ever gives up layers, because it
+// would have to wait for all requests that pass through them.
 func Plan(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
 	out := map[fireflysaddle.TargetID]Range{}
 	for _, list := range byCentre(model, engines) {
@@ -81,54 +84,21 @@
 }
 
 func planCentre(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
-	holes := uncovered(model, engines)
 	live := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Lost })
-	empty := slices.DeleteFunc(slices.Clone(live), func(e Engine) bool { return e.Held.Len() > 0 })
-	switch {
-	case len(holes) == 0 || len(live) == 0:
-		return nil
-	case len(empty) == len(live):
-		return layOut(model, live, spares)
-	}
-	if out := fill(model, empty, holes, fairRoom); out != nil {
-		return out
+	if !slices.ContainsFunc(live, func(e Engine) bool { return e.Held.Len() > 0 }) {
+		return layOut(model, live)
 	}
-	if out := layOut(model, inOrder(live), 0); out != nil {
-		return moved(live, out)
-	}
-	return fill(model, empty, holes, leastRoom)
-}
-
-// inOrder returns engines by the layers that they hold, so that a new layout moves
-// as few as it can; the empty ones come last.
-func inOrder(engines []Engine) []Engine {
-	out := slices.Clone(engines)
-	slices.SortStableFunc(out, func(a, b Engine) int {
-		if (a.Held.Len() == 0) != (b.Held.Len() == 0) {
-			return cmp.Compare(b.Held.Len(), a.Held.Len())
-		}
-		return cmp.Compare(a.Held.From, b.Held.From)
-	})
-	return out
-}
-
-// moved leaves out the engines that hold what they are to hold.
-func moved(engines []Engine, plan map[fireflysaddle.TargetID]Range) map[fireflysaddle.TargetID]Range {
-	for _, e := range engines {
-		if plan[e.ID] == e.Held {
-			delete(plan, e.ID)
-		}
+	if holes := uncovered(model, live); len(holes) > 0 {
+		return fill(model, live, holes, leastRoom)
 	}
-	return plan
+	fast := slices.DeleteFunc(live, func(e Engine) bool { return e.Slow })
+	return fill(model, fast, uncovered(model, fast), fairRoom)
 }
 
 // uncovered returns the ranges of layers that no engine holds.
 func uncovered(model *saddlerouting.Model, engines []Engine) []Range {
 	held := make([]bool, model.Layers)
 	for _, e := range engines {
-		if e.Lost {
-			continue
-		}
 		for l := max(0, e.Held.From); l < min(model.Layers, e.Held.To); l++ {
 			held[l] = true
 		}
@@ -150,83 +120,139 @@
 // layOut gives all layers to the engines in turn, with the most room with which
 // they hold them, and leaves some of the last engines empty if it can. It returns
 // nil when they cannot hold all.
-func layOut(model *saddlerouting.Model, engines []Engine, keep int) map[fireflysaddle.TargetID]Range {
-	for ; keep >= 0; keep-- {
-		usable := engines[:max(1, len(engines)-keep)]
-		for room := wantedRoom; room >= leastRoom; room -= roomStep {
-			sizes, sum := sizesAt(model, usable, room)
-			if sum >= model.Layers && (keep == 0 || room >= fairRoom) {
-				return inTurn(model, usable, sizes)
+func layOut(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
+	for keep := spares; keep >= 0; keep-- {
+		usable := engines[:max(0, len(engines)-keep)]
+		least := leastRoom
+		if keep > 0 {
+			least = fairRoom
+		}
+		for room := wantedRoom; room >= least; room -= roomStep {
+			if out := inTurn(model, usable, room); out != nil {
+				return out
 			}
 		}
 	}
 	return nil
 }
 
-func sizesAt(model *saddlerouting.Model, engines []Engine, room int) ([]int, int) {
-	out := make([]int, len(engines))
-	sum := 0
-	for i, e := range engines {
-		out[i] = model.MostLayers(model.Accelerators[e.Accelerator], room)
-		sum += out[i]
-	}
-	return out, sum
-}
-
-func inTurn(model *saddlerouting.Model, engines []Engine, sizes []int) map[fireflysaddle.TargetID]Range {
+// inTurn gives all layers to the engines in turn, nil when they have too little
+// room.
+func inTurn(model *saddlerouting.Model, engines []Engine, room int) map[fireflysaddle.TargetID]Range {
 	out := map[fireflysaddle.TargetID]Range{}
 	at := 0
-	for i, e := range engines {
-		if n := min(sizes[i], model.Layers-at); n > 0 {
+	for _, e := range engines {
+		if n := min(most(model, e, room), model.Layers-at); n > 0 {
 			out[e.ID] = Range{From: at, To: at + n}
 			at += n
 		}
 	}
+	if at < model.Layers {
+		return nil
+	}
 	return out
 }
 
-// fill gives the holes to empty engines, to as few as can have some room, and then
-// with the most room. It returns nil when there are not enough.
-func fill(model *saddlerouting.Model, empty []Engine, holes []Range, least int) map[fireflysaddle.TargetID]Range {
-	var best map[fireflysaddle.TargetID]Range
-	for room := wantedRoom; room >= least; room -= roomStep {
-		sizes, _ := sizesAt(model, empty, room)
-		out := fillAt(empty, sizes, holes)
-		if out != nil && (best == nil || len(out) < len(best)) {
-			best = out
+// most returns how many layers an engine holds with some room.
+func most(model *saddlerouting.Model, e Engine, room int) int {
+	return model.MostLayers(model.Accelerators[e.Accelerator], room)
+}
+
+// fill gives holes to empty engines and to those beside them, with the most room
+// with which they can take all. It returns nil when they cannot.
+func fill(model *saddlerouting.Model, engines []Engine, holes []Range, least int) map[fireflysaddle.TargetID]Range {
+	for room := wantedRoom; room >= least && len(holes) > 0; room -= roomStep {
+		if out := fillWith(model, engines, holes, room); out != nil {
+			return out
 		}
 	}
-	return best
+	return nil
 }
 
-// fillAt gives each hole to the smallest engine that can take it whole, or in
-// parts to the largest ones. It returns nil when some layers are left.
-func fillAt(empty []Engine, sizes []int, holes []Range) map[fireflysaddle.TargetID]Range {
+// fillWith gives each hole to empty engines, the one that suits it best first, and
+// what they cannot take to those that end and begin beside it.
+func fillWith(model *saddlerouting.Model, engines []Engine, holes []Range, room int) map[fireflysaddle.TargetID]Range {
 	out := map[fireflysaddle.TargetID]Range{}
 	for _, h := range holes {
+		before, after := beside(engines, out, h)
+		short := h.Len() - emptyRoom(model, engines, out, room)
+		if n := min(short, spare(model, before, room)); n > 0 {
+			out[before.ID] = Range{From: before.Held.From, To: h.From + n}
+			h.From += n
+		}
 		for h.Len() > 0 {
-			best := -1
-			for i, e := range empty {
-				if _, used := out[e.ID]; used || sizes[i] == 0 {
-					continue
-				}
-				if best < 0 || suits(sizes[i], sizes[best], h.Len()) {
-					best = i
-				}
+			next := suited(model, engines, out, h.Len(), room)
+			if next == nil {
+				break
 			}
-			if best < 0 {
-				return nil
-			}
-			n := min(sizes[best], h.Len())
-			out[empty[best].ID] = Range{From: h.From, To: h.From + n}
+			n := min(most(model, *next, room), h.Len())
+			out[next.ID] = Range{From: h.From, To: h.From + n}
 			h.From += n
 		}
+		if n := min(h.Len(), spare(model, after, room)); n > 0 {
+			out[after.ID] = Range{From: h.To - n, To: after.Held.To}
+			h.To -= n
+		}
+		if h.Len() > 0 {
+			return nil
+		}
 	}
 	return out
 }
 
-// suits reports whether an engine of size a suits a hole better than one of size
-// b.
+// emptyRoom returns how many layers the empty engines can take.
+func emptyRoom(model *saddlerouting.Model, engines []Engine, given map[fireflysaddle.TargetID]Range, room int) int {
+	n := 0
+	for _, e := range engines {
+		if _, ok := given[e.ID]; !ok && e.Held.Len() == 0 {
+			n += most(model, e, room)
+		}
+	}
+	return n
+}
+
+// beside returns the engines that hold the layers before and after a hole and are
+// not given others, nil where there is none.
+func beside(engines []Engine, given map[fireflysaddle.TargetID]Range, h Range) (before, after *Engine) {
+	for i, e := range engines {
+		if _, ok := given[e.ID]; ok || e.Held.Len() == 0 {
+			continue
+		}
+		if e.Held.To == h.From {
+			before = &engines[i]
+		}
+		if e.Held.From == h.To {
+			after = &engines[i]
+		}
+	}
+	return before, after
+}
+
+// spare returns how many more layers an engine could hold with some room.
+func spare(model *saddlerouting.Model, e *Engine, room int) int {
+	if e == nil {
+		return 0
+	}
+	return max(0, most(model, *e, room)-e.Held.Len())
+}
+
+// suited returns the smallest empty engine that takes a number of layers, else the
+// largest one, nil when there is none.
+func suited(model *saddlerouting.Model, engines []Engine, given map[fireflysaddle.TargetID]Range, layers, room int) *Engine {
+	var best *Engine
+	for i, e := range engines {
+		n := most(model, e, room)
+		if _, ok := given[e.ID]; ok || e.Held.Len() > 0 || n == 0 {
+			continue
+		}
+		if best == nil || suits(n, most(model, *best, room), layers) {
+			best = &engines[i]
+		}
+	}
+	return best
+}
+
+// suits reports whether an engine for a layers suits a hole better than one for b.
 func suits(a, b, hole int) bool {
 	if (a >= hole) != (b >= hole) {
 		return a >= hole
