--- a/internal/control/saddlecontrol/attendee.go
+++ b/internal/control/saddlecontrol/attendee.go
@@ -70,7 +70,8 @@
 		u.Loads = c.members.loads()
 		if c.replica.LeaseValid(now) {
 			u.Leads = true
-			u.Paces = c.paces
+			u.Paces = c.engines.Paces
+			u.Occupied = c.engines.Occupied
 		}
 	}
 	if a.role != fireflysaddle.RoleAgent {
--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -36,7 +36,7 @@
 	grants  *saddlegrant.Table
 
 	registry *saddleregistry.Table
-	paces    []*saddlewire.Pace // of slow engines, as the placer found them
+	engines  EngineState
 
 	attendees map[*attendee]struct{}
 	pending   map[uint64]pendingCommand // by log index
--- a/internal/control/saddlecontrol/register.go
+++ b/internal/control/saddlecontrol/register.go
@@ -29,20 +29,26 @@
 
 func (e findEvent) handle(_ time.Time, c *core) { e.reply <- c.registry.Find(e.id) }
 
-// pacesEvent brings the paces of slow engines.
-type pacesEvent struct {
-	paces []*saddlewire.Pace
+// EngineState is what the leader learnt of the engines by asking them.
+type EngineState struct {
+	Paces    []*saddlewire.Pace       // of slow engines
+	Occupied []*saddlewire.CentreLoad // tokens that the engines of each data centre hold
 }
 
-func (e pacesEvent) handle(_ time.Time, c *core) {
-	c.paces = e.paces
+// engineStateEvent brings what was learnt of the engines.
+type engineStateEvent struct {
+	state EngineState
+}
+
+func (e engineStateEvent) handle(_ time.Time, c *core) {
+	c.engines = e.state
 	c.wakeAttendees()
 }
 
-// SetPaces has the entries know which engines are slow. It replaces what was said
-// before.
-func (s *Server) SetPaces(ctx context.Context, paces []*saddlewire.Pace) error {
-	return s.post(ctx, pacesEvent{paces: paces})
+// SetEngineState has the entries know what was learnt of the engines. It replaces
+// what was said before.
+func (s *Server) SetEngineState(ctx context.Context, state EngineState) error {
+	return s.post(ctx, engineStateEvent{state: state})
 }
 
 func (c *core) register(now time.Time, reg *saddlewire.Registration) registration {
--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -76,7 +76,7 @@
 		Routing: func() *saddlerouting.Routing { return g.routing.open(ctx, g.current.Load(), g.process.log) },
 		Term:    g.leaseTerm,
 		Learnt:  g.learnt,
-		Paces:   g.setPaces,
+		Engines: g.setEngines,
 		Log:     g.process.log,
 	})
 	api := platform.NewControl(g.replica, g.known, g.process.log)
@@ -184,14 +184,14 @@
 	return nil
 }
 
-// setPaces has the entries know which engines are slow.
-func (g *groupReplica) setPaces(ctx context.Context, paces []*saddlewire.Pace) {
+// setEngines has the entries know what was learnt of the engines.
+func (g *groupReplica) setEngines(ctx context.Context, state saddlecontrol.EngineState) {
 	s := g.current.Load()
 	if s == nil {
 		return
 	}
-	if err := s.SetPaces(ctx, paces); err != nil {
-		g.process.log.Warn().Err(err).Msg("paces of engines not passed on")
+	if err := s.SetEngineState(ctx, state); err != nil {
+		g.process.log.Warn().Err(err).Msg("state of the engines not passed on")
 	}
 }
 
--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -95,21 +95,20 @@
 	if model == nil {
 		return nil
 	}
+	engines := f.usableEngines(now, pool, avoid)
+	weights := weigh(model, engines)
 	var holders []saddlepath.Holder
 	var of []*target
 	centres := map[fireflysaddle.DataCentre]int{f.centre: 0}
-	for _, t := range f.groups[pool.Group] {
-		acc, known := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
-		if !known || !t.usable(now) || slices.Contains(avoid, t.Address) {
-			continue
-		}
-		load, fits := f.load(model, acc, t, tokens)
-		if !fits {
+	for i, t := range engines {
+		load, most := f.load(model, t, weights[i], tokens)
+		if most == 0 {
 			continue
 		}
 		if _, ok := centres[t.Centre]; !ok {
 			centres[t.Centre] = len(centres)
 		}
+		acc := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
 		for _, held := range t.reg.GetLayers() {
 			holders = append(holders, saddlepath.Holder{
 				From:     int(held.GetFrom()),
@@ -118,6 +117,7 @@
 				PerLayer: float64(model.StepTime(acc, 1)) * t.pace * (1 + loadCost*load),
 				PerHop:   hopCost,
 				AsHead:   faultCost * t.recentFaults(now),
+				Most:     most,
 			})
 			of = append(of, t)
 		}
@@ -129,26 +129,62 @@
 	return out
 }
 
-// load estimates how full an engine is, and whether a request of a number of
-// tokens fits: from what this entry has there, and an even part of what the others
-// have in its data centre.
-func (f *Fleet) load(model *saddlerouting.Model, acc saddlerouting.Accelerator, t *target, tokens int) (load float64, fits bool) {
-	layers := 0
-	for _, held := range t.reg.GetLayers() {
-		layers += int(held.GetTo() - held.GetFrom())
+// usableEngines returns the engines of a group that hold layers and may be used.
+func (f *Fleet) usableEngines(now time.Time, pool *saddlerouting.Pool, avoid []string) []*target {
+	var out []*target
+	for _, t := range f.groups[pool.Group] {
+		_, known := pool.Model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
+		if known && len(t.reg.GetLayers()) > 0 && t.usable(now) && !slices.Contains(avoid, t.Address) {
+			out = append(out, t)
+		}
 	}
-	if layers == 0 {
-		return 0, false
+	return out
+}
+
+// weigh returns for each engine how many layers of a chain through its data centre
+// it runs on the average: a layer that several engines hold counts for each in
+// part.
+func weigh(model *saddlerouting.Model, engines []*target) []float64 {
+	held := map[fireflysaddle.DataCentre][]int{}
+	for _, t := range engines {
+		if held[t.Centre] == nil {
+			held[t.Centre] = make([]int, model.Layers)
+		}
+		t.eachLayer(model.Layers, func(l int) { held[t.Centre][l]++ })
 	}
-	room := float64(model.Room(acc, layers)*layers) * roomUsed
-	taken := t.reserved + f.others[t.Centre]*float64(layers)
+	out := make([]float64, len(engines))
+	for i, t := range engines {
+		t.eachLayer(model.Layers, func(l int) { out[i] += 1 / float64(held[t.Centre][l]) })
+	}
+	return out
+}
+
+// eachLayer calls do for each layer that a target holds.
+func (t *target) eachLayer(layers int, do func(l int)) {
+	for _, held := range t.reg.GetLayers() {
+		for l := int(held.GetFrom()); l < min(layers, int(held.GetTo())); l++ {
+			do(l)
+		}
+	}
+}
+
+// load estimates how full an engine is and how many layers it has room to run for
+// a request of a number of tokens. What it holds already is taken from this
+// entry's requests and the others' part by weight, or from what the engines say if
+// that is more: they may still work for entries that are gone.
+func (f *Fleet) load(model *saddlerouting.Model, t *target, weight float64, tokens int) (load float64, most int) {
+	layers := 0
+	t.eachLayer(model.Layers, func(int) { layers++ })
 	if tokens < 0 {
-		return 0, true
+		return 0, layers
 	}
-	if room <= 0 {
-		return 1, false
+	acc := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
+	room := float64(model.Room(acc, layers)*layers) * roomUsed
+	taken := max(t.reserved+f.others[t.Centre]*weight, f.said[t.Centre]*weight)
+	if room <= taken {
+		return 1, 0
 	}
-	return taken / room, taken+float64(tokens*layers) <= room
+	return taken / room, min(layers, int((room-taken)/float64(max(1, tokens))))
 }
 
 // Covered reports whether the engines of a group hold all layers of its model.
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -21,9 +21,10 @@
 
 	mu      sync.Mutex
 	targets map[fireflysaddle.TargetID]*target
-	groups  map[fireflysaddle.Group][]*target // that take new work, by id
-	address map[string]*target                // that take new work
-	others  map[fireflysaddle.DataCentre]float64
+	groups  map[fireflysaddle.Group][]*target    // that take new work, by id
+	address map[string]*target                   // that take new work
+	others  map[fireflysaddle.DataCentre]float64 // tokens of the other entries' drafts
+	said    map[fireflysaddle.DataCentre]float64 // tokens that the engines say they hold
 	mine    map[fireflysaddle.DataCentre]float64
 	entries int // entries that share the engines, this one among them
 	turn    int
@@ -100,6 +101,10 @@
 	for id, t := range f.targets {
 		t.hinted = hinted[string(id)]
 	}
+	f.said = map[fireflysaddle.DataCentre]float64{}
+	for centre, tokens := range v.Occupied {
+		f.said[fireflysaddle.DataCentre(centre)] = float64(tokens)
+	}
 	f.others = map[fireflysaddle.DataCentre]float64{}
 	for _, load := range v.Loads {
 		if load.GetNode() == f.node {
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -30,6 +30,22 @@
 	f.doubted()
 }
 
+// Refused notes that an engine refused its part of a request: it is full, leaves,
+// or does not work, which it is asked.
+func (f *Fleet) Refused(now time.Time, address string) {
+	f.mu.Lock()
+	t, ok := f.address[address]
+	asks := ok && !t.passedOver && !t.probing && now.Sub(t.lookAt) > lookFirst
+	if ok {
+		t.refused = now.Add(refusedFor)
+		t.doubted = t.doubted || asks
+	}
+	f.mu.Unlock()
+	if asks {
+		f.doubted()
+	}
+}
+
 // doubted has the engines that are due asked at once.
 func (f *Fleet) doubted() {
 	select {
@@ -102,7 +118,7 @@
 	defer f.mu.Unlock()
 	var out []Target
 	for _, t := range f.address {
-		wanted := t.passedOver || t.hinted
+		wanted := t.passedOver || t.hinted || t.doubted
 		if !t.engine() || t.probing || !wanted || now.Before(t.lookAt) {
 			continue
 		}
@@ -126,12 +142,13 @@
 	}
 	was, confirmed := t.passedOver, t.confirmed
 	t.probing = false
+	t.doubted = false
 	if err != nil {
 		t.fail(now)
 		t.confirmed = true
 	} else {
 		t.good()
-		t.lookAt = now.Add(lookMost)
+		t.lookAt = now.Add(lookFirst)
 	}
 	f.mu.Unlock()
 	switch {
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -28,6 +28,8 @@
 	confirmed  bool      // it did not tell its state when asked
 	failures   int       // in a row, of probes or of requests
 	lookAt     time.Time // passed over: when it is looked at again
+	refused    time.Time // until when it is left alone after it refused a request
+	doubted    bool      // it refused a request, and is to be asked whether it works
 	hinted     bool      // another entry passes it over, and this one has not looked yet
 	probing    bool
 	faults     float64   // recent failures of its own, halved each faultsHalf
@@ -40,6 +42,9 @@
 	// was started again comes with a new registration.
 	lookFirst = 300 * time.Millisecond
 	lookMost  = 1200 * time.Millisecond
+	// refusedFor is for how long an engine that refused a request is left alone: one
+	// that is full has ended some requests by then.
+	refusedFor = 150 * time.Millisecond
 	// faultsHalf is the time in which the failures of a target that goes on
 	// answering count half.
 	faultsHalf = 2 * time.Second
@@ -64,6 +69,9 @@
 // usable reports whether requests may be sent there: to a plain service that was
 // passed over the next one goes as a probe.
 func (t *target) usable(now time.Time) bool {
+	if now.Before(t.refused) {
+		return false
+	}
 	return !t.passedOver || (!t.engine() && now.After(t.lookAt))
 }
 
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -144,7 +144,7 @@
 func (j *job) notRun(reply *fireflysaddle.Reply) string {
 	if reply.AtFault != "" {
 		j.passOver(time.Now(), reply.AtFault, avoidFull)
-		j.cfg.Fleet.Down(time.Now(), reply.AtFault, "refused its part: "+strconv.Itoa(reply.Status))
+		j.cfg.Fleet.Refused(time.Now(), reply.AtFault)
 	}
 	return "not run, " + strconv.Itoa(reply.Status) + " at " + reply.AtFault
 }
--- a/internal/direct/saddlegateway/watch.go
+++ b/internal/direct/saddlegateway/watch.go
@@ -91,7 +91,7 @@
 		return
 	}
 	if w.silent() > hardSilence {
-		w.cancel(errSilent)
+		w.end(w.chain.Head.Address, errSilent)
 		return
 	}
 	if len(w.chain.Parts) == 0 {
--- a/internal/direct/saddlepath/find.go
+++ b/internal/direct/saddlepath/find.go
@@ -12,6 +12,7 @@
 	PerLayer float64 // cost of one layer there
 	PerHop   float64 // cost of passing through it
 	AsHead   float64 // further cost of being the first of a chain
+	Most     int     // layers that it has room to run
 }
 
 // Part is a part of a chain: a holder, by its index, and the layers it runs.
@@ -104,9 +105,13 @@
 			if h.Centre != s.where[from].centre {
 				cost += cross
 			}
-			s.relax(state{at: h.To, centre: h.Centre}, step{cost: cost + h.PerLayer*float64(h.To-at), from: from, holder: i, start: at})
+			end := min(h.To, at+h.Most)
+			if end <= at {
+				continue
+			}
+			s.relax(state{at: end, centre: h.Centre}, step{cost: cost + h.PerLayer*float64(end-at), from: from, holder: i, start: at})
 			for _, cut := range s.cuts {
-				if cut > at && cut < h.To {
+				if cut > at && cut < end {
 					s.relax(state{at: cut, centre: h.Centre}, step{cost: cost + h.PerLayer*float64(cut-at), from: from, holder: i, start: at})
 				}
 			}
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -27,6 +27,8 @@
 
 	loads []*saddlewire.EntryLoad // as the replica heard last has them
 	paces map[string]float64      // as the leader heard last has them
+
+	occupied map[string]uint64 // as the leader heard last has it
 }
 
 // source is what one replica said.
@@ -94,6 +96,10 @@
 		for _, p := range u.GetPaces() {
 			b.paces[p.GetTarget()] = p.GetFactor()
 		}
+		b.occupied = make(map[string]uint64, len(u.GetOccupied()))
+		for _, o := range u.GetOccupied() {
+			b.occupied[o.GetCentre()] = o.GetTokens()
+		}
 	}
 }
 
@@ -162,6 +168,7 @@
 	b.noteRouting(v)
 	v.Loads = b.loads
 	v.Paces = b.paces
+	v.Occupied = b.occupied
 	b.staleRegistry = false
 	b.staleConfiguration = false
 	b.staleMembers = false
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -25,6 +25,7 @@
 	ConfirmedNs   int64
 	Registrations map[string]*saddlewire.Registration // targets without an agent, by id
 	Paces         map[string]float64                  // of slow engines, by target
+	Occupied      map[string]uint64                   // tokens that engines hold, by data centre
 	Loads         []*saddlewire.EntryLoad             // what the entries' drafts take
 	Departed      map[string]uint64                   // latest incarnation that takes no new work, by target
 }
--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlecontrol"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleview"
 	"github.com/fireflysaddle/fireflysaddle/internal/place/saddleplan"
@@ -51,9 +52,10 @@
 	Term    func() uint64                 // that this replica leads with a lease, else 0
 	// Learnt takes in what an engine holds before it says so itself.
 	Learnt func(ctx context.Context, reg *saddlewire.Registration)
-	// Paces takes in which engines are slow, in place of what it was given before.
-	Paces func(ctx context.Context, paces []*saddlewire.Pace)
-	Log   zerolog.Logger
+	// Engines takes in what was learnt of the engines, in place of what it was
+	// given before.
+	Engines func(ctx context.Context, state saddlecontrol.EngineState)
+	Log     zerolog.Logger
 }
 
 // Placer gives the orders. Run owns its state.
@@ -67,7 +69,7 @@
 	fence   uint64
 	refused map[fireflysaddle.TargetID]time.Time // engines that refused an order, and until when they are given none
 	done    chan outcome
-	paces   paces
+	looks   looks
 }
 
 // order is one that was given and is not yet seen in the engine's heartbeats.
@@ -94,7 +96,7 @@
 		engines: map[fireflysaddle.TargetID]uint64{},
 		refused: map[fireflysaddle.TargetID]time.Time{},
 		done:    make(chan outcome, 256),
-		paces:   newPaces(),
+		looks:   newLooks(),
 	}
 }
 
@@ -110,8 +112,8 @@
 			return
 		case o := <-p.done:
 			p.note(time.Now(), o)
-		case l := <-p.paces.looked:
-			p.notePace(ctx, l)
+		case l := <-p.looks.done:
+			p.noteLook(ctx, l)
 		case <-tick.C:
 			p.look(ctx, time.Now(), &wg)
 		}
@@ -123,7 +125,7 @@
 	term := p.cfg.Term()
 	if term == 0 {
 		p.term = 0
-		p.paces.clear()
+		p.looks.clear()
 		return
 	}
 	if term != p.term {
@@ -140,7 +142,7 @@
 	for _, pool := range routing.Pools {
 		if pool.Model != nil {
 			p.place(ctx, now, wg, pool, view)
-			p.lookAtPaces(ctx, now, wg, pool, view)
+			p.lookAt(ctx, now, wg, pool, view)
 		}
 	}
 }
@@ -160,7 +162,7 @@
 			Accelerator: fireflysaddle.Accelerator(reg.GetAccelerator()),
 			Held:        p.held(now, reg),
 			Lost:        lost[id] >= suspecters,
-			Slow:        p.paces.factors[id] >= paceLost,
+			Slow:        p.looks.paces[id] >= paceLost,
 		}
 		holding = holding || e.Held.Len() > 0
 		engines = append(engines, e)
