Tests of the platform's path; a replica that joins anew is heard

Cause: TestTheGroupLooksAfterItself showed that a replica whose disk was lost never got a vote: it knew no address of the leader that let it in, so its answers went nowhere, and the leader removed it as silent. The leader now names its address to replicas without a vote, and silence counts from when a replica is followed.

Ruled out: the election's unanimity (the group had entries).

--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -34,6 +34,7 @@
 	state   *saddlestate.State
 	members *memberTable
 	grants  *saddlegrant.Table
+	sender  *saddlewire.Peer // that let this replica in, before its log names the others
 
 	registry *saddleregistry.Table
 	engines  EngineState
@@ -162,9 +163,20 @@
 			out = append(out, &saddlewire.Peer{Id: id, Address: address})
 		}
 	}
+	known := func(p *saddlewire.Peer) bool { return p.GetId() == c.sender.GetId() }
+	if c.sender != nil && !slices.ContainsFunc(out, known) {
+		out = append(out, c.sender)
+	}
 	return out
 }
 
+// noteSender notes where the leader that lets this replica in is reached.
+func (c *core) noteSender(m *saddlewire.Message) {
+	if m.GetAddress() != "" && m.GetTo() == c.cfg.Node {
+		c.sender = &saddlewire.Peer{Id: m.GetFrom(), Address: m.GetAddress()}
+	}
+}
+
 // stop answers those who wait for a command; its outcome is open.
 func (c *core) stop() {
 	c.confirmed.Store(false)
@@ -190,6 +202,9 @@
 			return err
 		}
 		for _, m := range rd.Messages {
+			if m.GetLearner() {
+				m.Address = c.cfg.Listen
+			}
 			c.peers.send(m)
 		}
 		if err := c.applyAll(now, rd); err != nil {
--- a/internal/control/saddlecontrol/event.go
+++ b/internal/control/saddlecontrol/event.go
@@ -18,6 +18,7 @@
 
 func (e messageEvent) handle(now time.Time, c *core) {
 	for _, m := range e.messages {
+		c.noteSender(m)
 		c.replica.Step(now, m)
 	}
 }
--- a/internal/control/saddlereplica/election.go
+++ b/internal/control/saddlereplica/election.go
@@ -61,14 +61,14 @@
 	r.ledSince = now
 	r.progress = make(map[string]*progress, len(r.Members()))
 	for _, p := range r.Members() {
-		r.progress[p.GetId()] = &progress{next: r.log.last() + 1}
+		r.progress[p.GetId()] = &progress{next: r.log.last() + 1, since: now}
 	}
 	first := &saddlewire.LogEntry{}
 	if r.log.last() == 0 {
 		first.Membership = r.cloneMembers()
 	}
 	r.append(first)
-	r.followMembers()
+	r.followMembers(now)
 	r.broadcast(now)
 	r.deadline = now.Add(r.cfg.Heartbeat)
 }
--- a/internal/control/saddlereplica/heal.go
+++ b/internal/control/saddlereplica/heal.go
@@ -56,9 +56,12 @@
 
 // silence returns for how long a replica has not answered this leader.
 func (r *Replica) silence(now time.Time, id string) time.Duration {
-	heard := r.ledSince
-	if p, ok := r.progress[id]; ok && p.acked.After(heard) {
-		heard = p.acked
+	p, ok := r.progress[id]
+	if !ok {
+		return 0
 	}
-	return now.Sub(heard)
+	if p.acked.After(p.since) {
+		return now.Sub(p.acked)
+	}
+	return now.Sub(p.since)
 }
--- a/internal/control/saddlereplica/membership.go
+++ b/internal/control/saddlereplica/membership.go
@@ -169,21 +169,21 @@
 
 func (r *Replica) proposeMembers(now time.Time, next *saddlewire.Membership) uint64 {
 	index := r.append(&saddlewire.LogEntry{Membership: next})
-	r.followMembers()
+	r.followMembers(now)
 	r.replicate(now)
 	return index
 }
 
 // followMembers takes up the membership of the log, at a leader also in what
 // it keeps of each replica.
-func (r *Replica) followMembers() {
+func (r *Replica) followMembers(now time.Time) {
 	r.useMembership()
 	if r.role != Leader {
 		return
 	}
 	for _, p := range r.Members() {
 		if _, ok := r.progress[p.GetId()]; !ok {
-			r.progress[p.GetId()] = &progress{next: r.log.last() + 1}
+			r.progress[p.GetId()] = &progress{next: r.log.last() + 1, since: now}
 		}
 	}
 	for id := range r.progress {
--- a/internal/control/saddlereplica/progress.go
+++ b/internal/control/saddlereplica/progress.go
@@ -9,6 +9,7 @@
 // progress is what a leader knows of one other replica. One message with
 // entries or a part of a snapshot is under way to it at a time.
 type progress struct {
+	since    time.Time            // it is followed
 	match    uint64               // highest index known to be stored there
 	next     uint64               // index to send next
 	acked    time.Time            // when the leader sent the last message that was answered
--- /dev/null
+++ b/internal/place/saddleplan/plan_test.go
@@ -0,0 +1,190 @@
+package saddleplan_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
+	"github.com/fireflysaddle/fireflysaddle/internal/place/saddleplan"
+)
+
+// model is one of 80 layers of 1,750 MB, on the accelerators that the users have.
+func model() *saddlerouting.Model {
+	return &saddlerouting.Model{
+		Layers: 80, LayerMB: 1750, TokenBytes: 590_000, UsualPrompt: 770, UsualAnswer: 170, Step: 850_000, ReadPerSecond: 196_000,
+		Accelerators: map[fireflysaddle.Accelerator]saddlerouting.Accelerator{
+			"h100":  {MB: 72000, Pace: 1.4, ReadFactor: 1},
+			"a100s": {MB: 36000, Pace: 3.1, ReadFactor: 3.2},
+			"l4":    {MB: 21600, Pace: 16, ReadFactor: 8.2},
+			"t4":    {MB: 14400, Pace: 15, ReadFactor: 15},
+		},
+	}
+}
+
+func engines(centre fireflysaddle.DataCentre, kinds map[fireflysaddle.Accelerator]int) []saddleplan.Engine {
+	var out []saddleplan.Engine
+	for _, kind := range []fireflysaddle.Accelerator{"h100", "a100s", "l4", "t4"} {
+		for i := range kinds[kind] {
+			id := fireflysaddle.TargetID(fmt.Sprintf("%s-%s-%d", centre, kind, i))
+			out = append(out, saddleplan.Engine{ID: id, Centre: centre, Accelerator: kind})
+		}
+	}
+	return out
+}
+
+func joburg() []saddleplan.Engine {
+	return engines("joburg-a", map[fireflysaddle.Accelerator]int{"a100s": 2, "l4": 4, "t4": 7})
+}
+
+func apply(list []saddleplan.Engine, plan map[fireflysaddle.TargetID]saddleplan.Range) {
+	for i, e := range list {
+		if r, ok := plan[e.ID]; ok {
+			list[i].Held = r
+		}
+	}
+}
+
+// leastRoom returns for how many tokens the tightest engine has room, and whether
+// the working engines hold all layers.
+func leastRoom(m *saddlerouting.Model, list []saddleplan.Engine) (room int, whole bool) {
+	held := make([]bool, m.Layers)
+	room = 1 << 30
+	for _, e := range list {
+		if e.Held.Len() == 0 || e.Lost {
+			continue
+		}
+		room = min(room, m.Room(m.Accelerators[e.Accelerator], e.Held.Len()))
+		for l := e.Held.From; l < e.Held.To; l++ {
+			held[l] = true
+		}
+	}
+	for _, h := range held {
+		if !h {
+			return room, false
+		}
+	}
+	return room, true
+}
+
+func TestEachDataCentreOfTheUsersHoldsTheModel(t *testing.T) {
+	for name, kinds := range map[fireflysaddle.DataCentre]map[fireflysaddle.Accelerator]int{
+		"joburg-a":   {"a100s": 2, "l4": 4, "t4": 7},
+		"pretoria-b": {"h100": 1, "a100s": 1, "l4": 5, "t4": 7},
+		"midrand-c":  {"a100s": 1, "l4": 8, "t4": 3},
+	} {
+		t.Run(string(name), func(t *testing.T) {
+			is := is.New(t)
+			list := engines(name, kinds)
+			apply(list, saddleplan.Plan(model(), list))
+			room, whole := leastRoom(model(), list)
+			is.True(whole)
+			is.True(room >= 100_000) // the drafts that are open at a peak
+		})
+	}
+}
+
+func TestNothingIsOrderedWhileEveryLayerIsHeld(t *testing.T) {
+	is := is.New(t)
+	list := joburg()
+	apply(list, saddleplan.Plan(model(), list))
+	is.Equal(len(saddleplan.Plan(model(), list)), 0)
+}
+
+func TestALostEnginesLayersAreTakenOver(t *testing.T) {
+	m := model()
+	for lost := range joburg() {
+		is := is.New(t)
+		list := joburg()
+		apply(list, saddleplan.Plan(m, list))
+		if list[lost].Held.Len() == 0 {
+			continue // a spare
+		}
+		list[lost].Lost = true
+		plan := saddleplan.Plan(m, list)
+		for _, e := range list {
+			r, ok := plan[e.ID]
+			is.True(!ok || (!e.Lost && (e.Held.Len() == 0 || (r.From <= e.Held.From && r.To >= e.Held.To)))) // none gives up layers
+		}
+		apply(list, plan)
+		_, whole := leastRoom(m, list)
+		is.True(whole)
+	}
+}
+
+func TestASlowEngineIsReplacedOnlyWhereOthersHaveRoom(t *testing.T) {
+	is := is.New(t)
+	m := model()
+	list := joburg()
+	apply(list, saddleplan.Plan(m, list))
+	for i := range list {
+		list[i].Slow = list[i].Accelerator != "t4"
+	}
+	apply(list, saddleplan.Plan(m, list))
+	room, whole := leastRoom(m, list)
+	is.True(whole)
+	is.True(room >= 80_000)
+}
+
+func TestATightEngineIsRelievedByOneThatComesBack(t *testing.T) {
+	is := is.New(t)
+	m := model()
+	list := joburg()
+	apply(list, saddleplan.Plan(m, list))
+	for i := range list {
+		if list[i].Accelerator == "t4" && list[i].Held.Len() > 0 {
+			list[i].Lost = true
+			break
+		}
+	}
+	apply(list, saddleplan.Plan(m, list))
+	list = append(list, saddleplan.Engine{ID: "again", Centre: "joburg-a", Accelerator: "l4"})
+	room, _ := leastRoom(m, list)
+	plan := saddleplan.Plan(m, list)
+	is.Equal(len(plan) > 0, room < 80_000)
+}
+
+// Whatever the engines, and whatever becomes of them, none is ordered to hold more
+// than it can or to give up what it holds.
+func TestNoEngineIsOrderedBeyondItsMemory(t *testing.T) {
+	m := model()
+	kinds := []fireflysaddle.Accelerator{"h100", "a100s", "l4", "t4"}
+	rapid.Check(t, func(t *rapid.T) {
+		var list []saddleplan.Engine
+		for i := range rapid.IntRange(1, 20).Draw(t, "engines") {
+			list = append(list, saddleplan.Engine{
+				ID:          fireflysaddle.TargetID(fmt.Sprint(i)),
+				Centre:      rapid.SampledFrom([]fireflysaddle.DataCentre{"a", "b"}).Draw(t, "centre"),
+				Accelerator: rapid.SampledFrom(kinds).Draw(t, "kind"),
+			})
+		}
+		for range rapid.IntRange(1, 6).Draw(t, "steps") {
+			plan := saddleplan.Plan(m, list)
+			for _, e := range list {
+				r, ok := plan[e.ID]
+				if !ok {
+					continue
+				}
+				if r.From < 0 || r.To > m.Layers || r.Len() < 1 || float64(r.Len())*m.LayerMB > m.Accelerators[e.Accelerator].MB {
+					t.Fatalf("%+v is ordered to hold %+v", e, r)
+				}
+				if e.Held.Len() > 0 && (r.From > e.Held.From || r.To < e.Held.To) {
+					t.Fatalf("%+v is ordered to give up layers for %+v", e, r)
+				}
+			}
+			apply(list, plan)
+			one := rapid.IntRange(0, len(list)-1).Draw(t, "one")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				list[one].Lost = !list[one].Lost
+			case 1:
+				list[one].Slow = !list[one].Slow
+			case 2:
+				list[one].Held = saddleplan.Range{} // it was started anew
+			}
+		}
+	})
+}
--- a/internal/standin/saddleprocess/control.go
+++ b/internal/standin/saddleprocess/control.go
@@ -15,7 +15,7 @@
 	for _, r := range append(f.replicas, replica{node: node, address: listen}) {
 		fmt.Fprintf(&replicas, "[[replicas]]\nnode = %q\naddress = %q\n", r.node, r.address)
 	}
-	p := start(t, f.Dir, "control", node, admin, fmt.Sprintf(
+	p := Start(t, f.Dir, "control", node, admin, fmt.Sprintf(
 		"node = %q\ncentre = \"centre-1\"\nlisten = %q\nadmin = %q\ndata = %q\njoin = true\n%s",
 		node, listen, admin, f.DataFolder(node), replicas.String()))
 	return p, listen
--- a/internal/standin/saddleprocess/fleet.go
+++ b/internal/standin/saddleprocess/fleet.go
@@ -120,7 +120,7 @@
 	for _, r := range f.replicas {
 		fmt.Fprintf(&replicas, "[[replicas]]\nnode = %q\naddress = %q\n", r.node, r.address)
 	}
-	return start(t, f.Dir, "control", node, admin, fmt.Sprintf(
+	return Start(t, f.Dir, "control", node, admin, fmt.Sprintf(
 		"node = %q\ncentre = \"centre-1\"\nlisten = %q\nadmin = %q\ndata = %q\n%s",
 		node, listen, admin, f.DataFolder(node), f.cert.settings()+replicas.String()))
 }
@@ -135,7 +135,7 @@
 func (f *Fleet) StartEntry(t testing.TB, node, extra string) *Entry {
 	t.Helper()
 	admin, listen := address(t), address(t)
-	p := start(t, f.Dir, "entry", node, admin, fmt.Sprintf(
+	p := Start(t, f.Dir, "entry", node, admin, fmt.Sprintf(
 		"node = %q\ncentre = \"centre-1\"\nlisten = %q\nadmin = %q\n%s\n[attend]\ncontrols = [%s]\n",
 		node, listen, admin, f.cert.settings()+extra, quoted(f.ControlAddresses())))
 	return &Entry{Process: p, Listen: listen}
@@ -170,7 +170,7 @@
 func (f *Fleet) startAgentAt(t testing.TB, node, listen, extra string) *Agent {
 	t.Helper()
 	admin, announce := address(t), address(t)
-	p := start(t, f.Dir, "agent", node, admin, fmt.Sprintf(
+	p := Start(t, f.Dir, "agent", node, admin, fmt.Sprintf(
 		"node = %q\ncentre = \"centre-1\"\nlisten = %q\nannounce = %q\nadmin = %q\n%s\n[attend]\ncontrols = [%s]\n",
 		node, listen, announce, admin, f.cert.settings()+extra, quoted(f.ControlAddresses())))
 	return &Agent{Process: p, Listen: listen, Announce: announce}
--- a/internal/standin/saddleprocess/process.go
+++ b/internal/standin/saddleprocess/process.go
@@ -53,9 +53,9 @@
 	return b.buf.String()
 }
 
-// start writes the settings and starts the process, which is killed at the end
+// Start writes the settings and starts the process, which is killed at the end
 // of the test if it still runs.
-func start(t testing.TB, dir, role, node, admin, settings string) *Process {
+func Start(t testing.TB, dir, role, node, admin, settings string) *Process {
 	t.Helper()
 	p := &Process{Node: node, Admin: admin, role: role, settings: filepath.Join(dir, node+".toml"), logs: &logBuffer{}}
 	if err := os.WriteFile(p.settings, []byte(settings), 0o600); err != nil {
