--- a/internal/config/saddlesettings/gateway.go
+++ b/internal/config/saddlesettings/gateway.go
@@ -7,6 +7,9 @@
 	Common
 	Listen string `toml:"listen"` // callers' HTTP
 	Attend Attend `toml:"attend"`
+	// Grace is how long after it was told to stop the process is ended by force; 0:
+	// it is not. Drafts that may take longer are refused meanwhile.
+	Grace Duration `toml:"grace"`
 	// KeyLease is how long API keys are good after the last word of a majority; 0
 	// sets no bound.
 	KeyLease Duration `toml:"key_lease"`
@@ -41,6 +44,7 @@
 	s.check(c)
 	s.Attend.check(c)
 	c.address("listen", s.Listen)
+	c.duration("grace", s.Grace, 0, maxShutdown)
 	c.duration("key_lease", s.KeyLease, 0, maxKeyLease)
 	c.part("retry_share", s.RetryShare)
 	if s.RetryReserve < 0 || s.RetryReserve > maxRetryReserve {
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -31,6 +31,8 @@
 	fetchAgain = 100 * time.Millisecond
 	// coverEvery is the time between looks whether a chain stands.
 	coverEvery = 100 * time.Millisecond
+	// noBound stands for a wait without bound.
+	noBound = 24 * time.Hour
 	// probeEvery is the time between looks for engines that are due.
 	probeEvery = 100 * time.Millisecond
 	// probeTimeout bounds the question to an engine, which answers at once.
@@ -292,6 +294,18 @@
 	}
 }
 
+// shutdown returns how long requests in progress are waited for after the lame
+// duck time.
+func (g *gateway) shutdown() time.Duration {
+	if grace := g.settings.Grace.Std(); grace > 0 {
+		return max(time.Second, grace-g.settings.LameDuck.Std())
+	}
+	if g.settings.Shutdown == 0 {
+		return noBound
+	}
+	return g.settings.Shutdown.Std()
+}
+
 // run serves until told to stop, and then until the requests in progress have
 // ended or the shutdown time is over.
 func (g *gateway) run(stop <-chan struct{}) error {
@@ -315,10 +329,13 @@
 		}
 		g.leaving.Store(true)
 		in.Leave()
+		if grace := g.settings.Grace.Std(); grace > 0 {
+			g.gateway.Leave(time.Now().Add(grace))
+		}
 		g.process.log.Info().Dur("lame_duck", g.settings.LameDuck.Std()).Msg("told to stop: no longer ready, still serving")
 		pause(ctx, g.settings.LameDuck.Std())
 		stopServing()
 	}()
 	srv := &http.Server{Addr: g.settings.Listen, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
-	return in.Serve(serveCtx, srv, g.settings.Shutdown.Std())
+	return in.Serve(serveCtx, srv, g.shutdown())
 }
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -31,6 +31,7 @@
 type Gateway struct {
 	cfg   Config
 	state atomic.Pointer[State]
+	until atomic.Int64 // when the process is ended by force, Unix nanoseconds; 0: not known
 
 	mu      sync.Mutex
 	changed chan struct{} // closed when the state is taken up anew
@@ -57,6 +58,10 @@
 	g.changed = make(chan struct{})
 }
 
+// Leave notes that the process was told to stop and when it will be ended by
+// force.
+func (g *Gateway) Leave(until time.Time) { g.until.Store(until.UnixNano()) }
+
 // State returns the configuration that is served by.
 func (g *Gateway) State() State { return *g.state.Load() }
 
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -23,6 +23,14 @@
 	// does not work, or that refused it.
 	avoidDown = 10 * time.Second
 	avoidFull = 200 * time.Millisecond
+	// tokenTime is the time between tokens that a draft is reckoned with when the
+	// process is to stop: about a third more than the usual.
+	tokenTime = 17 * time.Millisecond
+	// leaveMargin is what is left of the process's time when a draft is to have
+	// ended.
+	leaveMargin = 300 * time.Millisecond
+	// retryLeaving is when to come back to another process.
+	retryLeaving = 20 * time.Millisecond
 	// retryNoRoom and retryNoChain are when to come back: drafts end within
 	// seconds, and an engine that is lost is replaced within seconds.
 	retryNoRoom  = time.Second
@@ -32,6 +40,10 @@
 // stream serves a call that is answered by events.
 func (j *job) stream(ctx context.Context) {
 	j.lastID = j.call.After
+	if j.outlasts(time.Now()) {
+		j.refuse(Refusal{Code: fireflysaddle.CodeLeaving, Message: "the process stops before the draft would end", RetryAfter: retryLeaving})
+		return
+	}
 	for {
 		chain, done, refusal := j.pickChain(ctx)
 		if refusal != nil {
@@ -95,6 +107,17 @@
 	return chain, nil, &Refusal{Code: fireflysaddle.CodeNoTarget, Message: "no engines hold all layers", RetryAfter: retryNoChain}
 }
 
+// outlasts reports whether a draft may take longer than the process has, which was
+// told to stop.
+func (j *job) outlasts(now time.Time) bool {
+	until := j.until.Load()
+	if until == 0 {
+		return false
+	}
+	most := time.Duration(j.call.MaxAnswer) * tokenTime
+	return now.Add(most + leaveMargin).After(time.Unix(0, until))
+}
+
 // quiet returns for how long the caller has had nothing.
 func (j *job) quiet() time.Duration {
 	if j.lastAt.IsZero() {
--- a/internal/direct/saddlegateway/stream_test.go
+++ b/internal/direct/saddlegateway/stream_test.go
@@ -141,6 +141,26 @@
 	is.Equal(len(f.targets.forwarded()), 0)
 }
 
+// A process that was told to stop takes no draft that it may have to cut.
+func TestADraftThatOutlastsTheProcessIsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		left    time.Duration
+		refused bool
+	}{"time enough": {8 * time.Second, false}, "too little time": {1200 * time.Millisecond, true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, answers(rest))
+			f.gateway.Leave(time.Now().Add(c.left))
+			got := f.serve(call("/draft/"))
+			is.Equal(got.refusal != nil, c.refused)
+			if c.refused {
+				is.Equal(got.refusal.Code, fireflysaddle.CodeLeaving)
+				is.Equal(len(f.targets.forwarded()), 0)
+			}
+		})
+	}
+}
+
 // When the caller leaves, the engine's stream is closed.
 func TestACallerThatLeavesEndsTheStream(t *testing.T) {
 	is := is.New(t)
--- a/internal/direct/saddlekept/client_test.go
+++ b/internal/direct/saddlekept/client_test.go
@@ -120,7 +120,9 @@
 		Address: address,
 		HTTP:    &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: "/a/b"}, Host: "h", Header: http.Header{requestID: {id}}},
 		Body:    []byte("body of " + id),
-		Belongs: func(h http.Header, first bool) bool { return h.Get(requestID) == id || (first && h.Get(requestID) == "") },
+		Belongs: func(h http.Header, first bool) bool {
+			return h.Get(requestID) == id || (first && h.Get(requestID) == "")
+		},
 	}
 }
 
@@ -139,15 +141,24 @@
 		body  string
 		fails bool
 	}{
-		"it answers":                          {[]func(net.Conn, *http.Request){say(answer("ok"))}, "ok", false},
-		"it answers in chunks":                {[]func(net.Conn, *http.Request){say("HTTP/1.1 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")}, "ok", false},
-		"it ends the answer by closing":       {[]func(net.Conn, *http.Request){func(c net.Conn, r *http.Request) { say("HTTP/1.1 200 OK\r\nX-Id: ID\r\n\r\nok")(c, r); hangUp(c, r) }}, "ok", false},
-		"it says to go on first":              {[]func(net.Conn, *http.Request){say("HTTP/1.1 100 Continue\r\n\r\n" + answer("ok"))}, "ok", false},
-		"it closes without an answer":         {[]func(net.Conn, *http.Request){hangUp}, "", true},
-		"it sends what is no answer":          {[]func(net.Conn, *http.Request){say("0123456789\r\n\r\n")}, "", true},
-		"its answer breaks off":               {[]func(net.Conn, *http.Request){func(c net.Conn, r *http.Request) { say("HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 9\r\n\r\nok")(c, r); hangUp(c, r) }}, "", true},
-		"its chunks break off":                {[]func(net.Conn, *http.Request){func(c net.Conn, r *http.Request) { say("HTTP/1.1 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")(c, r); hangUp(c, r) }}, "", true},
-		"it answers under another identifier": {[]func(net.Conn, *http.Request){func(c net.Conn, r *http.Request) { say("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nno")(c, r); hangUp(c, r) }}, "", true},
+		"it answers":                    {[]func(net.Conn, *http.Request){say(answer("ok"))}, "ok", false},
+		"it answers in chunks":          {[]func(net.Conn, *http.Request){say("HTTP/1.1 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")}, "ok", false},
+		"it ends the answer by closing": {[]func(net.Conn, *http.Request){func(c net.Conn, r *http.Request) { say("HTTP/1.1 200 OK\r\nX-Id: ID\r\n\r\nok")(c, r); hangUp(c, r) }}, "ok", false},
+		"it says to go on first":        {[]func(net.Conn, *http.Request){say("HTTP/1.1 100 Continue\r\n\r\n" + answer("ok"))}, "ok", false},
+		"it closes without an answer":   {[]func(net.Conn, *http.Request){hangUp}, "", true},
+		"it sends what is no answer":    {[]func(net.Conn, *http.Request){say("0123456789\r\n\r\n")}, "", true},
+		"its answer breaks off": {[]func(net.Conn, *http.Request){func(c net.Conn, r *http.Request) {
+			say("HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 9\r\n\r\nok")(c, r)
+			hangUp(c, r)
+		}}, "", true},
+		"its chunks break off": {[]func(net.Conn, *http.Request){func(c net.Conn, r *http.Request) {
+			say("HTTP/1.1 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")(c, r)
+			hangUp(c, r)
+		}}, "", true},
+		"it answers under another identifier": {[]func(net.Conn, *http.Request){func(c net.Conn, r *http.Request) {
+			say("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nno")(c, r)
+			hangUp(c, r)
+		}}, "", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/direct/saddlepath/find_test.go
+++ b/internal/direct/saddlepath/find_test.go
@@ -98,10 +98,10 @@
 		head    int
 		parts   int
 	}{
-		"the faster":                     {[]saddlepath.Holder{whole(0, 2), whole(0, 1)}, 1, 1},
-		"the near one":                   {[]saddlepath.Holder{whole(0, 1.05), whole(1, 1)}, 0, 1},
-		"the far one, when much faster":  {[]saddlepath.Holder{whole(0, 9), whole(1, 1)}, 1, 1},
-		"not the head that fails":        {[]saddlepath.Holder{{To: layers, PerLayer: 1, Most: layers, AsHead: 50}, whole(0, 2)}, 1, 1},
+		"the faster":                      {[]saddlepath.Holder{whole(0, 2), whole(0, 1)}, 1, 1},
+		"the near one":                    {[]saddlepath.Holder{whole(0, 1.05), whole(1, 1)}, 0, 1},
+		"the far one, when much faster":   {[]saddlepath.Holder{whole(0, 9), whole(1, 1)}, 1, 1},
+		"not the head that fails":         {[]saddlepath.Holder{{To: layers, PerLayer: 1, Most: layers, AsHead: 50}, whole(0, 2)}, 1, 1},
 		"two parts, when one has no room": {[]saddlepath.Holder{{To: layers, PerLayer: 1, Most: 6}, {From: 6, To: layers, PerLayer: 1, Most: layers}}, 0, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
