--- /dev/null
+++ b/internal/control/saddleidentity/identity_test.go
@@ -0,0 +1,82 @@
+package saddleidentity_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleidentity"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func config(dir string, first bool) saddleidentity.Config {
+	return saddleidentity.Config{Dir: dir, Address: "10.0.0.1:7", Seeds: []string{"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"}, First: first}
+}
+
+func TestTheFirstStartMakesTheSeedsTheGroup(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	id, err := saddleidentity.Open(start, config(dir, true))
+	is.NoErr(err)
+	is.Equal(id.ID, "10.0.0.1:7")
+	is.True(!id.Join)
+	is.Equal(len(id.Members), 3)
+	again, err := saddleidentity.Open(start.Add(time.Hour), config(dir, false)) // started anew before it stored anything
+	is.NoErr(err)
+	is.Equal(again, id)
+}
+
+func TestAnEmptyDiskGetsAnIdentityOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	id, err := saddleidentity.Open(start, config(t.TempDir(), false))
+	is.NoErr(err)
+	is.True(id.Join)
+	is.True(id.ID != "10.0.0.1:7") // who had that one may have voted
+	other, err := saddleidentity.Open(start.Add(time.Second), config(t.TempDir(), false))
+	is.NoErr(err)
+	is.True(other.ID != id.ID)
+}
+
+func TestAReplicaThatIsNoSeedJoins(t *testing.T) {
+	is := is.New(t)
+	cfg := config(t.TempDir(), true)
+	cfg.Address = "10.0.0.9:7"
+	id, err := saddleidentity.Open(start, cfg)
+	is.NoErr(err)
+	is.True(id.Join)
+}
+
+func TestATornIdentityIsMadeAnew(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	is.NoErr(os.WriteFile(filepath.Join(dir, "identity.json"), []byte(`{"id":"10.0`), 0o600))
+	id, err := saddleidentity.Open(start, config(dir, false))
+	is.NoErr(err)
+	is.True(id.Join)
+}
+
+func TestRenewDropsTheLog(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	first, err := saddleidentity.Open(start, config(dir, true))
+	is.NoErr(err)
+	is.NoErr(os.MkdirAll(saddleidentity.LogDir(dir), 0o700))
+	is.NoErr(os.WriteFile(filepath.Join(saddleidentity.LogDir(dir), "x"), nil, 0o600))
+	next, err := saddleidentity.Renew(start, config(dir, true))
+	is.NoErr(err)
+	is.True(next.Join && next.ID != first.ID)
+	_, err = os.Stat(saddleidentity.LogDir(dir))
+	is.True(os.IsNotExist(err))
+}
+
+func TestAFolderThatCannotBeWrittenIsSaid(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "file")
+	is.NoErr(os.WriteFile(file, nil, 0o600))
+	_, err := saddleidentity.Open(start, config(filepath.Join(file, "data"), true))
+	is.True(err != nil)
+}
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -174,6 +174,9 @@
 	if a.usable(now) != b.usable(now) {
 		return a.usable(now)
 	}
+	if failed := a.recentFaults(now) >= faultsPrefer; failed != (b.recentFaults(now) >= faultsPrefer) {
+		return !failed
+	}
 	if near := a.Centre == f.centre; near != (b.Centre == f.centre) {
 		// The other data centres take over when the near one is loaded.
 		return near == (a.running <= b.running+nearPreference)
@@ -181,6 +184,11 @@
 	return a.running < b.running
 }
 
+// faultsPrefer is the number of recent failures from which other targets go
+// before: one that loses some of its answers works for the most part, and spends
+// the attempts of those that it fails.
+const faultsPrefer = 0.4
+
 // nearPreference is by how many requests a target of this data centre may be
 // ahead of one elsewhere: a request to another one costs bytes between them, and
 // a target runs this many at once.
--- /dev/null
+++ b/internal/direct/saddlefleet/fleet_test.go
@@ -0,0 +1,223 @@
+package saddlefleet_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
+	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleview"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+var (
+	start    = time.Unix(1_800_000_000, 0)
+	errReset = errors.New("connection reset")
+)
+
+type fixture struct {
+	fleet   *saddlefleet.Fleet
+	builder *saddleview.Builder
+	down    []string
+}
+
+func newFixture(registrations ...*saddlewire.Registration) *fixture {
+	f := &fixture{builder: saddleview.NewBuilder()}
+	f.fleet = saddlefleet.New("entry-1", "a", zerolog.Nop(), func(address string) { f.down = append(f.down, address) })
+	f.update(&saddlewire.Update{Snapshot: true, Registrations: registrations})
+	return f
+}
+
+func (f *fixture) update(u *saddlewire.Update) {
+	f.builder.Update("control", u)
+	f.fleet.Update(f.builder.Build())
+}
+
+func desk(id, centre string) *saddlewire.Registration {
+	return &saddlewire.Registration{Id: id, Group: "desk", Address: id, Centre: centre, Incarnation: 1}
+}
+
+func engine(id, centre string, from, to uint32) *saddlewire.Registration {
+	return &saddlewire.Registration{
+		Id: id, Group: "drafts", Address: id, Centre: centre, Incarnation: 1, Accelerator: "big",
+		Layers: []*saddlewire.HeldLayers{{From: from, To: to}},
+	}
+}
+
+func (f *fixture) pick(t *testing.T, now time.Time) string {
+	t.Helper()
+	target, done, ok := f.fleet.Pick(now, "desk", nil)
+	if !ok {
+		return ""
+	}
+	done()
+	return string(target.ID)
+}
+
+func TestATargetOfTheOwnDataCentreIsChosen(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(desk("far-1", "b"), desk("near", "a"), desk("far-2", "c"))
+	for range 10 {
+		is.Equal(f.pick(t, start), "near")
+	}
+}
+
+// A target that loses answers is chosen after the others until it has been good
+// for a while (docs/incidents/kgotla-d3c5.md).
+func TestATargetThatLostAnAnswerIsChosenLast(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(desk("far", "b"), desk("near", "a"))
+	f.fleet.Faulty(start, "near", "answer broke off")
+	is.Equal(f.pick(t, start), "far")
+	is.Equal(f.pick(t, start.Add(10*time.Second)), "near")
+	f.fleet.Faulty(start, "far", "answer broke off")
+	f.fleet.Faulty(start, "near", "answer broke off")
+	is.True(f.pick(t, start) != "") // one of them, when there is no other
+}
+
+func TestATargetThatIsUnreachableIsTriedAgainLater(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(desk("far", "b"), desk("near", "a"))
+	f.fleet.Down(start, "near", "refused")
+	is.Equal(f.pick(t, start), "far")
+	is.Equal(f.pick(t, start.Add(time.Minute)), "near") // as a probe
+	is.Equal(f.pick(t, start.Add(time.Minute)), "far")  // one at a time
+	f.fleet.Works(start.Add(time.Minute), "near")
+	is.Equal(f.pick(t, start.Add(time.Minute)), "near")
+}
+
+func TestATargetThatLeavesIsNotChosen(t *testing.T) {
+	for name, u := range map[string]*saddlewire.Update{
+		"it says so":          {Registrations: []*saddlewire.Registration{{Id: "near", Group: "desk", Address: "near", Centre: "a", Incarnation: 1, Sequence: 2, Leaving: true}}},
+		"it is recorded":      {Departures: []*saddlewire.Departure{{Target: "near", Incarnation: 1}}},
+		"it fell silent":      {Unregistered: []string{"near"}},
+		"its address is new":  {Registrations: []*saddlewire.Registration{{Id: "other", Group: "else", Address: "near", Centre: "a", Incarnation: 2}}},
+		"it changed its work": {Registrations: []*saddlewire.Registration{{Id: "near", Group: "else", Address: "near", Centre: "a", Incarnation: 2}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(desk("near", "a"))
+			is.Equal(f.pick(t, start), "near")
+			f.update(u)
+			is.Equal(f.pick(t, start), "")
+		})
+	}
+}
+
+func TestANewStartIsNotHeldToAnEarlierDeparture(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(desk("near", "a"))
+	f.update(&saddlewire.Update{Departures: []*saddlewire.Departure{{Target: "near", Incarnation: 1}}})
+	again := desk("near", "a")
+	again.Incarnation = 2
+	f.update(&saddlewire.Update{Registrations: []*saddlewire.Registration{again}})
+	is.Equal(f.pick(t, start), "near")
+}
+
+func pool() *saddlerouting.Pool {
+	return &saddlerouting.Pool{Group: "drafts", Model: &saddlerouting.Model{
+		Layers: 4, LayerMB: 10, TokenBytes: 4_000_000, Step: time.Millisecond, ReadPerSecond: 1e6,
+		Accelerators: map[fireflysaddle.Accelerator]saddlerouting.Accelerator{"big": {MB: 40, Pace: 1, ReadFactor: 1}},
+	}}
+}
+
+func (f *fixture) chain(now time.Time, tokens int) (head string, done func(), full bool) {
+	c, done, full, ok := f.fleet.PickChain(now, pool(), tokens, nil)
+	if !ok {
+		return "", func() {}, full
+	}
+	return string(c.Head.ID), done, false
+}
+
+// Two layers leave an engine 20 MB, which is room for ten tokens of 1 MB at each.
+func TestAChainHasRoomAtEveryStage(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(engine("a0", "a", 0, 2), engine("a2", "a", 2, 4), engine("b0", "b", 0, 4))
+	head, done, _ := f.chain(start, 6)
+	is.Equal(head, "a0")
+	other, _, _ := f.chain(start, 6)
+	is.Equal(other, "") // b0 holds four layers and has room for none
+	_, _, full := f.chain(start, 6)
+	is.True(full)
+	done()
+	head, _, _ = f.chain(start, 6)
+	is.Equal(head, "a0")
+}
+
+func TestRoomIsSharedWithTheOtherEntries(t *testing.T) {
+	for name, u := range map[string]*saddlewire.Update{
+		"by what they report":          {Loads: []*saddlewire.EntryLoad{{Node: "entry-2", Drafts: []*saddlewire.CentreLoad{{Centre: "a", Tokens: 8}}}}},
+		"by what the engines say":      {Leads: true, Occupied: []*saddlewire.CentreLoad{{Centre: "a", Tokens: 8}}},
+		"not by what itself reports":   {Loads: []*saddlewire.EntryLoad{{Node: "entry-1", Drafts: []*saddlewire.CentreLoad{{Centre: "a", Tokens: 8}}}}},
+		"not by those of another city": {Loads: []*saddlewire.EntryLoad{{Node: "entry-2", Drafts: []*saddlewire.CentreLoad{{Centre: "b", Tokens: 8}}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(engine("a0", "a", 0, 2), engine("a2", "a", 2, 4))
+			f.update(u)
+			head, _, _ := f.chain(start, 6)
+			is.Equal(head == "", name[:2] == "by")
+		})
+	}
+}
+
+func TestAnEngineIsPassedOverUntilItTellsItsState(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(engine("a0", "a", 0, 4), engine("b0", "b", 0, 2), engine("b2", "b", 2, 4))
+	f.fleet.Down(start, "a0", "its chain stalls")
+	head, _, _ := f.chain(start, 1)
+	is.Equal(head, "b0")
+	due := f.fleet.Due(start)
+	is.Equal(len(due), 1)
+	is.Equal(len(f.fleet.Due(start)), 0) // asked once at a time
+	f.fleet.Probed(start, due[0], fireflysaddle.EngineReport{}, errReset)
+	is.Equal(f.down, []string{"a0"})
+	is.Equal(f.fleet.Suspects(), []string{"a0"})
+	later := start.Add(2 * time.Second)
+	due = f.fleet.Due(later)
+	is.Equal(len(due), 1)
+	f.fleet.Probed(later, due[0], fireflysaddle.EngineReport{}, nil) // it holds nothing any more
+	is.Equal(len(f.fleet.Suspects()), 1)
+	f.fleet.Probed(later, due[0], fireflysaddle.EngineReport{Holdings: []fireflysaddle.Holding{{From: 0, To: 4}}}, nil)
+	is.Equal(len(f.fleet.Suspects()), 0)
+}
+
+// What another entry says of an engine is looked into, not believed.
+func TestAnotherEntrysWordIsLookedInto(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(engine("a0", "a", 0, 4))
+	f.update(&saddlewire.Update{Members: []*saddlewire.Member{{Node: "entry-2", Role: "entry", Suspects: []string{"a0"}}}})
+	due := f.fleet.Due(start)
+	is.Equal(len(due), 1)
+	f.fleet.Probed(start, due[0], fireflysaddle.EngineReport{Holdings: []fireflysaddle.Holding{{From: 0, To: 4}}}, nil)
+	is.Equal(len(f.fleet.Suspects()), 0)
+	is.Equal(len(f.fleet.Due(start)), 0)
+}
+
+func TestASlowEngineIsPassedBy(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(engine("a0", "a", 0, 2), engine("a2", "a", 2, 4), engine("b0", "b", 0, 2), engine("b2", "b", 2, 4))
+	head, done, _ := f.chain(start, 1)
+	is.Equal(head, "a0")
+	done()
+	f.update(&saddlewire.Update{Leads: true, Paces: []*saddlewire.Pace{{Target: "a2", Factor: 12}}})
+	head, _, _ = f.chain(start, 1)
+	is.Equal(head, "b0")
+}
+
+func TestNothingIsLeftReservedWhenAllHaveEnded(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(engine("a0", "a", 0, 2), engine("a2", "a", 2, 4))
+	for i := range 50 {
+		_, done, _ := f.chain(start, 1+i%8)
+		done()
+		done() // may be called again
+	}
+	is.Equal(fmt.Sprint(f.fleet.Drafts()), "[]")
+}
--- a/internal/node/saddleattend/attendant.go
+++ b/internal/node/saddleattend/attendant.go
@@ -101,13 +101,18 @@
 	b := saddleview.NewBuilder()
 	settle := time.NewTimer(settleSilences * a.cfg.Silence)
 	defer settle.Stop()
+	alone := time.NewTicker(a.cfg.Silence)
+	defer alone.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case addresses := <-a.more:
-			for _, address := range addresses {
-				a.followers.start(ctx, address, a.follow)
+			a.followAll(ctx, addresses)
+			continue
+		case <-alone.C:
+			if a.View().Connected == 0 {
+				a.followAll(ctx, a.cfg.Controls) // all that were named since may be gone
 			}
 			continue
 		case <-settle.C:
@@ -135,14 +140,18 @@
 	if !e.update.GetConfirmed() || len(e.update.GetReplicas()) == 0 {
 		return // one that is cut off may know old replicas only
 	}
-	for _, address := range e.update.GetReplicas() {
-		a.followers.start(ctx, address, a.follow)
-	}
+	a.followAll(ctx, e.update.GetReplicas())
 	for _, gone := range a.followers.stopOthers(e.update.GetReplicas()) {
 		b.Lost(gone)
 	}
 }
 
+func (a *Attendant) followAll(ctx context.Context, addresses []string) {
+	for _, address := range addresses {
+		a.followers.start(ctx, address, a.follow)
+	}
+}
+
 func (a *Attendant) publish(v *saddleview.View) {
 	old := a.view.Swap(v)
 	if v.Revision != old.Revision {
