--- a/internal/direct/saddleevents/reader.go
+++ b/internal/direct/saddleevents/reader.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 )
 
@@ -38,7 +39,7 @@
 	for {
 		start := len(r.raw)
 		if err := r.line(); err != nil {
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				return Event{Raw: r.raw}, io.EOF
 			}
 			return Event{}, err
@@ -59,7 +60,7 @@
 	for {
 		part, err := r.in.ReadSlice('\n')
 		r.raw = append(r.raw, part...)
-		if err != bufio.ErrBufferFull {
+		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
 	}
--- a/internal/direct/saddlegateway/plain_test.go
+++ b/internal/direct/saddlegateway/plain_test.go
@@ -24,12 +24,15 @@
 func full(f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
 	return notRun(f.Address), nil
 }
+
 func unreachable(f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
 	return nil, &fireflysaddle.NotSentError{Address: f.Address, Err: errReset}
 }
+
 func lost(f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
 	return nil, &fireflysaddle.TargetError{Target: f.Target, Err: errReset}
 }
+
 func failure(fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
 	return reply(http.StatusInternalServerError, strings.NewReader("failed")), nil
 }
--- a/internal/direct/saddlekept/client_test.go
+++ b/internal/direct/saddlekept/client_test.go
@@ -246,7 +246,10 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(10*time.Millisecond, cancel)
-	_, err := newClient(t).Do(ctx, time.Now(), request(s.lis.Addr().String(), "one"))
+	resp, err := newClient(t).Do(ctx, time.Now(), request(s.lis.Addr().String(), "one"))
+	if err == nil {
+		_ = resp.Body.Close()
+	}
 	is.True(errors.Is(err, context.Canceled))
 	is.True(<-ended != nil)
 }
--- a/internal/node/saddleview/registry_test.go
+++ b/internal/node/saddleview/registry_test.go
@@ -9,8 +9,8 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-func registered(id, address string, incarnation, sequence uint64) *saddlewire.Registration {
-	return &saddlewire.Registration{Id: id, Address: address, Incarnation: incarnation, Sequence: sequence}
+func registered(id string, incarnation, sequence uint64) *saddlewire.Registration {
+	return &saddlewire.Registration{Id: id, Address: "10.0.0.1:80", Incarnation: incarnation, Sequence: sequence}
 }
 
 func says(r ...*saddlewire.Registration) *saddlewire.Update {
@@ -21,10 +21,10 @@
 func TestTheLastWordOfATargetCounts(t *testing.T) {
 	is := is.New(t)
 	b := saddleview.NewBuilder()
-	b.Update("r1", says(registered("a", "10.0.0.1:80", 1, 9)))
-	b.Update("r2", says(registered("a", "10.0.0.1:80", 1, 4)))
+	b.Update("r1", says(registered("a", 1, 9)))
+	b.Update("r2", says(registered("a", 1, 4)))
 	is.Equal(b.Build().Registrations["a"].GetSequence(), uint64(9))
-	b.Update("r2", says(registered("a", "10.0.0.1:80", 2, 1)))
+	b.Update("r2", says(registered("a", 2, 1)))
 	is.Equal(b.Build().Registrations["a"].GetIncarnation(), uint64(2))
 	b.Update("r2", &saddlewire.Update{Unregistered: []string{"a"}})
 	is.Equal(b.Build().Registrations["a"].GetIncarnation(), uint64(1)) // as the other one knows it
@@ -35,10 +35,10 @@
 func TestATargetStaysWhenItsReplicaIsLost(t *testing.T) {
 	is := is.New(t)
 	b := saddleview.NewBuilder()
-	b.Update("r1", says(registered("a", "10.0.0.1:80", 1, 9)))
+	b.Update("r1", says(registered("a", 1, 9)))
 	b.Lost("r1")
 	is.Equal(len(b.Build().Registrations), 1)
-	b.Update("r2", says(registered("b", "10.0.0.1:80", 2, 1)))
+	b.Update("r2", says(registered("b", 2, 1)))
 	is.Equal(len(b.Build().Registrations), 1) // its address belongs to another one now
 	is.True(b.Build().Registrations["b"] != nil)
 }
@@ -46,14 +46,14 @@
 func TestADepartureIsNeverForgotten(t *testing.T) {
 	is := is.New(t)
 	b := saddleview.NewBuilder()
-	reg := registered("a", "10.0.0.1:80", 3, 1)
+	reg := registered("a", 3, 1)
 	b.Update("r1", &saddlewire.Update{Departures: []*saddlewire.Departure{{Target: "a", Incarnation: 3}}})
 	b.Update("r2", says(reg))
 	b.Lost("r1")
 	is.True(b.Build().Leaving(reg))
 	b.Update("r1", &saddlewire.Update{Snapshot: true})
 	is.True(b.Build().Leaving(reg))
-	is.True(!b.Build().Leaving(registered("a", "10.0.0.1:80", 4, 1)))
+	is.True(!b.Build().Leaving(registered("a", 4, 1)))
 }
 
 // What a node knows is as fresh as its heartbeat that the latest confirmed update
--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -78,7 +78,6 @@
 	layers      saddleplan.Range
 	given       time.Time
 	until       time.Time // when it is given up
-	answered    bool
 }
 
 // outcome is the answer to an order.
--- /dev/null
+++ b/internal/place/saddleplacer/placer_test.go
@@ -0,0 +1,286 @@
+package saddleplacer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlecontrol"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
+	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleview"
+	"github.com/fireflysaddle/fireflysaddle/internal/place/saddleplacer"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// patience bounds the wait for a condition; nothing is asserted of it.
+const patience = 30 * time.Second
+
+// engines stands for the engines of one data centre.
+type engines struct {
+	mu      sync.Mutex
+	builder *saddleview.Builder
+	view    *saddleview.View
+	held    map[string]fireflysaddle.Holding
+	orders  map[string][]fireflysaddle.PlaceOrder
+	refuse  func(address string, n int) error
+	pace    map[string]float64
+	state   saddlecontrol.EngineState
+	term    atomic.Uint64
+}
+
+func newEngines(n int) *engines {
+	e := &engines{
+		builder: saddleview.NewBuilder(), held: map[string]fireflysaddle.Holding{},
+		orders: map[string][]fireflysaddle.PlaceOrder{}, pace: map[string]float64{},
+	}
+	for i := range n {
+		e.register(fmt.Sprintf("e%d", i), 1)
+	}
+	e.term.Store(3)
+	return e
+}
+
+func (e *engines) register(id string, incarnation uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.builder.Update("control", &saddlewire.Update{Registrations: []*saddlewire.Registration{{
+		Id: id, Address: id, Group: "drafts", Centre: "a", Accelerator: "big", Incarnation: incarnation,
+	}}})
+	e.view = e.builder.Build()
+}
+
+func (e *engines) update(u *saddlewire.Update) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.builder.Update("control", u)
+	e.view = e.builder.Build()
+}
+
+func (e *engines) View() *saddleview.View {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.view
+}
+
+func (e *engines) Place(_ context.Context, address string, o fireflysaddle.PlaceOrder) (bool, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders[address] = append(e.orders[address], o)
+	if e.refuse != nil {
+		if err := e.refuse(address, len(e.orders[address])); err != nil {
+			return false, err
+		}
+	}
+	e.held[address] = fireflysaddle.Holding{From: o.From, To: o.To}
+	return false, nil
+}
+
+func (e *engines) Report(_ context.Context, address string) (fireflysaddle.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := fireflysaddle.EngineReport{Orders: 7, Pace: max(1, e.pace[address]), KVUsed: 40}
+	if h, ok := e.held[address]; ok {
+		r.Holdings = append(r.Holdings, h)
+	}
+	return r, nil
+}
+
+// start runs a placer that leads.
+func (e *engines) start(t *testing.T) {
+	t.Helper()
+	p := saddleplacer.New(saddleplacer.Config{
+		Orders: e, View: e.View, Term: e.term.Load, Log: zerolog.Nop(),
+		Routing: func() *saddlerouting.Routing {
+			return &saddlerouting.Routing{Version: 1, Pools: map[fireflysaddle.Group]*saddlerouting.Pool{"drafts": {
+				Group: "drafts", Model: &saddlerouting.Model{
+					Layers: 4, LayerMB: 10, TokenBytes: 400, Load: 10 * time.Millisecond, Step: time.Millisecond, ReadPerSecond: 1e6,
+					Accelerators: map[fireflysaddle.Accelerator]saddlerouting.Accelerator{"big": {MB: 40, Pace: 1, ReadFactor: 1}},
+				},
+			}}}
+		},
+		Learnt: func(_ context.Context, reg *saddlewire.Registration) {
+			e.update(&saddlewire.Update{Registrations: []*saddlewire.Registration{reg}})
+		},
+		Engines: func(_ context.Context, state saddlecontrol.EngineState) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.state = state
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// covered reports whether the engines that are registered hold every layer.
+func (e *engines) covered() bool {
+	var held [4]bool
+	for _, reg := range e.View().Registrations {
+		for _, l := range reg.GetLayers() {
+			for i := l.GetFrom(); i < l.GetTo(); i++ {
+				held[i] = true
+			}
+		}
+	}
+	return held == [4]bool{true, true, true, true}
+}
+
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("waited %s for %s", patience, what)
+		}
+	}
+}
+
+func TestAModelIsPlacedAndKnownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngines(3)
+		e.start(t)
+		await(t, "the model to be held", e.covered)
+	})
+}
+
+func TestOnlyTheLeaderGivesOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(3)
+		e.term.Store(0)
+		e.start(t)
+		time.Sleep(2 * time.Second)
+		e.mu.Lock()
+		is.Equal(len(e.orders), 0)
+		e.mu.Unlock()
+		e.term.Store(5)
+		await(t, "the model to be held", e.covered)
+	})
+}
+
+// Fencing tokens rise with the term and with each order.
+func TestFencesRise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(3)
+		e.start(t)
+		await(t, "the model to be held", e.covered)
+		seen := map[uint64]bool{}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, list := range e.orders {
+			for _, o := range list {
+				is.True(o.Fence > 3<<20 && o.Fence < 4<<20)
+				is.True(!seen[o.Fence])
+				seen[o.Fence] = true
+			}
+		}
+	})
+}
+
+// An engine that counts other orders than the placer knows of is asked how many.
+func TestAStaleCountIsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(2)
+		e.refuse = func(address string, n int) error {
+			if n == 1 {
+				return &fireflysaddle.OrderError{Address: address, Status: fireflysaddle.OrderStale}
+			}
+			return nil
+		}
+		e.start(t)
+		await(t, "a second order", func() bool {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return len(e.orders["e0"]) >= 2
+		})
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		is.Equal(e.orders["e0"][0].Expect, uint64(0))
+		is.Equal(e.orders["e0"][1].Expect, uint64(7))
+	})
+}
+
+// An order without an answer may be carried out; another engine is not given the
+// layers as long as that can be.
+func TestAnOrderWithoutAnAnswerIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(2)
+		e.refuse = func(string, int) error { return errors.New("no answer") }
+		e.start(t)
+		await(t, "an order", func() bool {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return len(e.orders["e0"]) >= 1
+		})
+		time.Sleep(time.Second)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		is.Equal(len(e.orders["e0"]), 1)
+	})
+}
+
+// An engine is lost by the word of two entries, not by that of one.
+func TestALostEnginesLayersAreGivenToAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(3)
+		e.start(t)
+		await(t, "the model to be held", e.covered)
+		lost := ""
+		for id, reg := range e.View().Registrations {
+			if len(reg.GetLayers()) > 0 && reg.GetLayers()[0].GetFrom() == 0 {
+				lost = id
+			}
+		}
+		one := &saddlewire.Member{Node: "entry-1", Role: "entry", Suspects: []string{lost}}
+		e.update(&saddlewire.Update{Members: []*saddlewire.Member{one}})
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(e.holdersOfFirst(), 1)
+		e.update(&saddlewire.Update{Members: []*saddlewire.Member{{Node: "entry-2", Role: "entry", Suspects: []string{lost}}}})
+		await(t, "another engine to hold the first layer", func() bool { return e.holdersOfFirst() == 2 })
+	})
+}
+
+func (e *engines) holdersOfFirst() int {
+	n := 0
+	for _, reg := range e.View().Registrations {
+		if len(reg.GetLayers()) > 0 && reg.GetLayers()[0].GetFrom() == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Engines are asked how fast they are while entries find their drafts slow.
+func TestSlowEnginesAreFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngines(3)
+		e.pace["e1"], e.pace["e0"] = 12, 12
+		e.start(t)
+		await(t, "the model to be held", e.covered)
+		e.update(&saddlewire.Update{Members: []*saddlewire.Member{{Node: "entry-1", Role: "entry", Slow: []string{"a"}}}})
+		await(t, "a slow engine and what the engines hold to be told", func() bool {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return len(e.state.Paces) > 0 && len(e.state.Occupied) == 1 && e.state.Occupied[0].GetTokens() > 0
+		})
+	})
+}
