--- a/internal/command/saddlemain/reload.go
+++ b/internal/command/saddlemain/reload.go
@@ -23,7 +23,11 @@
 				return
 			case <-signals:
 			}
-			if err := reload(); err != nil {
+			err := reload()
+			if err == nil {
+				_, _ = fmt.Fprintf(logs, `{"level":"info","time":%q,"message":"settings read again; roles that take them up say so"}`+"\n",
+					time.Now().UTC().Format(time.RFC3339))
+			} else {
 				_, _ = fmt.Fprintf(logs, `{"level":"error","time":%q,"error":%q,"message":"settings not reloaded; those before stay in force"}`+"\n",
 					time.Now().UTC().Format(time.RFC3339), err.Error())
 			}
--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -32,12 +32,14 @@
 	// a wait for its next step and the way there.
 	hopCost = float64(500 * time.Microsecond)
 	// enterCost stands for a head in another data centre: the way there and back,
-	// and the bytes of the answer between data centres.
-	enterCost = float64(2 * time.Millisecond)
+	// and the bytes of the answer between data centres, which are priced. It is
+	// what a chain of the own data centre gains when it goes from nearly full to
+	// nearly empty.
+	enterCost = float64(10 * time.Millisecond)
 	// crossCost stands for a change of data centre within a chain. A prompt's
 	// activations are tens of megabytes over a line that all engines share, so it
 	// is worth a chain that is slower by this much for each token.
-	crossCost = float64(8 * time.Millisecond)
+	crossCost = float64(12 * time.Millisecond)
 	// faultCost is what a recent failure of a head adds.
 	faultCost = float64(4 * time.Millisecond)
 	// loadCost is by what factor a full engine is dearer than an empty one.
--- a/internal/direct/saddlekept/client.go
+++ b/internal/direct/saddlekept/client.go
@@ -21,8 +21,9 @@
 	// freshIdle is how long a connection for a request that must not meet the
 	// target's idle timeout may have been idle.
 	freshIdle = 300 * time.Millisecond
-	// maxIdle bounds the idle connections to one target.
-	maxIdle = 32
+	// maxIdle bounds the idle connections to one target, which accepts some fifty
+	// from all entries.
+	maxIdle = 6
 	// maxStray bounds the answers to earlier requests that are passed over on one
 	// connection.
 	maxStray = 2
--- a/internal/direct/saddlerouting/routing.go
+++ b/internal/direct/saddlerouting/routing.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
 )
@@ -21,10 +20,8 @@
 
 // Pool is a group of targets that can stand in for one another.
 type Pool struct {
-	Group          fireflysaddle.Group
-	HealthPath     string
-	MaxConnections int    // that one target accepts from all callers
-	Model          *Model // nil: a plain service
+	Group fireflysaddle.Group
+	Model *Model // nil: a plain service
 }
 
 // Tenant is a workspace and its keys.
@@ -36,10 +33,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Match returns the route of a host with the longest prefix that begins the path,
--- a/runner.go
+++ b/runner.go
@@ -38,12 +38,10 @@
 
 // EngineReport is an engine's state as of a short while ago.
 type EngineReport struct {
-	Busy     bool   // it carries out an order
 	Orders   uint64 // orders accepted since its start
 	Queued   int
 	Running  int
 	KVUsed   float64 // tokens x layers that cannot yield
-	KVTotal  float64
 	Pace     float64 // above 1: slower than its kind
 	Stalled  []StalledRequest
 	Holdings []Holding
