--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -31,6 +31,7 @@
 	for role, defaults := range map[string]any{
 		"entry":   saddlesettings.DefaultEntry(),
 		"agent":   saddlesettings.DefaultAgent(),
+		"gateway": saddlesettings.DefaultGateway(),
 		"control": saddlesettings.DefaultControl(),
 	} {
 		rows := settings("", reflect.ValueOf(defaults))
