--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -11,6 +11,7 @@
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclock"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlegrant"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlequota"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleregistry"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlereplica"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestate"
@@ -36,6 +37,7 @@
 	grants  *saddlegrant.Table
 	sender  *saddlewire.Peer // that let this replica in, before its log names the others
 
+	quota    *saddlequota.Table
 	registry *saddleregistry.Table
 	engines  EngineState
 
@@ -85,6 +87,7 @@
 		state:        state,
 		members:      newMemberTable(),
 		grants:       saddlegrant.New(cfg.Loads, cfg.Lost),
+		quota:        saddlequota.New(),
 		registry:     saddleregistry.New(cfg.Unregister),
 		attendees:    map[*attendee]struct{}{},
 		pending:      map[uint64]pendingCommand{},
@@ -260,6 +263,7 @@
 	}
 	if role == saddlereplica.Leader {
 		c.grants.Lead(now)
+		c.quota.Lead(now)
 	}
 	c.wasRole = role
 	c.wasTerm = term
--- /dev/null
+++ b/internal/control/saddlecontrol/retries.go
@@ -0,0 +1,32 @@
+package saddlecontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// retryEvent asks for sendings that an entry may repeat.
+type retryEvent struct {
+	request *saddlewire.RetryRequest
+	reply   chan *saddlewire.RetryResponse // of capacity 1
+}
+
+func (e retryEvent) handle(now time.Time, c *core) { e.reply <- c.grantRetries(now, e.request) }
+
+func (c *core) grantRetries(now time.Time, in *saddlewire.RetryRequest) *saddlewire.RetryResponse {
+	if !c.replica.LeaseValid(now) {
+		return &saddlewire.RetryResponse{Leader: c.leaderAddress()}
+	}
+	n := c.quota.Take(now, in.GetGroup(), int(in.GetWant()), int(in.GetLimit()))
+	c.cfg.Log.Info().Str("group", in.GetGroup()).Uint32("want", in.GetWant()).Uint32("limit", in.GetLimit()).Int("granted", n).
+		Msg("repeated sendings granted")
+	return &saddlewire.RetryResponse{Leads: true, Granted: uint32(n)}
+}
+
+// GrantRetries grants sendings that an entry may repeat; only the leader does.
+func (s *Server) GrantRetries(ctx context.Context, in *saddlewire.RetryRequest) (*saddlewire.RetryResponse, error) {
+	reply := make(chan *saddlewire.RetryResponse, 1)
+	return ask(ctx, s, retryEvent{request: in, reply: reply}, reply)
+}
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,6 +84,7 @@
 		KeyLease:     keyLease(settings),
 		RetryShare:   settings.RetryShare,
 		RetryReserve: settings.RetryReserve,
+		Grant:        g.grant,
 		Log:          p.log,
 	})
 	g.attendant = saddleattend.New(saddleattend.Config{
@@ -227,6 +229,28 @@
 		Msg("routing configuration in force")
 }
 
+// grant asks the leader for repeated sendings.
+func (g *gateway) grant(ctx context.Context, group fireflysaddle.Group, want, limit int) int {
+	in := &saddlewire.RetryRequest{Group: string(group), Want: uint32(want), Limit: uint32(limit)}
+	queue := slices.Clone(g.attendant.View().RoutingSources)
+	for asked := map[string]bool{}; len(queue) > 0 && ctx.Err() == nil; queue = queue[1:] {
+		if asked[queue[0]] {
+			continue
+		}
+		asked[queue[0]] = true
+		out, err := saddlewire.NewDRPCControlClient(g.pool.Conn(ctx, queue[0])).GrantRetries(ctx, in)
+		switch {
+		case err != nil:
+			g.process.log.Warn().Err(err).Str("control", queue[0]).Msg("no answer to the request for repeated sendings")
+		case out.GetLeads():
+			return int(out.GetGranted())
+		case out.GetLeader() != "":
+			queue = slices.Insert(queue, 1, out.GetLeader())
+		}
+	}
+	return 0
+}
+
 // ready returns nil when the gateway can serve.
 func (g *gateway) ready() error {
 	s := g.gateway.State()
--- a/internal/direct/saddlegateway/config.go
+++ b/internal/direct/saddlegateway/config.go
@@ -1,6 +1,7 @@
 package saddlegateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,7 +22,10 @@
 	// group, by all entries together: as a part of the first ones, and beyond it.
 	RetryShare   float64
 	RetryReserve float64
-	Log          zerolog.Logger
+	// Grant asks for repeated sendings to a group beyond this entry's part, of which
+	// all entries are granted up to a limit; nil: there is nobody to ask.
+	Grant func(ctx context.Context, group fireflysaddle.Group, want, limit int) int
+	Log   zerolog.Logger
 }
 
 // State is the routing configuration that a gateway serves by.
--- a/internal/direct/saddlegateway/fixture_test.go
+++ b/internal/direct/saddlegateway/fixture_test.go
@@ -154,6 +154,7 @@
 	targets *targets
 	builder *saddleview.Builder
 	now     time.Time
+	grant   func(want, limit int) int // nil: nothing is granted
 }
 
 func newFixture(t *testing.T, answer func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error)) *fixture {
@@ -163,6 +164,12 @@
 	f.fleet = saddlefleet.New("entry-1", "a", zerolog.Nop(), func(address string) { f.gateway.EngineDown(address) })
 	f.gateway = saddlegateway.New(saddlegateway.Config{
 		Forwarder: s, Fleet: f.fleet, KeyLease: 4 * time.Second, RetryShare: 0.2, RetryReserve: 100, Log: zerolog.Nop(),
+		Grant: func(_ context.Context, _ fireflysaddle.Group, want, limit int) int {
+			if f.grant == nil {
+				return 0
+			}
+			return f.grant(want, limit)
+		},
 	})
 	u := &saddlewire.Update{Snapshot: true, Confirmed: true}
 	for _, id := range []string{"desk-1", "desk-2", "desk-3"} {
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -9,7 +9,6 @@
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
-	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleretry"
 )
 
 const (
@@ -35,7 +34,7 @@
 
 	mu      sync.Mutex
 	changed chan struct{} // closed when the state is taken up anew
-	budgets map[fireflysaddle.Group]*saddleretry.Budget
+	budgets map[fireflysaddle.Group]*budget
 	reports map[string]*inspection
 	watched watched
 	waiting waiting
@@ -44,7 +43,7 @@
 
 // New returns a gateway that knows no configuration.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, changed: make(chan struct{}), budgets: map[fireflysaddle.Group]*saddleretry.Budget{}, reports: map[string]*inspection{}}
+	g := &Gateway{cfg: cfg, changed: make(chan struct{}), budgets: map[fireflysaddle.Group]*budget{}, reports: map[string]*inspection{}}
 	g.state.Store(&State{})
 	return g
 }
@@ -162,31 +161,3 @@
 func notReady(message string) *Refusal {
 	return &Refusal{Code: fireflysaddle.CodeNoMajority, Message: message, RetryAfter: retryNotReady}
 }
-
-// first notes the first sending of a request to a group.
-func (g *Gateway) first(group fireflysaddle.Group) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.budget(group).First()
-}
-
-// again takes one repeated sending from the group's budget, if one is left.
-func (g *Gateway) again(group fireflysaddle.Group) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget(group).Retry()
-}
-
-func (g *Gateway) budget(group fireflysaddle.Group) *saddleretry.Budget {
-	b, ok := g.budgets[group]
-	if !ok {
-		reserve := g.cfg.RetryReserve / float64(max(minSharers, g.cfg.Fleet.Entries()))
-		b = saddleretry.NewBudget(g.cfg.RetryShare, reserve)
-		g.budgets[group] = b
-	}
-	return b
-}
-
-// minSharers is the least number of entries that the reserve of repeated sendings
-// is divided by: not all may be known yet when a group's first request comes.
-const minSharers = 8
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -73,13 +73,13 @@
 
 // maySend reports whether the call may be sent another time, and takes that from
 // the budget. It logs why not.
-func (j *job) maySend() bool {
+func (j *job) maySend(ctx context.Context) bool {
 	switch {
 	case j.sends == 0:
 	case j.sends >= maxSends:
 		j.event(zerolog.InfoLevel).Int("sends", j.sends).Msg("request not sent again: too many sendings")
 		return false
-	case !j.again(j.pool.Group):
+	case !j.again(ctx, j.pool.Group):
 		countBudgetSpent.Add(1)
 		j.event(zerolog.WarnLevel).Int("sends", j.sends).Msg("request not sent again: retry budget spent")
 		return false
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -30,7 +30,7 @@
 	reason := "no target is known"
 	for {
 		target, done, ok := j.cfg.Fleet.Pick(time.Now(), j.pool.Group, j.tried)
-		if !ok || !j.maySend() {
+		if !ok || !j.maySend(ctx) {
 			j.giveUp(ctx, fireflysaddle.CodeNoTarget, reason, retryFull)
 			return
 		}
--- a/internal/direct/saddlegateway/plain_test.go
+++ b/internal/direct/saddlegateway/plain_test.go
@@ -155,3 +155,23 @@
 	is.True(again <= calls/5+100/8+1)
 	is.True(again >= calls/5)
 }
+
+// Beyond its own part an entry repeats only what it is granted.
+func TestMoreIsSentAgainWhenGranted(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, answers(failure))
+	granted := 0
+	f.grant = func(want, limit int) int {
+		n := min(want, limit-granted)
+		granted += n
+		return n
+	}
+	const calls = 100
+	for range calls {
+		f.serve(call("/status/"))
+	}
+	again := len(f.targets.forwarded()) - calls
+	is.Equal(granted, 45)
+	is.True(again > calls/5+granted)
+	is.True(again <= calls/5+100/8+1+granted)
+}
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -50,7 +50,7 @@
 			j.giveUp(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
 			return
 		}
-		if !j.maySend() {
+		if !j.maySend(ctx) {
 			done()
 			j.giveUp(ctx, fireflysaddle.CodeTargetFailed, "no further attempt is left", retryNoRoom)
 			return
