--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -1,6 +1,7 @@
 package saddlefleet
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -68,6 +69,7 @@
 	}
 	c.Head = found[0].target.Target
 	f.reserve(found, pool.Model, float64(tokens), 1)
+	f.line.take(pool.Model, tokens, crossings(found))
 	return c, sync.OnceFunc(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -80,6 +82,17 @@
 	from, to int
 }
 
+// crossings returns how often a chain changes between data centres.
+func crossings(parts []part) int {
+	n := 0
+	for i := 1; i < len(parts); i++ {
+		if parts[i].target.Centre != parts[i-1].target.Centre {
+			n++
+		}
+	}
+	return n
+}
+
 // reserve notes what a request takes, or with sign -1 that it has ended.
 func (f *Fleet) reserve(parts []part, model *saddlerouting.Model, tokens float64, sign int) {
 	for _, p := range parts {
@@ -124,8 +137,12 @@
 			of = append(of, t)
 		}
 	}
+	costs := saddlepath.Costs{Enter: enterCost, Cross: crossCost}
+	if tokens >= 0 && !f.line.open(now, model, f.entries) {
+		costs.Cross = math.Inf(1)
+	}
 	var out []part
-	for _, p := range saddlepath.Find(holders, model.Layers, 0, saddlepath.Costs{Enter: enterCost, Cross: crossCost}) {
+	for _, p := range saddlepath.Find(holders, model.Layers, 0, costs) {
 		out = append(out, part{target: of[p.Holder], from: p.From, to: p.To})
 	}
 	return out
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -28,6 +28,7 @@
 	mine    map[fireflysaddle.DataCentre]float64
 	entries int // entries that share the engines, this one among them
 	turn    int
+	line    line
 	doubts  chan struct{} // of capacity 1
 	onDown  func(address string)
 }
--- a/internal/direct/saddlefleet/fleet_test.go
+++ b/internal/direct/saddlefleet/fleet_test.go
@@ -211,6 +211,27 @@
 	is.Equal(head, "b0")
 }
 
+// Drafts cross between data centres no faster than the line between them carries.
+func TestTheLineBetweenDataCentresIsNotOverrun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(engine("a0", "a", 0, 2), engine("b2", "b", 2, 4))
+	p := pool()
+	p.Model.TokenSend = 1000
+	p.Model.LineBytes = 100_000 // a second: fifty tokens of those that are planned for
+	sent := 0
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		_, done, full, ok := f.fleet.PickChain(now, p, 5, nil)
+		if !ok {
+			is.True(full) // there is a chain, but not now
+			continue
+		}
+		sent += 5
+		done()
+	}
+	is.True(sent >= 490)
+	is.True(sent <= 530)
+}
+
 func TestNothingIsLeftReservedWhenAllHaveEnded(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(engine("a0", "a", 0, 2), engine("a2", "a", 2, 4))
--- a/internal/direct/saddlegateway/slowness.go
+++ b/internal/direct/saddlegateway/slowness.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// any reports whether one of some data centres is called slow.
+func (s *slowness) any(now time.Time, centres []fireflysaddle.DataCentre) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(centres, func(c fireflysaddle.DataCentre) bool {
+		p, ok := s.byCentre[c]
+		return ok && now.Before(p.until)
+	})
+}
+
 // centres returns the data centres that are called slow.
 func (s *slowness) centres(now time.Time) []string {
 	s.mu.Lock()
--- a/internal/direct/saddlegateway/watch.go
+++ b/internal/direct/saddlegateway/watch.go
@@ -26,8 +26,9 @@
 	// lookAgain is the time between further looks; reports are a fifth of a second
 	// old.
 	lookAgain = 130 * time.Millisecond
-	// hardSilence is after how long an attempt ends whatever the head says: a
-	// caller leaves after two seconds without an event.
+	// hardSilence is after how long an attempt ends whatever the head says, unless
+	// all drafts of its data centre go slowly: then another attempt would only add to
+	// the work. A caller leaves after two seconds without an event.
 	hardSilence = 1400 * time.Millisecond
 	// reportTimeout bounds the question to a head.
 	reportTimeout = 200 * time.Millisecond
@@ -90,7 +91,7 @@
 	if w.ctx.Err() != nil {
 		return
 	}
-	if w.silent() > hardSilence {
+	if w.silent() > hardSilence && !w.job.slow.any(time.Now(), w.chain.Centres) {
 		w.end(w.chain.Head.Address, errSilent)
 		return
 	}
--- a/internal/direct/saddlerouting/model.go
+++ b/internal/direct/saddlerouting/model.go
@@ -14,6 +14,8 @@
 	Load          time.Duration // of the whole model, by one engine
 	Step          time.Duration // of one token step over all layers, at pace 1
 	ReadPerSecond float64       // prompt tokens over all layers, at read factor 1
+	TokenSend     float64       // bytes of one token's activations between engines
+	LineBytes     float64       // bytes a second between two data centres, for all engines; 0: not known
 	UsualPrompt   int           // mean tokens of a prompt
 	UsualAnswer   int           // mean tokens of an answer
 	Accelerators  map[fireflysaddle.Accelerator]Accelerator
