--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -156,30 +156,6 @@
 	return c.replica.Term()
 }
 
-// neighbours returns the replicas to send to: those of the log, and while it
-// holds none those of the settings, so that a joining one can answer.
-func (c *core) neighbours() []*saddlewire.Peer {
-	out := slices.Clone(c.replica.Members())
-	for id, address := range c.cfg.Replicas {
-		known := slices.ContainsFunc(out, func(p *saddlewire.Peer) bool { return p.GetId() == id || p.GetAddress() == address })
-		if !known {
-			out = append(out, &saddlewire.Peer{Id: id, Address: address})
-		}
-	}
-	known := func(p *saddlewire.Peer) bool { return p.GetId() == c.sender.GetId() }
-	if c.sender != nil && !slices.ContainsFunc(out, known) {
-		out = append(out, c.sender)
-	}
-	return out
-}
-
-// noteSender notes where the leader that lets this replica in is reached.
-func (c *core) noteSender(m *saddlewire.Message) {
-	if m.GetAddress() != "" && m.GetTo() == c.cfg.Node {
-		c.sender = &saddlewire.Peer{Id: m.GetFrom(), Address: m.GetAddress()}
-	}
-}
-
 // stop answers those who wait for a command; its outcome is open.
 func (c *core) stop() {
 	c.confirmed.Store(false)
@@ -278,15 +254,6 @@
 	}
 }
 
-func (c *core) leaderAddress() string {
-	for _, p := range c.neighbours() {
-		if p.GetId() == c.replica.LeaderID() {
-			return p.GetAddress()
-		}
-	}
-	return ""
-}
-
 func (c *core) sweep(now time.Time) {
 	lost := c.members.sweep(now, c.cfg.Lost)
 	for _, node := range lost {
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -4,13 +4,10 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
@@ -18,7 +15,6 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleattend"
-	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleview"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 	"github.com/fireflysaddle/fireflysaddle/platform"
 )
@@ -143,181 +139,6 @@
 	}
 }
 
-// take takes up each new view.
-func (g *gateway) take(v *saddleview.View) {
-	g.fleet.Update(v)
-	if v.Routing > g.held().GetVersion() {
-		select {
-		case g.fetch <- struct{}{}:
-		default:
-		}
-	}
-	g.use(v)
-}
-
-// use has the gateway serve by the routing held. How fresh that is counts only
-// while no newer one is known.
-func (g *gateway) use(v *saddleview.View) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	s := saddlegateway.State{Routing: g.routing, Confirmed: g.gateway.State().Confirmed}
-	if confirmed := time.Unix(0, v.ConfirmedNs); v.ConfirmedNs > 0 && v.Routing <= g.routing.GetVersion() {
-		s.Confirmed = confirmed
-	}
-	g.gateway.Use(s)
-}
-
-func (g *gateway) held() *saddlerouting.Routing {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.routing
-}
-
-// follow fetches each newer routing configuration until the context ends.
-func (g *gateway) follow(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.fetch:
-		}
-		for g.attendant.View().Routing > g.held().GetVersion() && ctx.Err() == nil {
-			if !g.fetchOnce(ctx) && !pause(ctx, fetchAgain) {
-				return
-			}
-		}
-	}
-}
-
-// fetchOnce asks the replicas that hold the newest configuration for it.
-func (g *gateway) fetchOnce(ctx context.Context) bool {
-	for _, address := range g.attendant.View().RoutingSources {
-		in := &saddlewire.RoutingRequest{Have: g.held().GetVersion()}
-		callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		out, err := saddlewire.NewDRPCControlClient(g.pool.Conn(callCtx, address)).FetchRouting(callCtx, in)
-		cancel()
-		countFetches.Add(1)
-		if err != nil || out.GetRouting() == nil {
-			g.process.log.Warn().Err(err).Str("control", address).Msg("routing configuration not fetched")
-			continue
-		}
-		routing, err := platform.OpenRouting(out.GetRouting().GetContent())
-		if err != nil {
-			g.process.log.Error().Err(err).Str("control", address).Uint64("routing", out.GetVersion()).Msg("routing configuration cannot be read")
-			continue
-		}
-		g.install(routing)
-		return true
-	}
-	return false
-}
-
-// install takes up a routing configuration unless a newer one is held.
-func (g *gateway) install(routing *saddlerouting.Routing) {
-	g.mu.Lock()
-	newer := routing.Version > g.routing.GetVersion()
-	before := g.routing.GetVersion()
-	if newer {
-		g.routing = routing
-	}
-	g.mu.Unlock()
-	if !newer {
-		return
-	}
-	g.use(g.attendant.View())
-	g.process.log.Info().Uint64("routing", routing.Version).Uint64("before", before).Int("routes", len(routing.Routes)).
-		Msg("routing configuration in force")
-}
-
-// grant asks the leader for repeated sendings.
-func (g *gateway) grant(ctx context.Context, group fireflysaddle.Group, want, limit int) int {
-	in := &saddlewire.RetryRequest{Group: string(group), Want: uint32(want), Limit: uint32(limit)}
-	queue := slices.Clone(g.attendant.View().RoutingSources)
-	for asked := map[string]bool{}; len(queue) > 0 && ctx.Err() == nil; queue = queue[1:] {
-		if asked[queue[0]] {
-			continue
-		}
-		asked[queue[0]] = true
-		out, err := saddlewire.NewDRPCControlClient(g.pool.Conn(ctx, queue[0])).GrantRetries(ctx, in)
-		switch {
-		case err != nil:
-			g.process.log.Warn().Err(err).Str("control", queue[0]).Msg("no answer to the request for repeated sendings")
-		case out.GetLeads():
-			return int(out.GetGranted())
-		case out.GetLeader() != "":
-			queue = slices.Insert(queue, 1, out.GetLeader())
-		}
-	}
-	return 0
-}
-
-// ready returns nil when the gateway can serve.
-func (g *gateway) ready() error {
-	s := g.gateway.State()
-	switch {
-	case g.leaving.Load():
-		return eris.New("the process was told to stop")
-	case s.Routing == nil:
-		return eris.New("no routing configuration is known yet")
-	case keyLease(g.settings) > 0 && g.attendant.Now().Sub(s.Confirmed) > keyLease(g.settings):
-		return eris.New("control has not been heard for too long to trust keys")
-	case !g.covered.Load():
-		return eris.New("no engines hold all layers yet")
-	}
-	return nil
-}
-
-// watchCover notes once that chains stand for every model.
-func (g *gateway) watchCover(ctx context.Context) {
-	for !g.covered.Load() {
-		if g.chainsStand(time.Now()) || time.Since(g.started) > openAnyway {
-			g.covered.Store(true)
-			g.process.log.Info().Int64("after_ms", time.Since(g.started).Milliseconds()).Msg("ready for drafts")
-			return
-		}
-		if !pause(ctx, coverEvery) {
-			return
-		}
-	}
-}
-
-func (g *gateway) chainsStand(now time.Time) bool {
-	routing := g.held()
-	if routing == nil {
-		return false
-	}
-	for _, pool := range routing.Pools {
-		if pool.Model != nil && !g.fleet.Covered(now, pool) {
-			return false
-		}
-	}
-	return true
-}
-
-// probe asks the engines that are passed over for their state.
-func (g *gateway) probe(ctx context.Context) {
-	tick := time.NewTicker(probeEvery)
-	defer tick.Stop()
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		case <-g.fleet.Doubts():
-		}
-		for _, t := range g.fleet.Due(time.Now()) {
-			wg.Go(func() {
-				callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-				defer cancel()
-				report, err := g.client.Report(callCtx, t.Address)
-				g.fleet.Probed(time.Now(), t, report, err)
-			})
-		}
-	}
-}
-
 // shutdown returns how long requests in progress are waited for after the lame
 // duck time.
 func (g *gateway) shutdown() time.Duration {
--- a/internal/entry/saddleentry/relay_test.go
+++ b/internal/entry/saddleentry/relay_test.go
@@ -90,13 +90,8 @@
 		if err != nil {
 			return err
 		}
-		if e.GetAnswer() != nil && r.is(relayOtherFirst) {
-			if err := stream.Send(otherAnswer(e, "another-request", e.GetIncarnation())); err != nil {
-				return err
-			}
-		}
-		if e.GetAnswer() != nil && r.is(relayEarlierFirst) {
-			if err := stream.Send(otherAnswer(e, e.GetRequest(), e.GetIncarnation()-1)); err != nil {
+		if other := r.strayBefore(e); other != nil {
+			if err := stream.Send(other); err != nil {
 				return err
 			}
 		}
@@ -146,6 +141,18 @@
 	}
 }
 
+// strayBefore returns what goes out before an event, nil when nothing does.
+func (r *relay) strayBefore(e *saddlewire.CallEvent) *saddlewire.CallEvent {
+	switch {
+	case e.GetAnswer() == nil:
+	case r.is(relayOtherFirst):
+		return otherAnswer(e, "another-request", e.GetIncarnation())
+	case r.is(relayEarlierFirst):
+		return otherAnswer(e, e.GetRequest(), e.GetIncarnation()-1)
+	}
+	return nil
+}
+
 func otherAnswer(e *saddlewire.CallEvent, request string, incarnation uint64) *saddlewire.CallEvent {
 	return &saddlewire.CallEvent{
 		Request:     request,
