--- a/internal/place/saddleplan/plan_test.go
+++ b/internal/place/saddleplan/plan_test.go
@@ -129,22 +129,24 @@
 	is.True(room >= 80_000)
 }
 
-func TestATightEngineIsRelievedByOneThatComesBack(t *testing.T) {
+// The fastest engine of a data centre is lost and comes back empty: it takes as much
+// as it can of what the others were brought down for.
+func TestAnEngineThatComesBackRelievesTheTightOnes(t *testing.T) {
 	is := is.New(t)
 	m := model()
-	list := joburg()
+	list := engines("pretoria-b", map[fireflysaddle.Accelerator]int{"h100": 1, "a100s": 1, "l4": 5, "t4": 7})
 	apply(list, saddleplan.Plan(m, list))
-	for i := range list {
-		if list[i].Accelerator == "t4" && list[i].Held.Len() > 0 {
-			list[i].Lost = true
-			break
-		}
-	}
+	list[0].Lost = true
 	apply(list, saddleplan.Plan(m, list))
-	list = append(list, saddleplan.Engine{ID: "again", Centre: "joburg-a", Accelerator: "l4"})
-	room, _ := leastRoom(m, list)
+	room, whole := leastRoom(m, list)
+	is.True(whole && room < 80_000)
+	again := saddleplan.Engine{ID: "pretoria-b-h100-again", Centre: "pretoria-b", Accelerator: "h100"}
+	list[0] = again
 	plan := saddleplan.Plan(m, list)
-	is.Equal(len(plan) > 0, room < 80_000)
+	is.Equal(len(plan), 1)
+	is.True(plan[again.ID].Len() >= 20) // most of what it held before
+	apply(list, plan)
+	is.True(m.Room(m.Accelerators["h100"], list[0].Held.Len()) >= 160_000)
 }
 
 // Whatever the engines, and whatever becomes of them, none is ordered to hold more
--- a/internal/place/saddleplan/relieve.go
+++ b/internal/place/saddleplan/relieve.go
@@ -7,29 +7,34 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
 
-// relieve gives an empty engine a part of the layers of the one with the least
-// room, if that is little: what both hold, either may run.
+// relieve gives the fastest empty engine the layers of the one with the least room,
+// if that is little, and as many beside them as it holds with the most room: what
+// two engines hold, either may run.
 func relieve(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
-	empty := 0
-	var tight *Engine
+	var empty, tight *Engine
 	for i, e := range engines {
 		switch {
 		case e.Held.Len() == 0:
-			empty++
+			if empty == nil {
+				empty = &engines[i]
+			}
 		case alone(engines, e) && (tight == nil || roomOf(model, e) < roomOf(model, *tight)):
 			tight = &engines[i]
 		}
 	}
-	if tight == nil || empty == 0 || roomOf(model, *tight) >= fairRoom {
+	if tight == nil || empty == nil || roomOf(model, *tight) >= fairRoom {
 		return nil
 	}
-	half := (tight.Held.Len() + 1) / 2
-	next := suited(model, engines, nil, half, fairRoom)
-	if next == nil {
+	n := most(model, *empty, wantedRoom)
+	if n == 0 {
 		return nil
 	}
-	n := min(half, most(model, *next, fairRoom))
-	return map[fireflysaddle.TargetID]Range{next.ID: {From: tight.Held.To - n, To: tight.Held.To}}
+	from := tight.Held.From
+	if n < tight.Held.Len() {
+		from = tight.Held.To - n // the last ones: alone looks at these
+	}
+	from = max(0, min(from, model.Layers-n))
+	return map[fireflysaddle.TargetID]Range{empty.ID: {From: from, To: from + n}}
 }
 
 // alone reports whether no other engine holds the last layer of an engine.
