--- a/internal/control/saddlereplica/heal_test.go
+++ b/internal/control/saddlereplica/heal_test.go
@@ -177,6 +177,10 @@
 	c := newCircle()
 	c.pass(time.Minute) // the leader leads for long
 	c.join(t, "elsewhere")
-	c.pass(300 * time.Millisecond)
+	c.down["new"] = true // it takes a while until it answers
+	c.pass(500 * time.Millisecond)
+	is.True(slices.Contains(c.members(), "(new)"))
+	c.down["new"] = false
+	c.pass(time.Second)
 	is.True(slices.Contains(c.members(), "new"))
 }
--- a/internal/direct/saddlekept/client_test.go
+++ b/internal/direct/saddlekept/client_test.go
@@ -287,5 +287,34 @@
 	_, err = io.ReadAll(resp.Body)
 	is.NoErr(err)
 	is.NoErr(resp.Body.Close()) // the body is not written yet: the connection is closed
-	is.True(strings.HasSuffix(<-got, "|"))
+	select {
+	case all := <-got:
+		is.True(strings.HasSuffix(all, "|"))
+	case <-time.After(20 * time.Second):
+		t.Fatal("the connection was kept open")
+	}
+}
+
+// What arrives on an idle connection belongs to no request; the next one goes over
+// another connection.
+func TestBytesOnAnIdleConnectionHarmNobody(t *testing.T) {
+	is := is.New(t)
+	sent := make(chan struct{})
+	s := newTarget(t, func(c net.Conn, r *http.Request) {
+		say(answer("ok"))(c, r)
+		go func() {
+			time.Sleep(20 * time.Millisecond) // by when the first answer has been read
+			_, _ = io.WriteString(c, "garbage\r\n\r\n")
+			close(sent)
+		}()
+	}, say(answer("ok")))
+	client := newClient(t)
+	_, err := do(t, client, s.lis.Addr().String(), "one")
+	is.NoErr(err)
+	<-sent
+	time.Sleep(20 * time.Millisecond) // on loopback it is there by then
+	_, err = do(t, client, s.lis.Addr().String(), "two")
+	is.NoErr(err)
+	_, conns := s.seen()
+	is.Equal(conns, 2)
 }
