--- a/internal/direct/saddlekept/client_test.go
+++ b/internal/direct/saddlekept/client_test.go
@@ -299,11 +299,11 @@
 // another connection.
 func TestBytesOnAnIdleConnectionHarmNobody(t *testing.T) {
 	is := is.New(t)
-	sent := make(chan struct{})
+	read, sent := make(chan struct{}), make(chan struct{})
 	s := newTarget(t, func(c net.Conn, r *http.Request) {
 		say(answer("ok"))(c, r)
 		go func() {
-			time.Sleep(20 * time.Millisecond) // by when the first answer has been read
+			<-read
 			_, _ = io.WriteString(c, "garbage\r\n\r\n")
 			close(sent)
 		}()
@@ -311,6 +311,7 @@
 	client := newClient(t)
 	_, err := do(t, client, s.lis.Addr().String(), "one")
 	is.NoErr(err)
+	close(read)
 	<-sent
 	time.Sleep(20 * time.Millisecond) // on loopback it is there by then
 	_, err = do(t, client, s.lis.Addr().String(), "two")
--- a/internal/entry/saddleentry/network_test.go
+++ b/internal/entry/saddleentry/network_test.go
@@ -250,7 +250,7 @@
 
 func (f *flow) breakOff(err error) {
 	f.change(func() {
-		if f.err == nil || err == errReset { //nolint:errorlint // it is set as it is
+		if f.err == nil || errors.Is(err, errReset) {
 			f.err = err
 		}
 	})
@@ -280,7 +280,7 @@
 func (f *flow) append(p []byte) (int, error) {
 	var err error
 	f.change(func() {
-		if err = f.err; f.silent && err != errReset { //nolint:errorlint // it is set as it is
+		if err = f.err; f.silent && !errors.Is(err, errReset) {
 			err = nil // the writer cannot know
 		}
 		if err == nil {
@@ -319,7 +319,7 @@
 	switch {
 	case !f.deadline.IsZero() && !time.Now().Before(f.deadline):
 		return 0, os.ErrDeadlineExceeded
-	case f.err == net.ErrClosed || f.err == errReset: //nolint:errorlint // these are set as they are
+	case errors.Is(f.err, net.ErrClosed), errors.Is(f.err, errReset):
 		return 0, f.err
 	case f.silent:
 		return 0, nil
