Drafts are spread over both copies of the model by load

Cause: each entry reckoned the other entries' drafts as spread evenly over the engines that hold a layer, while all of them sent theirs to the fastest copy.

An entry now reckons that the others divide their drafts as it does, weighs layers by the room of the engines that hold them, and the cost of an engine rises with the square of what is left free. All engines with the first layers are asked what they hold, and a data centre holds their sum.

Ruled out: slow engines (no pace changed), lack of room as such (half was free).

--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -43,8 +43,13 @@
 	crossCost = float64(12 * time.Millisecond)
 	// faultCost is what a recent failure of a head adds.
 	faultCost = float64(4 * time.Millisecond)
-	// loadCost is by what factor a full engine is dearer than an empty one.
-	loadCost = 1.0
+	// fullest is the load beyond which engines cost the same: a hundred times what
+	// they cost empty.
+	fullest = 0.9
+	// ownTokens are tokens that this entry is reckoned to have in each data centre,
+	// spread by room, besides its own, when the others are reckoned to divide their
+	// drafts as it does: two drafts, so that a single one says little.
+	ownTokens = 2000
 	// roomUsed is the part of an engine's room that drafts are planned for: answers
 	// turn out longer than estimated, and what the other entries have is known from
 	// half a second ago.
@@ -129,7 +134,7 @@
 				From:     int(held.GetFrom()),
 				To:       int(held.GetTo()),
 				Centre:   centres[t.Centre],
-				PerLayer: float64(model.StepTime(acc, 1)) * t.pace * (1 + loadCost*load),
+				PerLayer: float64(model.StepTime(acc, 1)) * t.pace * crowding(load),
 				PerHop:   hopCost,
 				AsHead:   faultCost * t.recentFaults(now),
 				Most:     most,
@@ -160,24 +165,41 @@
 	return out
 }
 
+// crowding returns by what factor an engine is dearer than an empty one. It rises
+// faster and faster, because requests that find no memory wait or are refused.
+func crowding(load float64) float64 {
+	free := 1 - min(load, fullest)
+	return 1 / (free * free)
+}
+
 // weigh returns for each engine how many layers of a chain through its data centre
-// it runs on the average: a layer that several engines hold counts for each in
-// part.
+// it runs if load is even: a layer that several engines hold counts for each by its
+// room.
 func weigh(model *saddlerouting.Model, engines []*target) []float64 {
-	held := map[fireflysaddle.DataCentre][]int{}
-	for _, t := range engines {
+	rooms := make([]float64, len(engines))
+	held := map[fireflysaddle.DataCentre][]float64{}
+	for i, t := range engines {
 		if held[t.Centre] == nil {
-			held[t.Centre] = make([]int, model.Layers)
+			held[t.Centre] = make([]float64, model.Layers)
 		}
-		t.eachLayer(model.Layers, func(l int) { held[t.Centre][l]++ })
+		rooms[i] = max(1, t.room(model))
+		t.eachLayer(model.Layers, func(l int) { held[t.Centre][l] += rooms[i] })
 	}
 	out := make([]float64, len(engines))
 	for i, t := range engines {
-		t.eachLayer(model.Layers, func(l int) { out[i] += 1 / float64(held[t.Centre][l]) })
+		t.eachLayer(model.Layers, func(l int) { out[i] += rooms[i] / held[t.Centre][l] })
 	}
 	return out
 }
 
+// room returns for how many tokens a target has room at each layer that it holds.
+func (t *target) room(model *saddlerouting.Model) float64 {
+	layers := 0
+	t.eachLayer(model.Layers, func(int) { layers++ })
+	acc := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
+	return float64(model.Room(acc, layers))
+}
+
 // eachLayer calls do for each layer that a target holds.
 func (t *target) eachLayer(layers int, do func(l int)) {
 	for _, held := range t.reg.GetLayers() {
@@ -189,17 +211,18 @@
 
 // load estimates how full an engine is and how many layers it has room to run for
 // a request of a number of tokens. What it holds already is taken from this
-// entry's requests and the others' part by weight, or from what the engines say if
-// that is more: they may still work for entries that are gone.
+// entry's requests and the others', or from what the engines say if that is more:
+// they may still work for entries that are gone. The others are reckoned to divide
+// their requests among the engines as this entry does.
 func (f *Fleet) load(model *saddlerouting.Model, t *target, weight float64, tokens int) (load float64, most int) {
 	layers := 0
 	t.eachLayer(model.Layers, func(int) { layers++ })
 	if tokens < 0 {
 		return 0, layers
 	}
-	acc := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
-	room := float64(model.Room(acc, layers)*layers) * roomUsed
-	taken := max(t.reserved+f.others[t.Centre]*weight, f.said[t.Centre]*weight)
+	room := t.room(model) * float64(layers) * roomUsed
+	part := (t.reserved + ownTokens*weight) / (f.mine[t.Centre] + ownTokens)
+	taken := max(t.reserved+f.others[t.Centre]*part, f.said[t.Centre]*part)
 	if room <= taken {
 		return 1, 0
 	}
--- a/internal/direct/saddlefleet/fleet_test.go
+++ b/internal/direct/saddlefleet/fleet_test.go
@@ -167,6 +167,47 @@
 	}
 }
 
+// twoCopies is a pool whose layers a fast engine and a slow one each hold whole, with
+// room for a hundred thousand tokens.
+func twoCopies() (*saddlerouting.Pool, *fixture) {
+	p := pool()
+	p.Model.TokenBytes = 4000
+	p.Model.Accelerators = map[fireflysaddle.Accelerator]saddlerouting.Accelerator{
+		"fast": {MB: 440, Pace: 1, ReadFactor: 1},
+		"slow": {MB: 440, Pace: 5, ReadFactor: 5},
+	}
+	fast, slow := engine("fast", "a", 0, 4), engine("slow", "a", 0, 4)
+	fast.Accelerator, slow.Accelerator = "fast", "slow"
+	return p, newFixture(fast, slow)
+}
+
+// Every entry sees only its own drafts exactly. If each filled the fast engine until
+// its own estimate says that it is full, the engine would have to refuse most of them.
+func TestEntriesThatChooseAlikeDoNotOverfillTheFastEngine(t *testing.T) {
+	is := is.New(t)
+	p, f := twoCopies()
+	f.update(&saddlewire.Update{Loads: []*saddlewire.EntryLoad{{Node: "entry-2", Drafts: []*saddlewire.CentreLoad{{Centre: "a", Tokens: 120_000}}}}})
+	heads := map[fireflysaddle.TargetID]int{}
+	for range 10 {
+		c, _, _, ok := f.fleet.PickChain(start, p, 1000, nil)
+		is.True(ok)
+		heads[c.Head.ID]++
+	}
+	is.True(heads["fast"] >= 5)
+	is.True(heads["slow"] >= 3)
+}
+
+// With little load the fast engine is used alone.
+func TestTheFastEngineGoesFirst(t *testing.T) {
+	is := is.New(t)
+	p, f := twoCopies()
+	for range 5 {
+		c, _, _, ok := f.fleet.PickChain(start, p, 1000, nil)
+		is.True(ok)
+		is.Equal(string(c.Head.ID), "fast")
+	}
+}
+
 func TestAnEngineIsPassedOverUntilItTellsItsState(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(engine("a0", "a", 0, 4), engine("b0", "b", 0, 2), engine("b2", "b", 2, 4))
--- a/internal/place/saddleplacer/looks.go
+++ b/internal/place/saddleplacer/looks.go
@@ -24,32 +24,43 @@
 	// slow.
 	paceEvery = time.Second
 	// occupiedEvery is the time between looks at how much the engines of a data
-	// centre hold. One engine stands for all: each holds a part of every draft.
+	// centre hold. Those with the first layers stand for all: each draft passes
+	// through one of them.
 	occupiedEvery = 700 * time.Millisecond
 )
 
+// occupiedKept is for how long what an engine said it holds counts: three looks.
+const occupiedKept = 3 * occupiedEvery
+
 // looks is what is learnt of engines by asking them for their state.
 type looks struct {
 	paces    map[string]float64   // of slow engines, by target
-	occupied map[string]uint64    // tokens, by data centre
+	occupied map[string]occupancy // of those with the first layers, by target
 	lookedAt map[string]time.Time // for their pace, by target
-	askedAt  map[string]time.Time // for what they hold, by data centre
+	askedAt  map[string]time.Time // for what they hold, by target
 	done     chan look
 }
 
+// occupancy is what an engine said it holds.
+type occupancy struct {
+	centre string
+	tokens uint64
+	at     time.Time
+}
+
 // look is the answer of an engine that was asked.
 type look struct {
 	target string
 	centre string
 	layers int
-	whole  bool // it stands for what its data centre holds
+	first  bool // it holds the first layers
 	report fireflysaddle.EngineReport
 }
 
 func newLooks() looks {
 	return looks{
 		paces:    map[string]float64{},
-		occupied: map[string]uint64{},
+		occupied: map[string]occupancy{},
 		lookedAt: map[string]time.Time{},
 		askedAt:  map[string]time.Time{},
 		done:     make(chan look, 256),
@@ -64,7 +75,7 @@
 }
 
 // lookAt asks the engines of the data centres whose drafts go slowly, and those
-// that were slow, how fast they are, and one in each data centre what it holds.
+// that were slow, how fast they are, and those with the first layers what they hold.
 func (p *Placer) lookAt(ctx context.Context, now time.Time, wg *sync.WaitGroup, pool *saddlerouting.Pool, view *saddleview.View) {
 	slow := map[string]bool{}
 	for _, m := range view.Members {
@@ -78,22 +89,21 @@
 			continue
 		}
 		wanted := (slow[reg.GetCentre()] || p.looks.paces[id] > 0) && now.Sub(p.looks.lookedAt[id]) >= paceEvery
-		whole := reg.GetLayers()[0].GetFrom() == 0 && now.Sub(p.looks.askedAt[reg.GetCentre()]) >= occupiedEvery
-		if !wanted && !whole {
+		first := reg.GetLayers()[0].GetFrom() == 0
+		due := first && now.Sub(p.looks.askedAt[id]) >= occupiedEvery
+		if !wanted && !due {
 			continue
 		}
 		p.looks.lookedAt[id] = now
-		if whole {
-			p.looks.askedAt[reg.GetCentre()] = now
-		}
-		p.ask(ctx, wg, reg, whole)
+		p.looks.askedAt[id] = now
+		p.ask(ctx, wg, reg, first)
 	}
 }
 
-func (p *Placer) ask(ctx context.Context, wg *sync.WaitGroup, reg *saddlewire.Registration, whole bool) {
+func (p *Placer) ask(ctx context.Context, wg *sync.WaitGroup, reg *saddlewire.Registration, first bool) {
 	countLooks.Add(1)
 	held := reg.GetLayers()[0]
-	l := look{target: reg.GetId(), centre: reg.GetCentre(), layers: int(held.GetTo() - held.GetFrom()), whole: whole}
+	l := look{target: reg.GetId(), centre: reg.GetCentre(), layers: int(held.GetTo() - held.GetFrom()), first: first}
 	wg.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
@@ -110,12 +120,12 @@
 }
 
 // noteLook takes in what an engine said, and passes on what has changed.
-func (p *Placer) noteLook(ctx context.Context, l look) {
+func (p *Placer) noteLook(ctx context.Context, now time.Time, l look) {
 	changed := p.notePace(l)
-	if l.whole && l.layers > 0 {
+	if l.first && l.layers > 0 {
 		tokens := uint64(l.report.KVUsed / float64(l.layers))
-		changed = changed || p.looks.occupied[l.centre] != tokens
-		p.looks.occupied[l.centre] = tokens
+		changed = changed || p.looks.occupied[l.target].tokens != tokens
+		p.looks.occupied[l.target] = occupancy{centre: l.centre, tokens: tokens, at: now}
 	}
 	if !changed {
 		return
@@ -124,7 +134,7 @@
 	for target, factor := range p.looks.paces {
 		state.Paces = append(state.Paces, &saddlewire.Pace{Target: target, Factor: factor})
 	}
-	for centre, tokens := range p.looks.occupied {
+	for centre, tokens := range p.looks.byCentre(now) {
 		state.Occupied = append(state.Occupied, &saddlewire.CentreLoad{Centre: centre, Tokens: tokens})
 	}
 	slices.SortFunc(state.Paces, func(a, b *saddlewire.Pace) int { return cmp.Compare(a.GetTarget(), b.GetTarget()) })
@@ -132,6 +142,20 @@
 	p.cfg.Engines(ctx, state)
 }
 
+// byCentre returns what the engines of each data centre hold. What an engine said
+// before the last few looks does not count: it may be gone.
+func (s *looks) byCentre(now time.Time) map[string]uint64 {
+	out := map[string]uint64{}
+	for target, o := range s.occupied {
+		if now.Sub(o.at) > occupiedKept {
+			delete(s.occupied, target)
+			continue
+		}
+		out[o.centre] += o.tokens
+	}
+	return out
+}
+
 // notePace takes in how fast an engine is and reports whether that has changed.
 func (p *Placer) notePace(l look) bool {
 	old := p.looks.paces[l.target]
--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -110,7 +110,7 @@
 		case o := <-p.done:
 			p.note(time.Now(), o)
 		case l := <-p.looks.done:
-			p.noteLook(ctx, l)
+			p.noteLook(ctx, time.Now(), l)
 		case <-tick.C:
 			p.look(ctx, time.Now(), &wg)
 		}
