Streams go on along another chain when an engine is lost; a directory where there is no disk

After 90 ms without an event the engines of the chain of which no other stream shows that they work are asked at once. A stream of which a stage is lost is rerouted by its head, engines that stay keep their memory. Where that is refused another attempt goes on as before. Entries reckon the others to be at least half as busy as they are themselves: after a restart of all the fastest engines were overfilled. A data centre's drafts leave it when it is two thirds full; chains change data centres only for layers that nobody else holds.

Ruled out: probing all engines of a chain (any live stream through one shows that it works).

--- a/internal/config/saddlesettings/control.go
+++ b/internal/config/saddlesettings/control.go
@@ -9,7 +9,9 @@
 type Control struct {
 	Common
 	Listen string `toml:"listen"` // drpc, for all other processes
-	Data   string `toml:"data"`   // data folder
+	// Data is the data folder. A process of a group that looks after itself may do
+	// without: it holds no replica then and tells callers where the replicas are.
+	Data string `toml:"data"`
 	// Replicas are those of a new group; this one's node must be among them.
 	// Once the group has started, its log says who they are.
 	Replicas []Replica `toml:"replicas"`
@@ -80,7 +82,9 @@
 	c := &checker{file: file}
 	s.check(c)
 	c.address("listen", s.Listen)
-	c.required("data", s.Data)
+	if !s.Group.On() {
+		c.required("data", s.Data)
+	}
 	c.duration("heartbeat", s.Heartbeat, minHeartbeat, time.Second)
 	c.duration("election", s.Election, 3*s.Heartbeat.Std(), maxElection)
 	c.duration("lost", s.Lost, minCallSilence, time.Minute)
--- a/internal/daemon/saddledaemon/control.go
+++ b/internal/daemon/saddledaemon/control.go
@@ -15,6 +15,9 @@
 
 // RunControl runs a control replica until the context ends.
 func RunControl(ctx context.Context, settings saddlesettings.Control, logs io.Writer) error {
+	if settings.Group.On() && settings.Data == "" {
+		return runDirectory(ctx, settings, logs)
+	}
 	if settings.Group.On() {
 		return runGroupReplica(ctx, settings, logs)
 	}
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -32,8 +32,9 @@
 	noBound = 24 * time.Hour
 	// probeEvery is the time between looks for engines that are due.
 	probeEvery = 100 * time.Millisecond
-	// probeTimeout bounds the question to an engine, which answers at once.
-	probeTimeout = 250 * time.Millisecond
+	// probeTimeout bounds the question to an engine, which answers within some
+	// milliseconds: a caller that waits for it is late after a quarter of a second.
+	probeTimeout = 120 * time.Millisecond
 	// openAnyway is how long a gateway waits for a chain to stand before it calls
 	// itself ready: it can serve plain services without one.
 	openAnyway = 8 * time.Second
--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
@@ -84,22 +85,27 @@
 	wg.Go(func() { _ = g.attendant.Run(ctx) })
 	wg.Go(func() { placer.Run(ctx) })
 	if g.settings.API != "" {
-		wg.Go(func() { g.keepServing(ctx, api) })
+		wg.Go(func() { keepServing(ctx, g.process.log, g.settings.API, api) })
 	}
 	g.keepOpen(ctx)
 	wg.Wait()
 	return nil
 }
 
+// server serves an API on an address until the context ends.
+type server interface {
+	Serve(ctx context.Context, address string) error
+}
+
 // keepServing serves the API; an address that is still taken by the process
 // before is waited for.
-func (g *groupReplica) keepServing(ctx context.Context, api *platform.Control) {
+func keepServing(ctx context.Context, log zerolog.Logger, address string, api server) {
 	for {
-		err := api.Serve(ctx, g.settings.API)
+		err := api.Serve(ctx, address)
 		if ctx.Err() != nil {
 			return
 		}
-		g.process.log.Error().Err(err).Str("address", g.settings.API).Msg("the API's listener failed; it is opened again")
+		log.Error().Err(err).Str("address", address).Msg("the API's listener failed; it is opened again")
 		if !pause(ctx, reopenAfter) {
 			return
 		}
--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -17,6 +17,20 @@
 	Parts []fireflysaddle.ChainPart
 	// Centres are the data centres that it passes through, without repeats.
 	Centres []fireflysaddle.DataCentre
+
+	taken *reservation
+}
+
+// reservation is what a request takes at the engines of its chain.
+type reservation struct {
+	model  *saddlerouting.Model
+	tokens int
+	parts  []part
+}
+
+// Passes reports whether the chain passes through an engine.
+func (c Chain) Passes(address string) bool {
+	return slices.ContainsFunc(c.Parts, func(p fireflysaddle.ChainPart) bool { return p.Address == address })
 }
 
 // Addresses returns the engines' addresses.
@@ -33,14 +47,13 @@
 	// a wait for its next step and the way there.
 	hopCost = float64(500 * time.Microsecond)
 	// enterCost stands for a head in another data centre: the way there and back,
-	// and the bytes of the answer between data centres, which are priced. It is
-	// what a chain of the own data centre gains when it goes from nearly full to
-	// nearly empty.
-	enterCost = float64(10 * time.Millisecond)
+	// and the bytes of the answer between data centres, which are priced. A draft
+	// stays at home until the engines there are about two thirds full.
+	enterCost = float64(100 * time.Millisecond)
 	// crossCost stands for a change of data centre within a chain. A prompt's
-	// activations are tens of megabytes over a line that all engines share, so it
-	// is worth a chain that is slower by this much for each token.
-	crossCost = float64(12 * time.Millisecond)
+	// activations are tens of megabytes over a line that all engines share, so it is
+	// dearer than a chain of full engines.
+	crossCost = float64(time.Second)
 	// faultCost is what a recent failure of a head adds.
 	faultCost = float64(4 * time.Millisecond)
 	// fullest is the load beyond which engines cost the same: a hundred times what
@@ -50,6 +63,9 @@
 	// spread by room, besides its own, when the others are reckoned to divide their
 	// drafts as it does: two drafts, so that a single one says little.
 	ownTokens = 2000
+	// alikePart is the part of this entry's load that the others are each reckoned to
+	// have at least: callers are spread unevenly, some entries have twice the mean.
+	alikePart = 0.5
 	// roomUsed is the part of an engine's room that drafts are planned for: answers
 	// turn out longer than estimated, and what the other entries have is known from
 	// half a second ago.
@@ -66,22 +82,27 @@
 	if found == nil {
 		return Chain{}, nil, f.findChain(now, pool, -1, avoid) != nil, false
 	}
-	for _, p := range found {
-		c.Parts = append(c.Parts, fireflysaddle.ChainPart{Address: p.target.Address, From: p.from, To: p.to})
-		if !slices.Contains(c.Centres, p.target.Centre) {
-			c.Centres = append(c.Centres, p.target.Centre)
-		}
-	}
-	c.Head = found[0].target.Target
-	f.reserve(found, pool.Model, float64(tokens), 1)
+	c = chainOf(&reservation{model: pool.Model, tokens: tokens, parts: found})
+	f.reserve(c.taken, found, 1)
 	f.line.take(pool.Model, tokens, crossings(found))
 	return c, sync.OnceFunc(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.reserve(found, pool.Model, float64(tokens), -1)
+		f.reserve(c.taken, c.taken.parts, -1)
 	}), false, true
 }
 
+func chainOf(r *reservation) Chain {
+	c := Chain{Head: r.parts[0].target.Target, taken: r}
+	for _, p := range r.parts {
+		c.Parts = append(c.Parts, fireflysaddle.ChainPart{Address: p.target.Address, From: p.from, To: p.to})
+		if !slices.Contains(c.Centres, p.target.Centre) {
+			c.Centres = append(c.Centres, p.target.Centre)
+		}
+	}
+	return c
+}
+
 type part struct {
 	target   *target
 	from, to int
@@ -98,59 +119,83 @@
 	return n
 }
 
-// reserve notes what a request takes, or with sign -1 that it has ended.
-func (f *Fleet) reserve(parts []part, model *saddlerouting.Model, tokens float64, sign int) {
+// reserve notes what a request takes at some parts, or with sign -1 that it has
+// ended there.
+func (f *Fleet) reserve(r *reservation, parts []part, sign int) {
 	for _, p := range parts {
-		layers := float64(p.to - p.from)
+		taken := float64(sign*r.tokens) * float64(p.to-p.from)
 		p.target.running += sign
-		p.target.reserved += float64(sign) * tokens * layers
-		f.mine[p.target.Centre] += float64(sign) * tokens * layers / float64(model.Layers)
+		p.target.reserved += taken
+		f.mine[p.target.Centre] += taken / float64(r.model.Layers)
 	}
 }
 
 // findChain returns the cheapest chain with room for a number of tokens; -1: room
 // does not matter.
 func (f *Fleet) findChain(now time.Time, pool *saddlerouting.Pool, tokens int, avoid []string) []part {
-	model := pool.Model
-	if model == nil {
+	if pool.Model == nil {
 		return nil
 	}
+	choices := f.choices(now, pool, tokens, avoid)
+	costs := saddlepath.Costs{Enter: enterCost, Cross: crossCost}
+	if tokens >= 0 && !f.line.open(now, pool.Model, f.entries) {
+		costs.Cross = math.Inf(1)
+	}
+	return choices.find(pool.Model.Layers, f.centre, costs)
+}
+
+// choices are the engines that may be parts of a chain.
+type choices struct {
+	holders []saddlepath.Holder
+	of      []*target // of each holder
+	centres map[fireflysaddle.DataCentre]int
+}
+
+// number returns the number of a data centre.
+func (c *choices) number(centre fireflysaddle.DataCentre) int {
+	n, ok := c.centres[centre]
+	if !ok {
+		n = len(c.centres)
+		c.centres[centre] = n
+	}
+	return n
+}
+
+func (c *choices) find(layers int, centre fireflysaddle.DataCentre, costs saddlepath.Costs) []part {
+	var out []part
+	for _, p := range saddlepath.Find(c.holders, layers, c.number(centre), costs) {
+		out = append(out, part{target: c.of[p.Holder], from: p.From, to: p.To})
+	}
+	return out
+}
+
+// choices returns the engines with room for a number of tokens, and their costs; -1:
+// room does not matter.
+func (f *Fleet) choices(now time.Time, pool *saddlerouting.Pool, tokens int, avoid []string) *choices {
+	model := pool.Model
 	engines := f.usableEngines(now, pool, avoid)
 	weights := weigh(model, engines)
-	var holders []saddlepath.Holder
-	var of []*target
-	centres := map[fireflysaddle.DataCentre]int{f.centre: 0}
+	c := &choices{centres: map[fireflysaddle.DataCentre]int{}}
 	for i, t := range engines {
 		load, most := f.load(model, t, weights[i], tokens)
 		if most == 0 {
 			continue
 		}
-		if _, ok := centres[t.Centre]; !ok {
-			centres[t.Centre] = len(centres)
-		}
 		acc := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
 		for _, held := range t.reg.GetLayers() {
-			holders = append(holders, saddlepath.Holder{
+			c.holders = append(c.holders, saddlepath.Holder{
 				From:     int(held.GetFrom()),
 				To:       int(held.GetTo()),
-				Centre:   centres[t.Centre],
-				PerLayer: float64(model.StepTime(acc, 1)) * t.pace * crowding(load),
+				Centre:   c.number(t.Centre),
+				PerLayer: float64(model.StepTime(acc, 1)) * t.pace * t.pace * crowding(load), // its queue grows with its pace, too
 				PerHop:   hopCost,
 				AsHead:   faultCost * t.recentFaults(now),
 				Most:     most,
 			})
-			of = append(of, t)
+			c.of = append(c.of, t)
 		}
 	}
-	costs := saddlepath.Costs{Enter: enterCost, Cross: crossCost}
-	if tokens >= 0 && !f.line.open(now, model, f.entries) {
-		costs.Cross = math.Inf(1)
-	}
-	var out []part
-	for _, p := range saddlepath.Find(holders, model.Layers, 0, costs) {
-		out = append(out, part{target: of[p.Holder], from: p.From, to: p.To})
-	}
-	return out
+	return c
 }
 
 // usableEngines returns the engines of a group that hold layers and may be used.
@@ -222,13 +267,24 @@
 	}
 	room := t.room(model) * float64(layers) * roomUsed
 	part := (t.reserved + ownTokens*weight) / (f.mine[t.Centre] + ownTokens)
-	taken := max(t.reserved+f.others[t.Centre]*part, f.said[t.Centre]*part)
+	taken := max(t.reserved+f.othersAt(t.Centre)*part, f.said[t.Centre]*part)
 	if room <= taken {
 		return 1, 0
 	}
 	return taken / room, min(layers, int((room-taken)/float64(max(1, tokens))))
 }
 
+// othersAt returns the tokens of the other entries' drafts in a data centre. Those
+// there are likely to have at least a part of what this entry has: after a start, and
+// while load rises, reports are behind.
+func (f *Fleet) othersAt(centre fireflysaddle.DataCentre) float64 {
+	own := 0.0
+	for _, tokens := range f.mine {
+		own += tokens
+	}
+	return max(f.others[centre], alikePart*own*float64(f.sharers[centre]))
+}
+
 // Covered reports whether the engines of a group hold all layers of its model.
 func (f *Fleet) Covered(now time.Time, pool *saddlerouting.Pool) bool {
 	f.mu.Lock()
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -26,7 +26,8 @@
 	others  map[fireflysaddle.DataCentre]float64 // tokens of the other entries' drafts
 	said    map[fireflysaddle.DataCentre]float64 // tokens that the engines say they hold
 	mine    map[fireflysaddle.DataCentre]float64
-	entries int // entries that share the engines, this one among them
+	entries int                              // entries that share the engines, this one among them
+	sharers map[fireflysaddle.DataCentre]int // the other entries, by data centre
 	turn    int
 	line    line
 	doubts  chan struct{} // of capacity 1
@@ -85,6 +86,7 @@
 // targets they pass over.
 func (f *Fleet) takeEntries(v *saddleview.View) {
 	f.entries = 0
+	f.sharers = map[fireflysaddle.DataCentre]int{}
 	hinted := map[string]bool{}
 	for _, m := range v.Members {
 		if fireflysaddle.Role(m.GetRole()) != fireflysaddle.RoleEntry {
@@ -94,6 +96,7 @@
 		if m.GetNode() == f.node {
 			continue
 		}
+		f.sharers[fireflysaddle.DataCentre(m.GetCentre())]++
 		for _, id := range m.GetSuspects() {
 			hinted[id] = true
 		}
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -46,6 +46,33 @@
 	}
 }
 
+// Doubt has an engine asked for its state at once, unless it was a short while ago.
+func (f *Fleet) Doubt(now time.Time, address string) {
+	f.mu.Lock()
+	t, ok := f.address[address]
+	asks := ok && t.engine() && !t.passedOver && !t.probing && !now.Before(t.lookAt)
+	if asks {
+		t.doubted = true
+	}
+	f.mu.Unlock()
+	if asks {
+		f.doubted()
+	}
+}
+
+// PassedOver returns the first of some engines that seems to have failed, empty when
+// none does.
+func (f *Fleet) PassedOver(addresses []string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range addresses {
+		if t, ok := f.address[a]; ok && t.passedOver {
+			return a
+		}
+	}
+	return ""
+}
+
 // doubted has the engines that are due asked at once.
 func (f *Fleet) doubted() {
 	select {
--- a/internal/direct/saddlegateway/counters.go
+++ b/internal/direct/saddlegateway/counters.go
@@ -19,6 +19,7 @@
 	countGone        = expvar.NewInt("gateway_callers_gone_total")
 	countWaiting     = expvar.NewInt("gateway_waited_total")
 	countBudgetSpent = expvar.NewInt("gateway_retry_budget_spent_total")
+	countRerouted    = expvar.NewInt("gateway_rerouted_total")
 	countInspections = expvar.NewInt("gateway_inspections_total")
 )
 
--- a/internal/direct/saddlegateway/fixture_test.go
+++ b/internal/direct/saddlegateway/fixture_test.go
@@ -31,12 +31,22 @@
 type targets struct {
 	answer func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error)
 	report func(address string) (fireflysaddle.EngineReport, error)
+	// reroute is asked by the head of a chain that is to go on along another one;
+	// nil: it does not know the request.
+	reroute func(request fireflysaddle.RequestID, chain []fireflysaddle.ChainPart) error
 
 	mu   sync.Mutex
 	sent []fireflysaddle.Forward
 	ran  int // sendings that a target began to work on
 }
 
+func (s *targets) Reroute(_ context.Context, head string, request fireflysaddle.RequestID, chain []fireflysaddle.ChainPart) error {
+	if s.reroute == nil {
+		return &fireflysaddle.OrderError{Address: head, Status: fireflysaddle.OrderNotFound}
+	}
+	return s.reroute(request, chain)
+}
+
 func (s *targets) Forward(ctx context.Context, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
 	s.mu.Lock()
 	s.sent = append(s.sent, f)
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -30,8 +30,9 @@
 	headed  bool // the answer's head was sent
 	events  int  // events handed on
 	lastID  string
-	firstAt time.Time // of the first event or byte
-	lastAt  time.Time // of the last event
+	firstAt time.Time     // of the first event or byte
+	lastAt  time.Time     // of the last event
+	longest time.Duration // pause between events
 	tried   []fireflysaddle.TargetID
 	avoid   map[string]time.Time // addresses to pass over, and until when
 	chain   []string             // addresses of the chain used last
@@ -143,7 +144,8 @@
 		e = e.Str("group", string(j.pool.Group))
 	}
 	if !j.firstAt.IsZero() {
-		e = e.Int64("first_ms", j.firstAt.Sub(j.begun).Milliseconds()).Int("events", j.events)
+		e = e.Int64("first_ms", j.firstAt.Sub(j.begun).Milliseconds()).Int("events", j.events).
+			Int64("longest_pause_ms", j.longest.Milliseconds())
 	}
 	if len(j.chain) > 0 {
 		e = e.Strs("chain", j.chain)
--- /dev/null
+++ b/internal/direct/saddlegateway/reroute_test.go
@@ -0,0 +1,81 @@
+package saddlegateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// lostStage has a chain stall at an engine of which another one holds the layers, too.
+func lostStage(t *testing.T, answer func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error)) *fixture {
+	t.Helper()
+	f := newFixture(t, answer)
+	f.builder.Update("control", &saddlewire.Update{Registrations: []*saddlewire.Registration{{
+		Id: "engine-a-2x", Group: "drafts", Address: "engine-a-2x", Centre: "a", Accelerator: "big", Incarnation: 1,
+		Layers: []*saddlewire.HeldLayers{{From: 2, To: 4}},
+	}}})
+	f.fleet.Update(f.builder.Build())
+	f.targets.report = func(string) (fireflysaddle.EngineReport, error) {
+		return fireflysaddle.EngineReport{Stalled: []fireflysaddle.StalledRequest{{Request: "r1", Address: f.targets.forwarded()[0].Chain[1].Address}}}, nil
+	}
+	return f
+}
+
+// resumable yields some events, and the others once its chain was changed.
+type resumable struct {
+	first, rest io.Reader
+	changed     chan struct{}
+}
+
+func (b *resumable) Read(p []byte) (int, error) {
+	if n, err := b.first.Read(p); err == nil {
+		return n, nil
+	}
+	<-b.changed
+	return b.rest.Read(p)
+}
+
+func TestAStreamGoesOnAlongAnotherChain(t *testing.T) {
+	is := is.New(t)
+	changed := make(chan struct{})
+	f := lostStage(t, func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+		body := &resumable{first: strings.NewReader(events(0, 3)), rest: strings.NewReader(events(4, last)), changed: changed}
+		return reply(http.StatusOK, body), nil
+	})
+	var chain []fireflysaddle.ChainPart
+	f.targets.reroute = func(request fireflysaddle.RequestID, c []fireflysaddle.ChainPart) error {
+		is.Equal(string(request), "r1")
+		chain = c
+		close(changed)
+		return nil
+	}
+	got := f.serve(call("/draft/"))
+	is.Equal(got.body.String(), events(0, last))
+	sent := f.targets.forwarded()
+	is.Equal(len(sent), 1) // no further attempt
+	is.Equal(len(chain), 2)
+	is.Equal(chain[0], sent[0].Chain[0]) // the head stays
+	is.True(chain[1].Address != sent[0].Chain[1].Address)
+	is.Equal(chain[1].From, 2)
+	is.Equal(chain[1].To, layers)
+	is.Equal(fmt.Sprint(f.fleet.Drafts()), "[]") // nothing stays reserved
+}
+
+// Where the head does not go on along the other chain, another attempt does.
+func TestAStreamThatIsNotReroutedIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	f := lostStage(t, answers(silentAt(3), rest))
+	got := f.serve(call("/draft/"))
+	is.Equal(got.body.String(), events(0, last))
+	sent := f.targets.forwarded()
+	is.Equal(len(sent), 2)
+	is.Equal(sent[1].After, eventID(3))
+	is.Equal(fmt.Sprint(f.fleet.Drafts()), "[]")
+}
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -140,7 +140,7 @@
 	defer cancel(nil)
 	watch := j.watch(ctx, cancel, chain)
 	defer func() {
-		watch.stop()
+		j.chain = watch.stop().Addresses()
 		if at := watch.fault.Load(); at != nil {
 			j.passOver(time.Now(), *at, avoidDown)
 		}
@@ -236,8 +236,12 @@
 	if err := j.w.Write(e.Raw); err != nil {
 		return err
 	}
+	now := time.Now()
+	if j.events > 0 {
+		j.longest = max(j.longest, now.Sub(j.lastAt))
+	}
 	j.events++
-	j.lastAt = time.Now()
+	j.lastAt = now
 	if e.ID != "" {
 		j.lastID = e.ID
 	}
--- a/internal/direct/saddlegateway/watch.go
+++ b/internal/direct/saddlegateway/watch.go
@@ -21,8 +21,13 @@
 	// first event usually comes within a tenth of a second.
 	firstLook = 170 * time.Millisecond
 	// gapLook is the same between events, which usually come each thirtieth of a
-	// second.
-	gapLook = 250 * time.Millisecond
+	// second. A caller's answer is late after a pause of a quarter of a second.
+	gapLook = 90 * time.Millisecond
+	// alive is for how long an engine counts as working after an event of any
+	// stream that passes through it: two usual pauses.
+	alive = 60 * time.Millisecond
+	// rerouteTimeout bounds the order to go on along another chain.
+	rerouteTimeout = 100 * time.Millisecond
 	// lookAgain is the time between further looks; reports are a fifth of a second
 	// old.
 	lookAgain = 130 * time.Millisecond
@@ -36,7 +41,7 @@
 	reportFresh = 100 * time.Millisecond
 	// stalledWith is for how long a stream must be silent to be ended when an
 	// engine of its chain is found to be down.
-	stalledWith = 120 * time.Millisecond
+	stalledWith = 70 * time.Millisecond
 )
 
 var (
@@ -44,36 +49,43 @@
 	errHeadSilent = errors.New("the head of the chain does not answer")
 )
 
-// watchdog ends an attempt whose chain does not go on.
+// watchdog has an attempt whose chain does not go on rerouted, or ends it.
 type watchdog struct {
 	job    *job
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	chain  saddlefleet.Chain
+	chain  atomic.Pointer[saddlefleet.Chain]
 	last   atomic.Int64 // nanoseconds since begun: of the last event
 	begun  time.Time
 	timer  *time.Timer
 	fault  atomic.Pointer[string] // address of the engine for which the attempt ended
+	mend   sync.Mutex             // held while the chain is changed
 }
 
 // watch begins to watch an attempt.
 func (j *job) watch(ctx context.Context, cancel context.CancelCauseFunc, chain saddlefleet.Chain) *watchdog {
-	w := &watchdog{job: j, ctx: ctx, cancel: cancel, chain: chain, begun: time.Now()}
+	w := &watchdog{job: j, ctx: ctx, cancel: cancel, begun: time.Now()}
+	w.chain.Store(&chain)
 	w.timer = time.AfterFunc(firstLook, w.look)
-	j.watched.add(w)
+	j.watched.add(w, chain)
 	return w
 }
 
 // saw notes an event.
 func (w *watchdog) saw() {
 	at := int64(time.Since(w.begun))
-	w.job.slow.note(time.Now(), w.chain.Centres, time.Duration(at-w.last.Swap(at)))
+	w.job.slow.note(time.Now(), w.chain.Load().Centres, time.Duration(at-w.last.Swap(at)))
 	w.timer.Reset(gapLook)
 }
 
-func (w *watchdog) stop() {
+// stop ends the watch and returns the chain in use.
+func (w *watchdog) stop() saddlefleet.Chain {
 	w.timer.Stop()
-	w.job.watched.remove(w)
+	w.mend.Lock()
+	defer w.mend.Unlock()
+	chain := *w.chain.Load()
+	w.job.watched.remove(w, chain)
+	return chain
 }
 
 // silent returns for how long there was no event.
@@ -85,56 +97,100 @@
 	w.cancel(cause)
 }
 
-// look asks the head why there is no event, and ends the attempt if it waits for
-// an engine that does not go on.
+// look asks the head why there is no event, and has the engines asked of which
+// nothing else is seen. It mends the chain if it waits for an engine that does not go
+// on.
 func (w *watchdog) look() {
 	if w.ctx.Err() != nil {
 		return
 	}
-	if w.silent() > hardSilence && !w.job.slow.any(time.Now(), w.chain.Centres) {
-		w.end(w.chain.Head.Address, errSilent)
+	chain := w.chain.Load()
+	if w.silent() > hardSilence && !w.job.slow.any(time.Now(), chain.Centres) {
+		w.end(chain.Head.Address, errSilent)
 		return
 	}
-	if len(w.chain.Parts) == 0 {
+	if len(chain.Parts) == 0 {
 		w.timer.Reset(lookAgain)
 		return
 	}
-	report, err := w.job.inspect(w.ctx, w.chain.Head.Address)
+	if lost := w.job.cfg.Fleet.PassedOver(chain.Addresses()); lost != "" {
+		w.lose(lost)
+		return
+	}
+	for _, address := range w.job.watched.quiet(*chain) {
+		w.job.cfg.Fleet.Doubt(time.Now(), address)
+	}
+	report, err := w.job.inspect(w.ctx, chain.Head.Address)
 	if w.ctx.Err() != nil {
 		return
 	}
 	if err != nil {
-		w.job.cfg.Fleet.Down(time.Now(), w.chain.Head.Address, "does not report: "+err.Error())
-		w.end(w.chain.Head.Address, errHeadSilent)
+		w.job.cfg.Fleet.Down(time.Now(), chain.Head.Address, "does not report: "+err.Error())
+		w.end(chain.Head.Address, errHeadSilent)
 		return
 	}
 	for _, s := range report.Stalled {
-		through := slices.ContainsFunc(w.chain.Parts, func(p fireflysaddle.ChainPart) bool { return p.Address == s.Address })
-		if !through {
-			continue
+		if w.silent() > stalledWith && w.chain.Load().Passes(s.Address) {
+			w.job.cfg.Fleet.Down(time.Now(), s.Address, "chains through it stall")
+			w.lose(s.Address)
+			return
 		}
-		w.job.cfg.Fleet.Down(time.Now(), s.Address, "chains through it stall")
-		w.end(s.Address, fmt.Errorf("the chain waits for the engine at %s", s.Address))
-		return
 	}
-	w.job.event(zerolog.DebugLevel).Str("head", w.chain.Head.Address).Int64("silent_ms", w.silent().Milliseconds()).
+	w.job.event(zerolog.DebugLevel).Str("head", chain.Head.Address).Int64("silent_ms", w.silent().Milliseconds()).
 		Int("queued", report.Queued).Int("running", report.Running).Msg("no event, but the chain goes on")
 	w.timer.Reset(lookAgain)
 }
 
+// lose has the attempt go on without an engine of its chain, or ends it.
+func (w *watchdog) lose(address string) {
+	w.mend.Lock()
+	defer w.mend.Unlock()
+	if w.ctx.Err() != nil || !w.chain.Load().Passes(address) {
+		return
+	}
+	silent := w.silent()
+	if err := w.reroute(address); err != nil {
+		w.job.event(zerolog.InfoLevel).Err(err).Str("engine", address).Int64("silent_ms", silent.Milliseconds()).
+			Msg("chain not rerouted")
+		w.end(address, fmt.Errorf("the chain waits for the engine at %s", address))
+		return
+	}
+	countRerouted.Add(1)
+	w.job.event(zerolog.InfoLevel).Str("engine", address).Int64("silent_ms", silent.Milliseconds()).
+		Strs("chain", w.chain.Load().Addresses()).Msg("chain rerouted")
+	w.timer.Reset(firstLook)
+}
+
+var errNoRoute = errors.New("no other engines have room for its layers")
+
+// reroute has other engines run the layers of a lost one. The attempt goes on where
+// it was.
+func (w *watchdog) reroute(lost string) error {
+	chain, ok := w.job.cfg.Fleet.Repair(time.Now(), w.job.pool, *w.chain.Load(), lost)
+	if !ok {
+		return errNoRoute
+	}
+	w.job.watched.remove(w, *w.chain.Load())
+	w.job.watched.add(w, chain)
+	w.chain.Store(&chain)
+	ctx, cancel := context.WithTimeout(w.ctx, rerouteTimeout)
+	defer cancel()
+	return w.job.cfg.Forwarder.Reroute(ctx, chain.Head.Address, w.job.call.ID, chain.Parts)
+}
+
 // watched holds the attempts in progress by the engines of their chains.
 type watched struct {
 	mu        sync.Mutex
 	byAddress map[string]map[*watchdog]struct{}
 }
 
-func (s *watched) add(w *watchdog) {
+func (s *watched) add(w *watchdog, chain saddlefleet.Chain) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.byAddress == nil {
 		s.byAddress = map[string]map[*watchdog]struct{}{}
 	}
-	for _, p := range w.chain.Parts {
+	for _, p := range chain.Parts {
 		if s.byAddress[p.Address] == nil {
 			s.byAddress[p.Address] = map[*watchdog]struct{}{}
 		}
@@ -142,10 +198,10 @@
 	}
 }
 
-func (s *watched) remove(w *watchdog) {
+func (s *watched) remove(w *watchdog, chain saddlefleet.Chain) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range w.chain.Parts {
+	for _, p := range chain.Parts {
 		delete(s.byAddress[p.Address], w)
 		if len(s.byAddress[p.Address]) == 0 {
 			delete(s.byAddress, p.Address)
@@ -160,11 +216,29 @@
 	return slices.Collect(maps.Keys(s.byAddress[address]))
 }
 
-// EngineDown ends the attempts that wait for an engine that is found to be down.
+// quiet returns the engines of a chain of which no stream shows that they work.
+func (s *watched) quiet(chain saddlefleet.Chain) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, p := range chain.Parts {
+		works := false
+		for w := range s.byAddress[p.Address] {
+			works = works || w.silent() < alive
+		}
+		if !works {
+			out = append(out, p.Address)
+		}
+	}
+	return out
+}
+
+// EngineDown has the attempts that wait for an engine that is found to be down go on
+// without it, or ends them.
 func (g *Gateway) EngineDown(address string) {
 	for _, w := range g.watched.through(address) {
 		if w.silent() > stalledWith {
-			w.end(address, fmt.Errorf("the engine at %s is down", address))
+			go w.lose(address)
 		}
 	}
 }
--- a/internal/node/saddleattend/attendant.go
+++ b/internal/node/saddleattend/attendant.go
@@ -137,8 +137,15 @@
 		return
 	}
 	b.Update(e.replica, e.update)
-	if !e.update.GetConfirmed() || len(e.update.GetReplicas()) == 0 {
-		return // one that is cut off may know old replicas only
+	if len(e.update.GetReplicas()) == 0 {
+		return
+	}
+	if !e.update.GetConfirmed() {
+		// One that is cut off may know old replicas only, but they are better than none.
+		if !a.View().Confirmed {
+			a.followAll(ctx, e.update.GetReplicas())
+		}
+		return
 	}
 	a.followAll(ctx, e.update.GetReplicas())
 	for _, gone := range a.followers.stopOthers(e.update.GetReplicas()) {
--- a/runner.go
+++ b/runner.go
@@ -17,6 +17,11 @@
 	Forward(ctx context.Context, f Forward) (*Reply, error)
 	// Report asks an engine for its state.
 	Report(ctx context.Context, address string) (EngineReport, error)
+	// Reroute has the head of a chain go on with a request along another chain
+	// with the same head. Engines of both chains keep what they hold of the request,
+	// the others read all tokens so far. An error is an *OrderError when the head
+	// refused, else it may still go on so.
+	Reroute(ctx context.Context, head string, request RequestID, chain []ChainPart) error
 }
 
 // Placer gives engines without agents their orders.
