Retry budgets let a span's whole share be used at once; reroutes go past a second lost engine

Cause: an entry's bucket held four repeated sendings, so that of its share of the first sendings, ten a span, most was lost: a lost engine breaks ten streams of an entry at once.

A window counts the sendings of any ten seconds: 0.9 of the share of those first sendings and the entry's part of the reserve. A refused reroute names the engine at fault; others are asked for up to twice. The budget's grants moved to the window, its test with them.

Ruled out: reporting first sendings to the leader, to grant more: bytes between data centres for each heartbeat.

--- a/errors.go
+++ b/errors.go
@@ -86,6 +86,7 @@
 type OrderError struct {
 	Address string
 	Status  OrderStatus
+	AtFault string // address of the engine that is the cause, empty: none is named
 }
 
 // OrderStatus says why an engine refused an order.
--- a/internal/direct/saddlegateway/budget.go
+++ b/internal/direct/saddlegateway/budget.go
@@ -18,6 +18,12 @@
 	// granted to those that need it, but for a margin.
 	ownPart    = 0.45
 	grantsPart = 0.45
+	// sharePart is the part of the share of the first sendings that an entry uses:
+	// callers may move between entries within the span that counts.
+	sharePart = 0.9
+	// budgetSpan is the span within which repeated sendings are bounded, as the
+	// users' platform counts them.
+	budgetSpan = 10 * time.Second
 	// grantSize is how many sendings are asked for at a time: a lost engine breaks
 	// the drafts of a data centre's entries, some thirty each.
 	grantSize = 16
@@ -32,7 +38,7 @@
 // budget bounds what this entry sends again to one group.
 type budget struct {
 	mu     sync.Mutex
-	own    *saddleretry.Budget
+	own    *saddleretry.Window
 	askAt  time.Time // when more may be asked for
 	asking sync.Mutex
 }
@@ -42,7 +48,7 @@
 	b := g.budget(group)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.own.First()
+	b.own.First(time.Now())
 }
 
 // again takes one repeated sending from the group's budget, and asks the leader for
@@ -81,7 +87,7 @@
 func (b *budget) take(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.own.RetryAt(now)
+	return b.own.Retry(now)
 }
 
 func (g *Gateway) budget(group fireflysaddle.Group) *budget {
@@ -90,7 +96,7 @@
 	b, ok := g.budgets[group]
 	if !ok {
 		reserve := ownPart * g.cfg.RetryReserve / float64(max(minSharers, g.cfg.Fleet.Entries()))
-		b = &budget{own: saddleretry.NewBudget(g.cfg.RetryShare, reserve)}
+		b = &budget{own: saddleretry.NewWindow(sharePart*g.cfg.RetryShare, reserve, budgetSpan)}
 		g.budgets[group] = b
 	}
 	return b
--- a/internal/direct/saddlegateway/reroute_test.go
+++ b/internal/direct/saddlegateway/reroute_test.go
@@ -79,3 +79,32 @@
 	is.Equal(sent[1].After, eventID(3))
 	is.Equal(fmt.Sprint(f.fleet.Drafts()), "[]")
 }
+
+// Two engines of a chain are lost at once: the head names the second one.
+func TestAChainIsReroutedPastAnEngineThatRefusesItsPart(t *testing.T) {
+	is := is.New(t)
+	changed := make(chan struct{})
+	f := lostStage(t, func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+		body := &resumable{first: strings.NewReader(events(0, 3)), rest: strings.NewReader(events(4, last)), changed: changed}
+		return reply(http.StatusOK, body), nil
+	})
+	f.builder.Update("control", &saddlewire.Update{Registrations: []*saddlewire.Registration{{
+		Id: "engine-a-2y", Group: "drafts", Address: "engine-a-2y", Centre: "a", Accelerator: "big", Incarnation: 1,
+		Layers: []*saddlewire.HeldLayers{{From: 2, To: 4}},
+	}}})
+	f.fleet.Update(f.builder.Build())
+	var tried []string
+	f.targets.reroute = func(_ fireflysaddle.RequestID, c []fireflysaddle.ChainPart) error {
+		tried = append(tried, c[1].Address)
+		if len(tried) == 1 {
+			return &fireflysaddle.OrderError{Status: fireflysaddle.OrderStale, AtFault: c[1].Address}
+		}
+		close(changed)
+		return nil
+	}
+	got := f.serve(call("/draft/"))
+	is.Equal(got.body.String(), events(0, last))
+	is.Equal(len(f.targets.forwarded()), 1)
+	is.Equal(len(tried), 2)
+	is.True(tried[0] != tried[1])
+}
--- a/internal/direct/saddlegateway/watch.go
+++ b/internal/direct/saddlegateway/watch.go
@@ -28,6 +28,9 @@
 	alive = 60 * time.Millisecond
 	// rerouteTimeout bounds the order to go on along another chain.
 	rerouteTimeout = 100 * time.Millisecond
+	// maxReroutes bounds the chains that are tried: two engines may be lost at once,
+	// and one be full.
+	maxReroutes = 3
 	// lookAgain is the time between further looks; reports are a fifth of a second
 	// old.
 	lookAgain = 130 * time.Millisecond
@@ -163,16 +166,29 @@
 
 var errNoRoute = errors.New("no other engines have room for its layers")
 
-// reroute has other engines run the layers of a lost one. The attempt goes on where
-// it was.
+// reroute has other engines run the layers of a lost one, and of those that refuse
+// their part of the new chain. The attempt goes on where it was.
 func (w *watchdog) reroute(lost string) error {
-	chain, ok := w.job.cfg.Fleet.Repair(time.Now(), w.job.pool, *w.chain.Load(), lost)
-	if !ok {
-		return errNoRoute
+	for range maxReroutes {
+		chain, ok := w.job.cfg.Fleet.Repair(time.Now(), w.job.pool, *w.chain.Load(), lost)
+		if !ok {
+			return errNoRoute
+		}
+		w.job.watched.remove(w, *w.chain.Load())
+		w.job.watched.add(w, chain)
+		w.chain.Store(&chain)
+		err := w.order(chain)
+		var refused *fireflysaddle.OrderError
+		if !errors.As(err, &refused) || !chain.Passes(refused.AtFault) {
+			return err
+		}
+		w.job.cfg.Fleet.Refused(time.Now(), refused.AtFault)
+		lost = refused.AtFault
 	}
-	w.job.watched.remove(w, *w.chain.Load())
-	w.job.watched.add(w, chain)
-	w.chain.Store(&chain)
+	return errNoRoute
+}
+
+func (w *watchdog) order(chain saddlefleet.Chain) error {
 	ctx, cancel := context.WithTimeout(w.ctx, rerouteTimeout)
 	defer cancel()
 	return w.job.cfg.Forwarder.Reroute(ctx, chain.Head.Address, w.job.call.ID, chain.Parts)
--- a/internal/entry/saddleretry/budget.go
+++ b/internal/entry/saddleretry/budget.go
@@ -1,16 +1,11 @@
 package saddleretry
 
-import "time"
-
 // Budget lets retries be at most a share of the first attempts, with a reserve
 // for times of little traffic. It is used under one lock.
 type Budget struct {
 	share   float64
 	reserve float64
 	tokens  float64
-
-	granted float64 // beyond the share
-	until   time.Time
 }
 
 const (
@@ -33,21 +28,6 @@
 // Left reports whether a retry is left.
 func (b *Budget) Left() bool { return b.tokens >= 1 }
 
-// Grant adds retries beyond the share, which are kept until a time.
-func (b *Budget) Grant(n int, until time.Time) {
-	b.granted = float64(n)
-	b.until = until
-}
-
-// RetryAt takes one retry, of those granted if there are any that are still good.
-func (b *Budget) RetryAt(now time.Time) bool {
-	if b.granted >= 1 && now.Before(b.until) {
-		b.granted--
-		return true
-	}
-	return b.Retry()
-}
-
 // Retry takes one retry; it reports false when the budget is spent.
 func (b *Budget) Retry() bool {
 	if !b.Left() {
--- a/internal/entry/saddleretry/budget_test.go
+++ b/internal/entry/saddleretry/budget_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -30,16 +29,6 @@
 	is.Equal(spend(budget), 5)
 }
 
-func TestGrantedRetriesAreGoodForAWhile(t *testing.T) {
-	is := is.New(t)
-	budget := saddleretry.NewBudget(0.1, 1)
-	budget.Grant(3, epoch.Add(time.Second))
-	is.True(budget.RetryAt(epoch))
-	is.True(budget.RetryAt(epoch))
-	is.True(budget.RetryAt(epoch.Add(time.Second)))  // the own one: the third has run out
-	is.True(!budget.RetryAt(epoch.Add(time.Second))) // none is left
-}
-
 // spend takes retries until none is left, or far too many were given.
 func spend(budget *saddleretry.Budget) int {
 	const tooMany = 1000
--- /dev/null
+++ b/internal/entry/saddleretry/window_test.go
@@ -0,0 +1,74 @@
+package saddleretry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleretry"
+)
+
+const span = 10 * time.Second
+
+func TestAllOfAWindowsShareMayBeUsedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := saddleretry.NewWindow(0.2, 2, span)
+	for i := range 50 {
+		w.First(epoch.Add(time.Duration(i) * 100 * time.Millisecond))
+	}
+	now := epoch.Add(5 * time.Second)
+	for range 12 {
+		is.True(w.Retry(now))
+	}
+	is.True(!w.Retry(now))
+	is.True(!w.Retry(now.Add(span - time.Millisecond)))
+	is.True(w.Retry(now.Add(span + span/50))) // the reserve
+}
+
+func TestGrantedRetriesOfAWindowAreGoodForAWhile(t *testing.T) {
+	is := is.New(t)
+	w := saddleretry.NewWindow(0.1, 1, span)
+	w.Grant(2, epoch.Add(time.Second))
+	is.True(w.Retry(epoch))
+	is.True(w.Retry(epoch))
+	is.True(!w.Retry(epoch.Add(time.Second)))
+}
+
+// In no span are there more retries than the share of the first attempts in it or in
+// the span before, and the reserve.
+func TestRetriesOfAnySpanAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := saddleretry.NewWindow(0.2, 3, span)
+		var firsts, retries []time.Time
+		now := epoch
+		for range rapid.IntRange(1, 300).Draw(t, "attempts") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "retry") {
+				if w.Retry(now) {
+					retries = append(retries, now)
+				}
+				continue
+			}
+			w.First(now)
+			firsts = append(firsts, now)
+		}
+		within := func(list []time.Time, from, to time.Time) int {
+			n := 0
+			for _, at := range list {
+				if !at.Before(from) && !at.After(to) {
+					n++
+				}
+			}
+			return n
+		}
+		for _, last := range retries {
+			// slots are a hundredth of the span long
+			first := within(firsts, last.Add(-span-span/50), last)
+			if n := within(retries, last.Add(-span+time.Millisecond), last); float64(n) > 3+0.2*float64(first) {
+				t.Fatalf("%d retries for %d first attempts", n, first)
+			}
+		}
+	})
+}
