Engines with room for a few drafts are left alone while other entries share them

Cause: an engine that took over a lost neighbour's layers keeps room for a dozen drafts.

An engine's room is reckoned less half a usual draft for each other entry. Ruled out: a reroute that leaves two chains at the head (the same engines refuse first attempts).

--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -63,6 +63,10 @@
 	// spread by room, besides its own, when the others are reckoned to divide their
 	// drafts as it does: two drafts, so that a single one says little.
 	ownTokens = 2000
+	// unseenPart is how many usual drafts each other entry is reckoned to have begun
+	// at an engine since it last reported. It keeps entries off engines with room for
+	// a few drafts only while there are others.
+	unseenPart = 0.5
 	// alikePart is the part of this entry's load that the others are each reckoned to
 	// have at least: callers are spread unevenly, some entries have twice the mean.
 	alikePart = 0.5
@@ -265,7 +269,8 @@
 	if tokens < 0 {
 		return 0, layers
 	}
-	room := t.room(model) * float64(layers) * roomUsed
+	unseen := unseenPart * float64(f.sharers[t.Centre]*(model.UsualPrompt+model.UsualAnswer))
+	room := max(0, t.room(model)*roomUsed-unseen) * float64(layers)
 	part := (t.reserved + ownTokens*weight) / (f.mine[t.Centre] + ownTokens)
 	taken := max(t.reserved+f.othersAt(t.Centre)*part, f.said[t.Centre]*part)
 	if room <= taken {
--- a/internal/direct/saddlefleet/fleet_test.go
+++ b/internal/direct/saddlefleet/fleet_test.go
@@ -197,6 +197,30 @@
 	is.True(heads["slow"] >= 3)
 }
 
+// An engine that took over layers of a lost one has room for a few drafts: with many
+// entries, each of which would begin one, it is left alone.
+func TestEnginesWithLittleRoomAreLeftToFewEntries(t *testing.T) {
+	for name, c := range map[string]struct {
+		entries int
+		head    string
+	}{"few": {1, "fast"}, "many": {12, "slow"}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, f := twoCopies()
+			p.Model.UsualPrompt, p.Model.UsualAnswer = 800, 200
+			p.Model.Accelerators["fast"] = saddlerouting.Accelerator{MB: 40 + 4*4, Pace: 1, ReadFactor: 1} // four drafts
+			u := &saddlewire.Update{}
+			for i := range c.entries {
+				u.Members = append(u.Members, &saddlewire.Member{Node: fmt.Sprint("entry-", i+1), Role: "entry", Centre: "a"})
+			}
+			f.update(u)
+			chain, _, _, ok := f.fleet.PickChain(start, p, 1000, nil)
+			is.True(ok)
+			is.Equal(string(chain.Head.ID), c.head)
+		})
+	}
+}
+
 // With little load the fast engine is used alone.
 func TestTheFastEngineGoesFirst(t *testing.T) {
 	is := is.New(t)
