A guess of the other entries' load spreads drafts and refuses none

The guess now enters the cost of an engine only; its room is by reports. The cost goes on to rise beyond a full engine, else the fastest one is taken again where all are guessed to be full.

--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -56,8 +56,8 @@
 	crossCost = float64(time.Second)
 	// faultCost is what a recent failure of a head adds.
 	faultCost = float64(4 * time.Millisecond)
-	// fullest is the load beyond which engines cost the same: a hundred times what
-	// they cost empty.
+	// fullest is the load from which an engine counts as full: it costs a hundred
+	// times what it costs empty.
 	fullest = 0.9
 	// ownTokens are tokens that this entry is reckoned to have in each data centre,
 	// spread by room, besides its own, when the others are reckoned to divide their
@@ -215,10 +215,12 @@
 }
 
 // crowding returns by what factor an engine is dearer than an empty one. It rises
-// faster and faster, because requests that find no memory wait or are refused.
+// faster and faster, because requests that find no memory wait or are refused; beyond
+// the load that counts as full, where loads are guesses, it goes on to rise.
 func crowding(load float64) float64 {
 	free := 1 - min(load, fullest)
-	return 1 / (free * free)
+	over := max(1, load/fullest)
+	return over * over * over * over / (free * free)
 }
 
 // weigh returns for each engine how many layers of a chain through its data centre
@@ -272,22 +274,23 @@
 	unseen := unseenPart * float64(f.sharers[t.Centre]*(model.UsualPrompt+model.UsualAnswer))
 	room := max(0, t.room(model)*roomUsed-unseen) * float64(layers)
 	part := (t.reserved + ownTokens*weight) / (f.mine[t.Centre] + ownTokens)
-	taken := max(t.reserved+f.othersAt(t.Centre)*part, f.said[t.Centre]*part)
+	taken := max(t.reserved+f.others[t.Centre]*part, f.said[t.Centre]*part)
 	if room <= taken {
 		return 1, 0
 	}
-	return taken / room, min(layers, int((room-taken)/float64(max(1, tokens))))
+	likely := max(taken, t.reserved+f.likelyAt(t.Centre)*part)
+	return likely / room, min(layers, int((room-taken)/float64(max(1, tokens))))
 }
 
-// othersAt returns the tokens of the other entries' drafts in a data centre. Those
-// there are likely to have at least a part of what this entry has: after a start, and
-// while load rises, reports are behind.
-func (f *Fleet) othersAt(centre fireflysaddle.DataCentre) float64 {
+// likelyAt returns the tokens that the other entries of a data centre are likely to
+// have there at least, each a part of what this entry has: after a start, and while
+// load rises, reports are behind. It spreads drafts, but refuses none.
+func (f *Fleet) likelyAt(centre fireflysaddle.DataCentre) float64 {
 	own := 0.0
 	for _, tokens := range f.mine {
 		own += tokens
 	}
-	return max(f.others[centre], alikePart*own*float64(f.sharers[centre]))
+	return alikePart * own * float64(f.sharers[centre])
 }
 
 // Covered reports whether the engines of a group hold all layers of its model.
--- a/internal/direct/saddlefleet/fleet_test.go
+++ b/internal/direct/saddlefleet/fleet_test.go
@@ -197,6 +197,25 @@
 	is.True(heads["slow"] >= 3)
 }
 
+// What the others may have is a guess: it leads to the emptier engine, and refuses
+// nothing.
+func TestAGuessOfTheOthersLoadRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	p, f := twoCopies()
+	u := &saddlewire.Update{}
+	for i := range 12 {
+		u.Members = append(u.Members, &saddlewire.Member{Node: fmt.Sprint("entry-", i+1), Role: "entry", Centre: "a"})
+	}
+	f.update(u)
+	heads := map[fireflysaddle.TargetID]int{}
+	for range 100 { // of 190 that have room
+		c, _, _, ok := f.fleet.PickChain(start, p, 1000, nil)
+		is.True(ok)
+		heads[c.Head.ID]++
+	}
+	is.True(heads["slow"] >= 20)
+}
+
 // An engine that took over layers of a lost one has room for a few drafts: with many
 // entries, each of which would begin one, it is left alone.
 func TestEnginesWithLittleRoomAreLeftToFewEntries(t *testing.T) {
