Where the model is held once, engines left over are spares; tight engines are relieved first

Empty engines that came back were given second copies before they relieved the tight ones.

Second copies are laid only where the model can be held twice.

--- a/internal/place/saddleplan/plan.go
+++ b/internal/place/saddleplan/plan.go
@@ -30,8 +30,9 @@
 const (
 	// wantedRoom is the most tokens for which a stage of a chain is given room: an
 	// engine takes under two hundred requests of a thousand tokens as the first of
-	// a chain.
-	wantedRoom = 160_000
+	// a chain. The smallest accelerators of the users hold six layers with it, which
+	// leaves the larger ones empty for those that are lost.
+	wantedRoom = 156_000
 	// fairRoom is what engines may be brought down to when they take over the layers
 	// of one that still works, and with which some are left empty.
 	fairRoom = 80_000
@@ -52,7 +53,7 @@
 // data centre the engines hold every layer twice if they can, else once, the
 // fastest ones first. Later only layers that too few hold are given out: those that
 // nobody holds to empty engines and to those that hold the layers before and after,
-// those that one holds to empty engines. No engine ever gives up layers, because it
+// those that one holds to empty engines where the model can be held twice. No engine ever gives up layers, because it
 // would have to wait for all requests that pass through them.
 func Plan(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
 	out := map[fireflysaddle.TargetID]Range{}
@@ -99,10 +100,10 @@
 	if out := fill(model, fast, heldBy(model, fast, 0), fairRoom); out != nil {
 		return out
 	}
-	if out := thicken(model, fast); out != nil {
+	if out := relieve(model, fast); out != nil {
 		return out
 	}
-	return relieve(model, fast)
+	return thicken(model, fast)
 }
 
 // heldBy returns the ranges of layers that a number of engines hold.
--- a/internal/place/saddleplan/thicken.go
+++ b/internal/place/saddleplan/thicken.go
@@ -5,21 +5,21 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
 
-// thicken gives layers that one engine holds to an empty one, the fastest. Where the
-// engines cannot hold the model twice, some stay empty for layers that nobody holds.
+// thicken gives layers that one engine holds to an empty one, the fastest, where the
+// engines can hold the model twice. Elsewhere empty engines stay so for the layers of
+// a lost one: a part of a second copy helps only for its part.
 func thicken(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
+	if layOutTimes(model, engines, copies, 0, fairRoom) == nil {
+		return nil
+	}
 	var empty []Engine
 	for _, e := range engines {
 		if e.Held.Len() == 0 && most(model, e, fairRoom) > 0 {
 			empty = append(empty, e)
 		}
 	}
-	keep := spares
-	if layOutTimes(model, engines, copies, 0, fairRoom) != nil {
-		keep = 0
-	}
 	thin := heldBy(model, engines, 1)
-	if len(empty) <= keep || len(thin) == 0 {
+	if len(empty) == 0 || len(thin) == 0 {
 		return nil
 	}
 	wide := thin[0]
@@ -30,7 +30,7 @@
 			wide = r
 		}
 	}
-	n := min(wide.Len(), most(model, empty[0], roomFor(model, empty[:len(empty)-keep], layers)))
+	n := min(wide.Len(), most(model, empty[0], roomFor(model, empty, layers)))
 	return map[fireflysaddle.TargetID]Range{empty[0].ID: {From: wide.From, To: wide.From + n}}
 }
 
