--- a/internal/standin/saddlerelay/relay.go
+++ b/internal/standin/saddlerelay/relay.go
@@ -20,10 +20,20 @@
 
 	mu    sync.Mutex
 	cut   bool
+	mute  direction
 	delay time.Duration
 	pairs map[*pair]struct{}
 }
 
+// direction is that of bytes through a relay.
+type direction int
+
+const (
+	neither direction = iota
+	forth             // to the address that is relayed to
+	back
+)
+
 // pair is one connection and the one that it is passed on to.
 type pair struct {
 	near, far net.Conn
@@ -76,11 +86,27 @@
 	r.Reset()
 }
 
-// Heal ends Cut.
-func (r *Relay) Heal() {
+// Mute drops what passes one way, of open and of new connections, until Heal.
+func (r *Relay) Mute(toTarget bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.mute = back
+	if toTarget {
+		r.mute = forth
+	}
+}
+
+// Heal ends Cut and Mute. A connection of which something was dropped is closed: its
+// bytes are lost.
+func (r *Relay) Heal() {
+	r.mu.Lock()
+	muted := r.mute != neither
 	r.cut = false
+	r.mute = neither
+	r.mu.Unlock()
+	if muted {
+		r.Reset()
+	}
 }
 
 // Delay holds back everything that passes by a time.
@@ -134,8 +160,8 @@
 	r.pairs[p] = struct{}{}
 	r.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { r.pass(p, near, far) })
-	wg.Go(func() { r.pass(p, far, near) })
+	wg.Go(func() { r.pass(p, near, far, forth) })
+	wg.Go(func() { r.pass(p, far, near, back) })
 	wg.Wait()
 	r.mu.Lock()
 	delete(r.pairs, p)
@@ -143,7 +169,7 @@
 }
 
 // pass copies one direction until either end closes.
-func (r *Relay) pass(p *pair, from, to net.Conn) {
+func (r *Relay) pass(p *pair, from, to net.Conn, way direction) {
 	defer p.end(from)
 	buf := make([]byte, chunkBytes)
 	for {
@@ -152,9 +178,12 @@
 			return
 		}
 		r.mu.Lock()
-		delay := r.delay
+		delay, muted := r.delay, r.mute == way
 		r.mu.Unlock()
 		time.Sleep(delay)
+		if muted {
+			continue
+		}
 		select {
 		case <-p.silent:
 			_, _ = io.Copy(io.Discard, from)
