Streams that may not be sent again wait for a spare to take over lost layers

Where no reroute is possible an attempt is ended only if another may follow, which is taken from the budget beforehand. Else the reroute is tried again each 100 ms, up to two seconds, as engines keep the request that long. Nothing is held that was given up: a lost head, or one that does not know the request, ends it at once.

Ruled out: pooling the entries' shares at the leader (a new leader cannot know what was granted, so it would grant nothing for a window after each election).

--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,10 +26,11 @@
 	begun     time.Time
 	deadline  time.Time
 
-	sends   int  // times that it was sent
-	runs    int  // times that it may have run
-	headed  bool // the answer's head was sent
-	events  int  // events handed on
+	prepaid atomic.Bool // a repeated sending was taken from the budget already
+	sends   int         // times that it was sent
+	runs    int         // times that it may have run
+	headed  bool        // the answer's head was sent
+	events  int         // events handed on
 	lastID  string
 	firstAt time.Time     // of the first event or byte
 	lastAt  time.Time     // of the last event
@@ -76,7 +78,7 @@
 // the budget. It logs why not.
 func (j *job) maySend(ctx context.Context) bool {
 	switch {
-	case j.sends == 0:
+	case j.sends == 0 || j.prepaid.Swap(false):
 	case j.sends >= maxSends:
 		j.event(zerolog.InfoLevel).Int("sends", j.sends).Msg("request not sent again: too many sendings")
 		return false
@@ -89,6 +91,16 @@
 	return true
 }
 
+// prepay takes a repeated sending from the budget before the attempt that it is to
+// follow is ended. It reports whether there is one.
+func (j *job) prepay(ctx context.Context) bool {
+	paid := j.again(ctx, j.pool.Group)
+	if paid {
+		j.prepaid.Store(true)
+	}
+	return paid
+}
+
 // event begins a log line about the call.
 func (j *job) event(level zerolog.Level) *zerolog.Event {
 	e := j.cfg.Log.WithLevel(level).Str("request", string(j.call.ID))
--- a/internal/direct/saddlegateway/reroute_test.go
+++ b/internal/direct/saddlegateway/reroute_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -108,3 +109,34 @@
 	is.Equal(len(tried), 2)
 	is.True(tried[0] != tried[1])
 }
+
+// A stream that may not be sent again waits for an engine that takes over the layers
+// of a lost one.
+func TestAStreamThatMayNotBeSentAgainWaitsForASpare(t *testing.T) {
+	is := is.New(t)
+	changed := make(chan struct{})
+	f := newFixture(t, func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+		body := &resumable{first: strings.NewReader(events(0, 3)), rest: strings.NewReader(events(4, last)), changed: changed}
+		return reply(http.StatusOK, body), nil
+	})
+	f.targets.report = func(string) (fireflysaddle.EngineReport, error) {
+		return fireflysaddle.EngineReport{Stalled: []fireflysaddle.StalledRequest{{Request: "r1", Address: "engine-a-2"}}}, nil
+	}
+	f.targets.reroute = func(_ fireflysaddle.RequestID, c []fireflysaddle.ChainPart) error {
+		is.Equal(c[1].Address, "engine-a-2x")
+		close(changed)
+		return nil
+	}
+	spare := time.AfterFunc(500*time.Millisecond, func() {
+		f.builder.Update("control", &saddlewire.Update{Registrations: []*saddlewire.Registration{{
+			Id: "engine-a-2x", Group: "drafts", Address: "engine-a-2x", Centre: "a", Accelerator: "big", Incarnation: 1,
+			Layers: []*saddlewire.HeldLayers{{From: 2, To: 4}},
+		}}})
+		f.fleet.Update(f.builder.Build())
+	})
+	defer spare.Stop()
+	got := f.serve(call("/once/"))
+	is.True(!got.aborted)
+	is.Equal(got.body.String(), events(0, last))
+	is.Equal(len(f.targets.forwarded()), 1)
+}
--- a/internal/direct/saddlegateway/watch.go
+++ b/internal/direct/saddlegateway/watch.go
@@ -31,6 +31,12 @@
 	// maxReroutes bounds the chains that are tried: two engines may be lost at once,
 	// and one be full.
 	maxReroutes = 3
+	// rerouteAgain is the time between tries to reroute a stream that may not be sent
+	// again: a spare engine takes over the layers of a lost one within a second or two.
+	rerouteAgain = 100 * time.Millisecond
+	// rerouteFor bounds that wait: engines break off what depends on a lost one after
+	// two seconds, and callers leave.
+	rerouteFor = 2 * time.Second
 	// lookAgain is the time between further looks; reports are a fifth of a second
 	// old.
 	lookAgain = 130 * time.Millisecond
@@ -63,11 +69,15 @@
 	timer  *time.Timer
 	fault  atomic.Pointer[string] // address of the engine for which the attempt ended
 	mend   sync.Mutex             // held while the chain is changed
+	more   bool                   // further attempts are allowed after this one
+
+	refused atomic.Bool // the head has not taken up the chain yet
 }
 
 // watch begins to watch an attempt.
 func (j *job) watch(ctx context.Context, cancel context.CancelCauseFunc, chain saddlefleet.Chain) *watchdog {
 	w := &watchdog{job: j, ctx: ctx, cancel: cancel, begun: time.Now()}
+	w.more = j.route.Repeatable() && j.runs+1 < j.route.MaxAttempts && j.sends < maxSends
 	w.chain.Store(&chain)
 	w.timer = time.AfterFunc(firstLook, w.look)
 	j.watched.add(w, chain)
@@ -108,6 +118,10 @@
 		return
 	}
 	chain := w.chain.Load()
+	if lost := w.job.cfg.Fleet.PassedOver(chain.Addresses()); lost != "" || w.refused.Load() {
+		w.lose(lost)
+		return
+	}
 	if w.silent() > hardSilence && !w.job.slow.any(time.Now(), chain.Centres) {
 		w.end(chain.Head.Address, errSilent)
 		return
@@ -116,10 +130,6 @@
 		w.timer.Reset(lookAgain)
 		return
 	}
-	if lost := w.job.cfg.Fleet.PassedOver(chain.Addresses()); lost != "" {
-		w.lose(lost)
-		return
-	}
 	for _, address := range w.job.watched.quiet(*chain) {
 		w.job.cfg.Fleet.Doubt(time.Now(), address)
 	}
@@ -144,24 +154,42 @@
 	w.timer.Reset(lookAgain)
 }
 
-// lose has the attempt go on without an engine of its chain, or ends it.
+// lose has the attempt go on without an engine of its chain, or ends it. One that no
+// other may follow waits for an engine that takes over the layers, until its head
+// breaks off or its caller leaves.
 func (w *watchdog) lose(address string) {
 	w.mend.Lock()
 	defer w.mend.Unlock()
-	if w.ctx.Err() != nil || !w.chain.Load().Passes(address) {
+	if w.ctx.Err() != nil || (!w.refused.Load() && !w.chain.Load().Passes(address)) {
 		return
 	}
 	silent := w.silent()
-	if err := w.reroute(address); err != nil {
-		w.job.event(zerolog.InfoLevel).Err(err).Str("engine", address).Int64("silent_ms", silent.Milliseconds()).
-			Msg("chain not rerouted")
-		w.end(address, fmt.Errorf("the chain waits for the engine at %s", address))
+	err := w.reroute(address)
+	if err == nil {
+		countRerouted.Add(1)
+		w.job.event(zerolog.InfoLevel).Str("engine", address).Int64("silent_ms", silent.Milliseconds()).
+			Strs("chain", w.chain.Load().Addresses()).Msg("chain rerouted")
+		w.timer.Reset(firstLook)
+		return
+	}
+	hopeless := unknown(err) || address == w.chain.Load().Head.Address || silent > rerouteFor
+	if !hopeless && !w.mayFollow() {
+		w.timer.Reset(rerouteAgain)
 		return
 	}
-	countRerouted.Add(1)
-	w.job.event(zerolog.InfoLevel).Str("engine", address).Int64("silent_ms", silent.Milliseconds()).
-		Strs("chain", w.chain.Load().Addresses()).Msg("chain rerouted")
-	w.timer.Reset(firstLook)
+	w.job.event(zerolog.InfoLevel).Err(err).Str("engine", address).Int64("silent_ms", silent.Milliseconds()).
+		Msg("chain not rerouted")
+	w.end(address, fmt.Errorf("the chain waits for the engine at %s", address))
+}
+
+// mayFollow reports whether another attempt may follow this one, and takes it from
+// the retry budget.
+func (w *watchdog) mayFollow() bool { return w.more && w.job.prepay(w.ctx) }
+
+// unknown reports whether the head does not have the request.
+func unknown(err error) bool {
+	var refused *fireflysaddle.OrderError
+	return errors.As(err, &refused) && refused.Status == fireflysaddle.OrderNotFound
 }
 
 var errNoRoute = errors.New("no other engines have room for its layers")
@@ -170,16 +198,19 @@
 // their part of the new chain. The attempt goes on where it was.
 func (w *watchdog) reroute(lost string) error {
 	for range maxReroutes {
-		chain, ok := w.job.cfg.Fleet.Repair(time.Now(), w.job.pool, *w.chain.Load(), lost)
-		if !ok {
-			return errNoRoute
+		if w.chain.Load().Passes(lost) {
+			chain, ok := w.job.cfg.Fleet.Repair(time.Now(), w.job.pool, *w.chain.Load(), lost)
+			if !ok {
+				return errNoRoute
+			}
+			w.job.watched.remove(w, *w.chain.Load())
+			w.job.watched.add(w, chain)
+			w.chain.Store(&chain)
 		}
-		w.job.watched.remove(w, *w.chain.Load())
-		w.job.watched.add(w, chain)
-		w.chain.Store(&chain)
-		err := w.order(chain)
+		err := w.order(*w.chain.Load())
+		w.refused.Store(err != nil)
 		var refused *fireflysaddle.OrderError
-		if !errors.As(err, &refused) || !chain.Passes(refused.AtFault) {
+		if !errors.As(err, &refused) || !w.chain.Load().Passes(refused.AtFault) {
 			return err
 		}
 		w.job.cfg.Fleet.Refused(time.Now(), refused.AtFault)
