--- a/internal/control/saddledirectory/server_test.go
+++ b/internal/control/saddledirectory/server_test.go
@@ -67,6 +67,21 @@
 	})
 }
 
+// await returns what comes, and fails the test when nothing does.
+func await(t *testing.T, from <-chan string) string {
+	t.Helper()
+	select {
+	case got := <-from:
+		return got
+	case <-time.After(awaitTime):
+		t.Fatal("nothing came")
+		return ""
+	}
+}
+
+// awaitTime bounds what a test waits for; nothing is asserted of it.
+const awaitTime = 20 * time.Second
+
 // replica takes in who attends, as a replica that confirms nothing.
 type replica struct {
 	saddlewire.DRPCControlUnimplementedServer
@@ -101,8 +116,8 @@
 		},
 	}, nil)
 	run(t, func(ctx context.Context) { _ = a.Run(ctx) })
-	is.Equal(<-learnt, "10.0.0.2:7")
-	is.Equal(<-r.attended, "node")
+	is.Equal(await(t, learnt), "10.0.0.2:7")
+	is.Equal(await(t, r.attended), "node")
 }
 
 func TestAReplicaThatJoinsIsSentOn(t *testing.T) {
--- a/internal/direct/saddlefleet/chain_test.go
+++ b/internal/direct/saddlefleet/chain_test.go
@@ -108,6 +108,25 @@
 	is.True(heads["slow"] >= 20)
 }
 
+// Entries that start together know nothing of one another: each leaves room for the
+// others at the fast engine.
+func TestEntriesThatKnowNothingOfOneAnotherLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	p, f := twoCopies()
+	u := &saddlewire.Update{}
+	for i := range 12 {
+		u.Members = append(u.Members, &saddlewire.Member{Node: fmt.Sprint("entry-", i+1), Role: "entry", Centre: "a"})
+	}
+	f.update(u)
+	heads := map[fireflysaddle.TargetID]int{}
+	for range 15 {
+		c, _, _, ok := f.fleet.PickChain(start, p, 1000, nil)
+		is.True(ok)
+		heads[c.Head.ID]++
+	}
+	is.True(heads["slow"] >= 3)
+}
+
 // An engine that took over layers of a lost one has room for a few drafts: with many
 // entries, each of which would begin one, it is left alone.
 func TestEnginesWithLittleRoomAreLeftToFewEntries(t *testing.T) {
--- a/internal/direct/saddlegateway/reroute_test.go
+++ b/internal/direct/saddlegateway/reroute_test.go
@@ -1,6 +1,7 @@
 package saddlegateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -29,27 +30,43 @@
 	return f
 }
 
-// resumable yields some events, and the others once its chain was changed.
+// resumable yields some events, and the others once its chain was changed, unless its
+// context ends before that.
 type resumable struct {
 	first, rest io.Reader
 	changed     chan struct{}
+	ctx         context.Context
+}
+
+func (b *resumable) use(ctx context.Context) { b.ctx = ctx }
+
+func (b *resumable) Close() error { return nil }
+
+// resumes answers with events of which the later ones come once the chain was changed.
+func resumes(changed chan struct{}) func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+	return func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+		r := reply(http.StatusOK, nil)
+		r.Body = &resumable{first: strings.NewReader(events(0, 3)), rest: strings.NewReader(events(4, last)), changed: changed}
+		return r, nil
+	}
 }
 
 func (b *resumable) Read(p []byte) (int, error) {
 	if n, err := b.first.Read(p); err == nil {
 		return n, nil
 	}
-	<-b.changed
-	return b.rest.Read(p)
+	select {
+	case <-b.changed:
+		return b.rest.Read(p)
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
 }
 
 func TestAStreamGoesOnAlongAnotherChain(t *testing.T) {
 	is := is.New(t)
 	changed := make(chan struct{})
-	f := lostStage(t, func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
-		body := &resumable{first: strings.NewReader(events(0, 3)), rest: strings.NewReader(events(4, last)), changed: changed}
-		return reply(http.StatusOK, body), nil
-	})
+	f := lostStage(t, resumes(changed))
 	var chain []fireflysaddle.ChainPart
 	f.targets.reroute = func(request fireflysaddle.RequestID, c []fireflysaddle.ChainPart) error {
 		is.Equal(string(request), "r1")
@@ -85,10 +102,7 @@
 func TestAChainIsReroutedPastAnEngineThatRefusesItsPart(t *testing.T) {
 	is := is.New(t)
 	changed := make(chan struct{})
-	f := lostStage(t, func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
-		body := &resumable{first: strings.NewReader(events(0, 3)), rest: strings.NewReader(events(4, last)), changed: changed}
-		return reply(http.StatusOK, body), nil
-	})
+	f := lostStage(t, resumes(changed))
 	f.builder.Update("control", &saddlewire.Update{Registrations: []*saddlewire.Registration{{
 		Id: "engine-a-2y", Group: "drafts", Address: "engine-a-2y", Centre: "a", Accelerator: "big", Incarnation: 1,
 		Layers: []*saddlewire.HeldLayers{{From: 2, To: 4}},
@@ -115,10 +129,7 @@
 func TestAStreamThatMayNotBeSentAgainWaitsForASpare(t *testing.T) {
 	is := is.New(t)
 	changed := make(chan struct{})
-	f := newFixture(t, func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
-		body := &resumable{first: strings.NewReader(events(0, 3)), rest: strings.NewReader(events(4, last)), changed: changed}
-		return reply(http.StatusOK, body), nil
-	})
+	f := newFixture(t, resumes(changed))
 	f.targets.report = func(string) (fireflysaddle.EngineReport, error) {
 		return fireflysaddle.EngineReport{Stalled: []fireflysaddle.StalledRequest{{Request: "r1", Address: "engine-a-2"}}}, nil
 	}
@@ -140,3 +151,24 @@
 	is.Equal(got.body.String(), events(0, last))
 	is.Equal(len(f.targets.forwarded()), 1)
 }
+
+// A head that refuses the new chain for now is asked again, where no other attempt may
+// follow.
+func TestAHeadThatRefusesForNowIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	changed := make(chan struct{})
+	f := lostStage(t, resumes(changed))
+	asked := 0
+	f.targets.reroute = func(fireflysaddle.RequestID, []fireflysaddle.ChainPart) error {
+		asked++
+		if asked == 1 {
+			return &fireflysaddle.OrderError{Status: fireflysaddle.OrderStale}
+		}
+		close(changed)
+		return nil
+	}
+	got := f.serve(call("/once/"))
+	is.Equal(got.body.String(), events(0, last))
+	is.Equal(asked, 2)
+	is.Equal(len(f.targets.forwarded()), 1)
+}
