Apply a reload that precedes a stop, and do not start a call that the deadline cuts off

Cause, reload: applyReloads ended with the context of the stop signal, so of a pending reload and a pending stop the scheduler chose one; and a newer reload was dropped while an earlier one was pending. Now reloads are applied until the role has ended, a pending one too, and the newest supersedes.

Cause, exit code 3 in place of 6: tryReplicas began a call although the deadline was nearly over. The deadline cut that call off, and its outcome counted as unknown though every replica had refused. A further call now needs 100 ms.

--- a/internal/command/saddlemain/run.go
+++ b/internal/command/saddlemain/run.go
@@ -102,9 +102,10 @@
 			return err
 		}
 		select {
-		case reloads <- next:
-		default: // dropped: the role has not yet received the previous settings, or it ignores reloads
+		case <-reloads: // superseded before the role received them
+		default:
 		}
+		reloads <- next // does not block: this goroutine is the only sender
 		return nil
 	})
 	defer stop()
--- a/internal/control/saddleclient/client.go
+++ b/internal/control/saddleclient/client.go
@@ -16,6 +16,11 @@
 	callTimeout       = time.Second                      // limit of one call to one replica
 	changeRequestName = "change of the control replicas" // used in place of a request id, which a change does not have
 	roundInterval     = 100 * time.Millisecond           // pause after all replicas were tried
+	// minCallTime is the time that a further call must have left before the context's
+	// deadline. A call that the deadline cuts off could make the outcome of a command
+	// unknown that no replica has proposed. Replicas of the same region answer in a few
+	// milliseconds.
+	minCallTime = 100 * time.Millisecond
 )
 
 // Client calls the control replicas. It is safe for concurrent use.
@@ -132,22 +137,22 @@
 	}
 }
 
-// tryReplicas calls try for one replica after another until it succeeds or the
-// context ends. If a failed try returns the address of the leader, the leader is
-// tried next.
+// tryReplicas calls try for one replica after another until it succeeds, the context ends
+// or less than minCallTime remains for a further call. If a failed try returns the address
+// of the leader, the leader is tried next.
 func (c *Client) tryReplicas(ctx context.Context, try func(ctx context.Context, address string) (leader string, err error)) error {
 	var lastErr error
 	for {
 		for _, address := range c.replicaOrder() {
 			leader, err := c.tryReplica(ctx, address, try)
-			if err != nil && leader != "" && leader != address {
+			if err != nil && leader != "" && leader != address && hasTimeForCall(ctx, time.Now()) {
 				_, err = c.tryReplica(ctx, leader, try)
 			}
 			if err == nil {
 				return nil
 			}
 			lastErr = err
-			if ctx.Err() != nil {
+			if !hasTimeForCall(ctx, time.Now()) {
 				return lastErr
 			}
 		}
@@ -156,9 +161,18 @@
 			return lastErr
 		case <-time.After(roundInterval):
 		}
+		if !hasTimeForCall(ctx, time.Now()) {
+			return lastErr
+		}
 	}
 }
 
+// hasTimeForCall reports whether the context allows a call that takes minCallTime.
+func hasTimeForCall(ctx context.Context, now time.Time) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() == nil && (!ok || deadline.Sub(now) >= minCallTime)
+}
+
 func (c *Client) tryReplica(ctx context.Context, address string, try func(context.Context, string) (string, error)) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -104,26 +104,45 @@
 		Network:               p.network,
 		Member:                g.member,
 	}, g.updateView)
-	reloadCtx, stopReloads := context.WithCancel(ctx)
+	stopReloads := g.watchReloads(reloads)
 	defer stopReloads()
-	go g.applyReloads(reloadCtx, reloads)
 	return p.serve(ctx, g.ready, g.run)
 }
 
-// applyReloads subscribes to the control replicas named in each reload of the settings.
-func (g *gateway) applyReloads(ctx context.Context, reloads <-chan saddlesettings.Gateway) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case s := <-reloads:
-			countSettingsReloads.Add(1)
-			g.subscriber.AddReplicas(s.Attend.Addresses())
-			g.process.log.Info().Strs("controls", s.Attend.Addresses()).Msg("settings reloaded")
+// watchReloads applies reloads of the settings until stop is called, which also applies a
+// reload that arrived just before. Reloads are applied during a shutdown too, because the
+// gateway still serves requests then.
+func (g *gateway) watchReloads(reloads <-chan saddlesettings.Gateway) (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-done:
+				select {
+				case s := <-reloads:
+					g.applyReload(s)
+				default:
+				}
+				return
+			case s := <-reloads:
+				g.applyReload(s)
+			}
 		}
+	})
+	return func() {
+		close(done)
+		wg.Wait()
 	}
 }
 
+// applyReload subscribes to the control replicas named in the settings.
+func (g *gateway) applyReload(s saddlesettings.Gateway) {
+	countSettingsReloads.Add(1)
+	g.subscriber.AddReplicas(s.Attend.Addresses())
+	g.process.log.Info().Strs("controls", s.Attend.Addresses()).Msg("settings reloaded")
+}
+
 // keyLeaseMargin is subtracted from the lease of API keys, because a replica's confirmation
 // may be as old as its election timeout and because a request takes time to arrive.
 const keyLeaseMargin = time.Second
