Send entries sums of their peers' drafts, and bound updates a second

Cause: every update of every replica to every entry held the drafts of every entry, and each probe of an engine, each changed member and each registration caused an update to all subscribers at once. With 105 entries that is about 10 KB an update, some 14 times a second and more from the leader.

Now an update holds one sum for each data centre, less the reader's own, from the leader only (from any replica while no leader confirms); the state of the engines goes with the next update and only when it changed; a replica sends a subscriber at most one update a millisecond times the number of subscribers.

TestChangesOfManyMembersShareUpdates fails without the pause.

--- a/internal/control/saddlecontrol/attend.go
+++ b/internal/control/saddlecontrol/attend.go
@@ -11,8 +11,19 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-// updateInterval is the longest time between two updates on an Attend stream.
-const updateInterval = 500 * time.Millisecond
+const (
+	// updateInterval is the longest time between two updates on an Attend stream.
+	updateInterval = 500 * time.Millisecond
+	// updateCost is the shortest time between two updates, per subscriber: a replica sends
+	// at most a thousand updates a second. Without this limit, changes of n members would
+	// cause n updates to each of n subscribers, for example after a power failure.
+	updateCost = time.Millisecond
+)
+
+// updatePause returns the shortest time between two updates to the same subscriber.
+func updatePause(subscribers int) time.Duration {
+	return min(updateInterval, time.Duration(subscribers)*updateCost)
+}
 
 // Attend receives a node's heartbeats and sends it updates. When a node sends no
 // heartbeat for NodeSilenceTimeout, its connection is closed, because a write to a frozen
@@ -88,11 +99,26 @@
 		if err := stream.Send(u); err != nil {
 			return err
 		}
+		sentAt := time.Now()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-sub.notify:
+			if !s.pauseUpdates(ctx, time.Since(sentAt)) {
+				return nil
+			}
 		case <-tick.C:
 		}
 	}
 }
+
+// pauseUpdates waits until the pause between two updates is over, so that further changes
+// join the next update. It returns false if the context ends first.
+func (s *Server) pauseUpdates(ctx context.Context, sinceLast time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Duration(s.core.updatePause.Load()) - sinceLast):
+		return true
+	}
+}
--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -41,6 +41,8 @@
 	registry    *saddleregistry.Table
 	engineState EngineState
 
+	engineStateNumber uint64 // number of engine states received
+
 	subscribers map[*subscriber]struct{}
 	pending     map[uint64]pendingCommand // proposals without an answer, by log index
 	peers       *peerSet
@@ -56,6 +58,8 @@
 	lease     atomic.Uint64 // current term if this replica leads with a valid lease, else 0
 	confirmed atomic.Bool   // whether a majority confirmed the applied state less than an election timeout ago
 	logEmpty  atomic.Bool   // whether the log holds no entries
+
+	updatePause atomic.Int64 // shortest time between two updates to a subscriber, nanoseconds
 }
 
 // pendingCommand is a proposal whose caller waits until its entry is committed.
@@ -278,6 +282,7 @@
 }
 
 func (c *core) wakeSubscribers() {
+	c.updatePause.Store(int64(updatePause(len(c.subscribers))))
 	for sub := range c.subscribers {
 		sub.wake()
 	}
--- a/internal/control/saddlecontrol/heartbeat_test.go
+++ b/internal/control/saddlecontrol/heartbeat_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclient"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
@@ -53,3 +54,88 @@
 	}
 	return fmt.Errorf("members are %v", state.GetMembers())
 }
+
+// entryBeat returns the heartbeat of an entry whose drafts reserve tokens in five data
+// centres.
+func entryBeat(i int, tokens uint64) *saddlewire.Beat {
+	m := &saddlewire.Member{Node: fmt.Sprintf("front-soweto-d-%d", i), Role: "entry", Incarnation: 1, Load: &saddlewire.Load{}}
+	for _, centre := range []string{"joburg-a", "pretoria-b", "midrand-c", "soweto-d", "tembisa-e"} {
+		m.Load.Drafts = append(m.Load.Drafts, &saddlewire.CentreLoad{Centre: centre, Tokens: tokens})
+	}
+	return &saddlewire.Beat{Member: m}
+}
+
+// awaitUpdate receives updates until one satisfies the condition, and returns it.
+func awaitUpdate(t *testing.T, stream saddlewire.DRPCControl_AttendClient, ok func(*saddlewire.Update) bool) *saddlewire.Update {
+	t.Helper()
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if ok(u) {
+			return u
+		}
+	}
+}
+
+// Pattern: a hundred entries with drafts in five data centres. Each entry is sent sums of
+// the others' drafts, so the updates stay as small as with a few entries.
+func TestUpdateSizeDoesNotGrowWithEntries(t *testing.T) {
+	is := is.New(t)
+	cfg := config(t)
+	cfg.NodeSilenceTimeout, cfg.NodeLostTimeout = waitTimeout, waitTimeout
+	run(t, cfg)
+	stream := openAttendStream(t, cfg)
+	const entries, tokens = 100, 1000
+	is.NoErr(stream.Send(entryBeat(0, 7))) // the stream's own entry
+	for i := 1; i < entries; i++ {
+		is.NoErr(stream.Send(entryBeat(i, tokens)))
+	}
+	u := awaitUpdate(t, stream, func(u *saddlewire.Update) bool {
+		return len(u.GetMembers()) == 0 && len(u.GetPeerDrafts()) == 5 && u.GetPeerDrafts()[0].GetTokens() == (entries-1)*tokens
+	})
+	is.True(proto.Size(u) < 300) // bytes
+	is.NoErr(stream.Send(entryBeat(1, 0)))
+	awaitUpdate(t, stream, func(u *saddlewire.Update) bool {
+		return len(u.GetPeerDrafts()) == 5 && u.GetPeerDrafts()[4].GetTokens() == (entries-2)*tokens
+	})
+}
+
+// Pattern: all nodes of a fleet join at once, as after a power failure. Their changes are
+// sent together, so that n nodes do not cause n updates to each node.
+func TestChangesOfManyMembersShareUpdates(t *testing.T) {
+	is := is.New(t)
+	cfg := config(t)
+	cfg.NodeSilenceTimeout, cfg.NodeLostTimeout = waitTimeout, waitTimeout
+	run(t, cfg)
+	const nodes = 60
+	const pause = nodes * time.Millisecond // between two updates to a subscriber
+	var streams []saddlewire.DRPCControl_AttendClient
+	for i := range nodes {
+		s := openAttendStream(t, cfg)
+		is.NoErr(s.Send(entryBeat(i, 1)))
+		streams = append(streams, s)
+	}
+	is.NoErr(streams[0].Send(entryBeat(nodes, 1)))
+	known := 0
+	awaitUpdate(t, streams[0], func(u *saddlewire.Update) bool {
+		known += len(u.GetMembers())
+		return known > nodes
+	})
+	began := time.Now()
+	go func() {
+		for i := range 10 * nodes {
+			_ = streams[1].Send(entryBeat(nodes+1+i, 1))
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	updates := 0
+	awaitUpdate(t, streams[0], func(u *saddlewire.Update) bool {
+		updates++
+		known += len(u.GetMembers())
+		return known > 11*nodes
+	})
+	ticks := int(time.Since(began)/(500*time.Millisecond)) + 1
+	is.True(updates <= int(time.Since(began)/pause)+ticks+1)
+}
--- a/internal/control/saddlecontrol/members.go
+++ b/internal/control/saddlecontrol/members.go
@@ -20,6 +20,7 @@
 	version    uint64
 	members    map[string]*memberRecord
 	tombstones map[string]tombstone
+	draftTotal map[string]uint64 // tokens that the drafts of all entries reserve, by data centre
 }
 
 type memberRecord struct {
@@ -34,7 +35,7 @@
 }
 
 func newMemberTable() *memberTable {
-	return &memberTable{members: map[string]*memberRecord{}, tombstones: map[string]tombstone{}}
+	return &memberTable{members: map[string]*memberRecord{}, tombstones: map[string]tombstone{}, draftTotal: map[string]uint64{}}
 }
 
 // record stores a heartbeat and reports whether a change must be sent to subscribers.
@@ -45,6 +46,10 @@
 		return false
 	}
 	rec := &memberRecord{member: m, lastHeartbeat: now}
+	if ok {
+		t.subtractDrafts(old.member)
+	}
+	t.addDrafts(m)
 	t.members[m.GetNode()] = rec
 	if ok && sameForSubscribers(old.member, m) {
 		rec.version = old.version
@@ -79,6 +84,7 @@
 			continue
 		}
 		t.version++
+		t.subtractDrafts(rec.member)
 		delete(t.members, node)
 		t.tombstones[node] = tombstone{removedAt: now, version: t.version}
 		removed = append(removed, node)
@@ -111,12 +117,31 @@
 	return members, removed
 }
 
-// entryLoads returns the load that the drafts of each entry cause on the targets.
-func (t *memberTable) entryLoads() []*saddlewire.EntryLoad {
-	var out []*saddlewire.EntryLoad
-	for node, rec := range t.members {
-		if drafts := rec.member.GetLoad().GetDrafts(); len(drafts) > 0 {
-			out = append(out, &saddlewire.EntryLoad{Node: node, Drafts: drafts})
+func (t *memberTable) addDrafts(m *saddlewire.Member) {
+	for _, d := range m.GetLoad().GetDrafts() {
+		t.draftTotal[d.GetCentre()] += d.GetTokens()
+	}
+}
+
+func (t *memberTable) subtractDrafts(m *saddlewire.Member) {
+	for _, d := range m.GetLoad().GetDrafts() {
+		t.draftTotal[d.GetCentre()] -= d.GetTokens()
+	}
+}
+
+// peerDrafts returns the tokens that the drafts of all entries but the given one reserve,
+// by data centre.
+func (t *memberTable) peerDrafts(entry string) []*saddlewire.CentreLoad {
+	own := map[string]uint64{}
+	if rec, ok := t.members[entry]; ok {
+		for _, d := range rec.member.GetLoad().GetDrafts() {
+			own[d.GetCentre()] += d.GetTokens()
+		}
+	}
+	var out []*saddlewire.CentreLoad
+	for _, centre := range slices.Sorted(maps.Keys(t.draftTotal)) {
+		if tokens := t.draftTotal[centre] - own[centre]; tokens > 0 {
+			out = append(out, &saddlewire.CentreLoad{Centre: centre, Tokens: tokens})
 		}
 	}
 	return out
--- a/internal/control/saddlecontrol/register.go
+++ b/internal/control/saddlecontrol/register.go
@@ -44,10 +44,11 @@
 
 func (e engineStateEvent) handle(_ time.Time, c *core) {
 	c.engineState = e.state
-	c.wakeSubscribers()
+	c.engineStateNumber++
 }
 
-// SetEngineState replaces the engine state that is sent to the entries.
+// SetEngineState replaces the engine state that is sent to the entries with their next
+// update. It changes with almost every probe, so it causes no update of its own.
 func (s *Server) SetEngineState(ctx context.Context, state EngineState) error {
 	return s.post(ctx, engineStateEvent{state: state})
 }
--- a/internal/control/saddlecontrol/subscriber.go
+++ b/internal/control/saddlecontrol/subscriber.go
@@ -21,10 +21,17 @@
 	sentMembersVersion  uint64   // version of the member table
 	sentReplicas        []string // addresses of the replicas; sent only while the applied state is confirmed
 	sentRegistryVersion uint64   // version of the registrations
+	sentEngines         engineStateVersion
 
 	echoNs atomic.Int64 // send time, by the node's clock, of the latest heartbeat; returned in updates
 }
 
+// engineStateVersion identifies an engine state that a leader sent to a subscriber. The
+// term is part of it because another leader may have sent its own in between.
+type engineStateVersion struct {
+	term, number uint64
+}
+
 func newSubscriber(m *saddlewire.Member) *subscriber {
 	return &subscriber{node: m.GetNode(), role: fireflysaddle.Role(m.GetRole()), notify: make(chan struct{}, 1)}
 }
@@ -68,12 +75,7 @@
 		u.Members, u.Gone = c.members.changesSince(sub.sentMembersVersion)
 	}
 	if sub.role == fireflysaddle.RoleEntry {
-		u.Loads = c.members.entryLoads()
-		if c.replica.LeaseValid(now) {
-			u.Leads = true
-			u.Paces = c.engineState.StepTimeFactors
-			u.Occupied = c.engineState.OccupiedTokens
-		}
+		c.addLoad(now, u, sub)
 	}
 	if sub.role != fireflysaddle.RoleAgent {
 		u.Registrations, u.Unregistered = c.registry.Since(sub.sentRegistryVersion)
@@ -90,6 +92,28 @@
 	return u
 }
 
+// addLoad adds the load of the engines to an update for an entry. Every replica receives
+// the loads of all entries. Only the leader sends them, or any replica while no leader
+// confirms its state.
+func (c *core) addLoad(now time.Time, u *saddlewire.Update, sub *subscriber) {
+	u.Leads = c.replica.LeaseValid(now)
+	if u.GetLeads() || !u.GetConfirmed() {
+		u.PeerDrafts = c.members.peerDrafts(sub.node)
+	}
+	if !u.GetLeads() {
+		sub.sentEngines = engineStateVersion{}
+		return
+	}
+	current := engineStateVersion{term: c.replica.Term(), number: c.engineStateNumber}
+	if sub.sentEngines == current {
+		u.EnginesUnchanged = true
+		return
+	}
+	sub.sentEngines = current
+	u.Paces = c.engineState.StepTimeFactors
+	u.Occupied = c.engineState.OccupiedTokens
+}
+
 // mayLoad reports whether the engine of an agent may start to load weights. Only a
 // leader with a valid lease grants this, so that all grants are counted in one place.
 func (c *core) mayLoad(now time.Time, node string) bool {
--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -63,14 +63,13 @@
 // PickChain selects the cheapest chain with capacity for the tokens of a request,
 // without the engines whose addresses are in avoid, and reserves that capacity. done must
 // be called when the request has ended; it releases the reservation. If there is no such
-// chain, ok is false, and full reports whether there is a chain when capacity and the link
-// budget are ignored.
+// chain, ok is false, and full reports whether the usable engines hold all layers.
 func (f *Fleet) PickChain(now time.Time, pool *saddlerouting.Pool, tokens int, avoid []string) (c Chain, done func(), full, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	found := f.findChain(now, pool, tokens, avoid)
 	if found == nil {
-		return Chain{}, nil, f.findChain(now, pool, -1, avoid) != nil, false // tokens -1: capacity and the link budget are ignored
+		return Chain{}, nil, f.covered(now, pool, avoid), false
 	}
 	c = newChain(&reservation{model: pool.Model, tokens: tokens, parts: found})
 	f.reserve(c.reserved, found, 1)
@@ -122,17 +121,50 @@
 }
 
 // findChain returns the cheapest chain with capacity for a number of tokens, or nil if
-// there is none. If tokens is -1, capacity and the link budget are ignored.
+// there is none. A chain through several data centres costs more than any chain through
+// one, so it is considered only if there is no other. The search of one data centre takes
+// as long in a large fleet as in a small one.
 func (f *Fleet) findChain(now time.Time, pool *saddlerouting.Pool, tokens int, avoid []string) []part {
 	if pool.Model == nil {
 		return nil
 	}
-	candidates := f.candidates(now, pool, tokens, avoid)
-	costs := saddlepath.Costs{ToFirstPart: remoteHeadCostNS, BetweenParts: crossCentreCostNS}
-	if tokens >= 0 && !f.linkBudget.allows(now, pool.Model, f.entryCount) {
-		costs.BetweenParts = math.Inf(1)
+	if found := f.findLocalChain(now, pool, tokens, avoid); found != nil {
+		return found
 	}
-	return candidates.findParts(pool.Model.Layers, f.centre, costs)
+	if !f.linkBudget.allows(now, pool.Model, f.entryCount) {
+		return nil
+	}
+	engines := usableEngines(now, pool.Model, f.groups[pool.Group], avoid)
+	found, _ := f.candidates(now, pool.Model, engines, tokens).findParts(pool.Model.Layers, f.centre, saddlepath.Costs{
+		ToFirstPart: remoteHeadCostNS, BetweenParts: crossCentreCostNS,
+	})
+	return found
+}
+
+// findLocalChain returns the cheapest chain of those that stay in one data centre, or nil
+// if there is none. The other data centres are searched only if the chain in this entry's
+// data centre costs more than it costs to reach another.
+func (f *Fleet) findLocalChain(now time.Time, pool *saddlerouting.Pool, tokens int, avoid []string) []part {
+	model := pool.Model
+	byCentre := f.byCentre[pool.Group]
+	costs := saddlepath.Costs{ToFirstPart: remoteHeadCostNS, BetweenParts: math.Inf(1)}
+	search := func(centre fireflysaddle.DataCentre) ([]part, float64) {
+		engines := usableEngines(now, model, byCentre[centre], avoid)
+		return f.candidates(now, model, engines, tokens).findParts(model.Layers, f.centre, costs)
+	}
+	best, bestCost := search(f.centre)
+	if bestCost <= remoteHeadCostNS {
+		return best
+	}
+	for centre := range byCentre {
+		if centre == f.centre {
+			continue
+		}
+		if found, cost := search(centre); cost < bestCost {
+			best, bestCost = found, cost
+		}
+	}
+	return best
 }
 
 // candidates are the engines that may be part of a chain.
@@ -152,21 +184,20 @@
 	return n
 }
 
-// findParts returns the cheapest sequence of stages through all layers, or nil if there
-// is none. centre is the data centre from which the request reaches the first stage.
-func (c *candidates) findParts(layers int, centre fireflysaddle.DataCentre, costs saddlepath.Costs) []part {
+// findParts returns the cheapest sequence of stages through all layers and its cost, or nil
+// if there is none. centre is the data centre from which the request reaches the first stage.
+func (c *candidates) findParts(layers int, centre fireflysaddle.DataCentre, costs saddlepath.Costs) ([]part, float64) {
+	found, cost := saddlepath.Find(c.pathEngines, layers, c.centreIndex(centre), costs)
 	var out []part
-	for _, p := range saddlepath.Find(c.pathEngines, layers, c.centreIndex(centre), costs) {
+	for _, p := range found {
 		out = append(out, part{target: c.targets[p.Engine], from: p.From, to: p.To})
 	}
-	return out
+	return out, cost
 }
 
-// candidates returns the engines with capacity for a number of tokens, and their
-// costs. If tokens is -1, capacity is ignored.
-func (f *Fleet) candidates(now time.Time, pool *saddlerouting.Pool, tokens int, avoid []string) *candidates {
-	model := pool.Model
-	engines := f.usableEngines(now, pool, avoid)
+// candidates returns those of the engines that have capacity for a number of tokens, and
+// their costs.
+func (f *Fleet) candidates(now time.Time, model *saddlerouting.Model, engines []*target, tokens int) *candidates {
 	weights := expectedLayers(model, engines)
 	c := &candidates{centres: map[fireflysaddle.DataCentre]int{}}
 	for i, t := range engines {
@@ -191,12 +222,12 @@
 	return c
 }
 
-// usableEngines returns the usable engines of a pool that hold layers and whose type of
-// accelerator the model describes, without those whose addresses are in avoid.
-func (f *Fleet) usableEngines(now time.Time, pool *saddlerouting.Pool, avoid []string) []*target {
-	var out []*target
-	for _, t := range f.groups[pool.Group] {
-		_, known := pool.Model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
+// usableEngines returns those of the engines that are usable, hold layers and have a type of
+// accelerator that the model describes, without those whose addresses are in avoid.
+func usableEngines(now time.Time, model *saddlerouting.Model, engines []*target, avoid []string) []*target {
+	out := make([]*target, 0, len(engines))
+	for _, t := range engines {
+		_, known := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
 		if known && len(t.reg.GetLayers()) > 0 && t.usable(now) && !slices.Contains(avoid, t.Address) {
 			out = append(out, t)
 		}
@@ -209,5 +240,16 @@
 func (f *Fleet) Covered(now time.Time, pool *saddlerouting.Pool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.findChain(now, pool, -1, nil) != nil // tokens -1: capacity and the link budget are ignored
+	return f.covered(now, pool, nil)
+}
+
+func (f *Fleet) covered(now time.Time, pool *saddlerouting.Pool, avoid []string) bool {
+	if pool.Model == nil {
+		return false
+	}
+	held := make([]bool, pool.Model.Layers)
+	for _, t := range usableEngines(now, pool.Model, f.groups[pool.Group], avoid) {
+		t.eachLayer(pool.Model.Layers, func(l int) { held[l] = true })
+	}
+	return !slices.Contains(held, false)
 }
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -22,14 +22,17 @@
 
 	mu              sync.Mutex
 	targets         map[fireflysaddle.TargetID]*target
-	groups          map[fireflysaddle.Group][]*target    // targets that accept new requests, sorted by ID
-	byAddress       map[string]*target                   // targets that accept new requests, by address
-	peerTokens      map[fireflysaddle.DataCentre]float64 // tokens reserved by requests of the other entries
-	reportedTokens  map[fireflysaddle.DataCentre]float64 // tokens in the KV caches, as reported by the engines
-	ownTokens       map[fireflysaddle.DataCentre]float64 // tokens reserved by requests of this entry, times the fraction of the layers that run in the data centre
-	entryCount      int                                  // entries that share the engines, including this one
-	peerEntryCounts map[fireflysaddle.DataCentre]int     // number of the other entries in each data centre
-	rotation        int                                  // offset at which Pick starts, to alternate between equal targets
+	groups          map[fireflysaddle.Group][]*target                              // targets that accept new requests, sorted by ID
+	byCentre        map[fireflysaddle.Group]map[fireflysaddle.DataCentre][]*target // those in groups, by data centre
+	byAddress       map[string]*target                                             // targets that accept new requests, by address
+	peerTokens      map[fireflysaddle.DataCentre]float64                           // tokens reserved by requests of the other entries
+	reportedTokens  map[fireflysaddle.DataCentre]float64                           // tokens in the KV caches, as reported by the engines
+	ownTokens       map[fireflysaddle.DataCentre]float64                           // tokens reserved by requests of this entry, times the fraction of the layers that run in the data centre
+	entryCount      int                                                            // entries that share the engines, including this one
+	peerEntryCounts map[fireflysaddle.DataCentre]int                               // number of the other entries in each data centre
+	rotation        int                                                            // offset at which Pick starts, to alternate between equal targets
+	registryNumber  uint64                                                         // of the view that targets were taken from
+	membersNumber   uint64                                                         // of the view that the entries were taken from
 	linkBudget      linkBudget
 	probeRequests   chan struct{} // receives a value when an engine is to be probed immediately; capacity 1
 	onDown          func(address string)
@@ -44,16 +47,42 @@
 	}
 }
 
-// Update replaces the registrations and the reported loads with those of a view.
+// Update replaces the registrations and the reported loads with those of a view. Parts
+// that have not changed since the previous view are not processed again, because views
+// arrive several times a second.
 func (f *Fleet) Update(v *saddleview.View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	registryChanged := v.RegistryNumber != f.registryNumber
+	if registryChanged {
+		f.updateTargets(v)
+	}
+	if registryChanged || v.MembersNumber != f.membersNumber {
+		f.updateEntries(v)
+	}
+	f.registryNumber, f.membersNumber = v.RegistryNumber, v.MembersNumber
+	for id, t := range f.targets {
+		t.stepTimeFactor = max(1, v.StepTimeFactors[string(id)])
+	}
+	f.reportedTokens = tokensByCentre(v.OccupiedTokens)
+	f.peerTokens = tokensByCentre(v.PeerDrafts)
+}
+
+func tokensByCentre(tokens map[string]uint64) map[fireflysaddle.DataCentre]float64 {
+	out := make(map[fireflysaddle.DataCentre]float64, len(tokens))
+	for centre, n := range tokens {
+		out[fireflysaddle.DataCentre(centre)] = float64(n)
+	}
+	return out
+}
+
+// updateTargets replaces the targets with the registrations of a view.
+func (f *Fleet) updateTargets(v *saddleview.View) {
 	targets := make(map[fireflysaddle.TargetID]*target, len(v.Registrations))
 	groups := map[fireflysaddle.Group][]*target{}
 	byAddress := make(map[string]*target, len(v.Registrations))
 	for id, reg := range v.Registrations {
 		t := f.targetFor(fireflysaddle.TargetID(id), reg)
-		t.stepTimeFactor = max(1, v.StepTimeFactors[id])
 		targets[t.ID] = t
 		if v.Leaving(reg) {
 			continue
@@ -66,7 +95,13 @@
 		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	f.targets, f.groups, f.byAddress = targets, groups, byAddress
-	f.updateEntries(v)
+	f.byCentre = map[fireflysaddle.Group]map[fireflysaddle.DataCentre][]*target{}
+	for group, list := range groups {
+		f.byCentre[group] = map[fireflysaddle.DataCentre][]*target{}
+		for _, t := range list {
+			f.byCentre[group][t.Centre] = append(f.byCentre[group][t.Centre], t)
+		}
+	}
 }
 
 // targetFor returns the target of a registration. Its health and load are retained
@@ -83,8 +118,8 @@
 	return t
 }
 
-// updateEntries updates the load that the other entries and the engines report,
-// and which targets other entries suspect.
+// updateEntries counts the entries of a view and records which targets other entries
+// suspect.
 func (f *Fleet) updateEntries(v *saddleview.View) {
 	f.entryCount = 0
 	f.peerEntryCounts = map[fireflysaddle.DataCentre]int{}
@@ -106,19 +141,6 @@
 	for id, t := range f.targets {
 		t.suspectedByPeer = suspected[string(id)]
 	}
-	f.reportedTokens = map[fireflysaddle.DataCentre]float64{}
-	for centre, tokens := range v.OccupiedTokens {
-		f.reportedTokens[fireflysaddle.DataCentre(centre)] = float64(tokens)
-	}
-	f.peerTokens = map[fireflysaddle.DataCentre]float64{}
-	for _, load := range v.EntryLoads {
-		if load.GetNode() == f.node {
-			continue
-		}
-		for _, d := range load.GetDrafts() {
-			f.peerTokens[fireflysaddle.DataCentre(d.GetCentre())] += float64(d.GetTokens())
-		}
-	}
 }
 
 // EntryCount returns the number of entries that share the targets, including this one.
--- a/internal/direct/saddlefleet/load.go
+++ b/internal/direct/saddlefleet/load.go
@@ -83,14 +83,10 @@
 // entries are assumed to distribute their requests over the engines as this entry does.
 // For this estimate, layersPerToken is the mean number of layers that the engine runs for
 // each token reserved in its data centre.
-// weight is the engine's value from expectedLayers. If tokens is -1, load and capacity are
-// ignored: the result is load 0 and all layers that the engine holds.
+// weight is the engine's value from expectedLayers.
 func (f *Fleet) load(model *saddlerouting.Model, t *target, weight float64, tokens int) (load float64, maxLayers int) {
 	held := 0
 	t.eachLayer(model.Layers, func(int) { held++ })
-	if tokens < 0 {
-		return 0, held
-	}
 	unreported := unreportedRequests * float64(f.peerEntryCounts[t.Centre]*(model.MeanPromptTokens+model.MeanAnswerTokens))
 	usableTokenLayers := max(0, t.capacity(model)*usableCapacityFraction-unreported) * float64(held)
 	layersPerToken := (t.reservedTokenLayers + priorTokens*weight) / (f.ownTokens[t.Centre] + priorTokens)
--- a/internal/direct/saddlefleet/repair.go
+++ b/internal/direct/saddlefleet/repair.go
@@ -1,7 +1,6 @@
 package saddlefleet
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -24,10 +23,11 @@
 	if index <= 0 {
 		return Chain{}, false
 	}
-	candidates := f.candidates(now, pool, c.reserved.tokens, c.Addresses())
+	centre := parts[index-1].target.Centre
+	engines := usableEngines(now, pool.Model, f.byCentre[pool.Group][centre], c.Addresses())
+	candidates := f.candidates(now, pool.Model, engines, c.reserved.tokens)
 	candidates.clip(parts[index].from, parts[index].to)
-	sameCentreOnly := saddlepath.Costs{ToFirstPart: math.Inf(1), BetweenParts: math.Inf(1)}
-	found := candidates.findParts(parts[index].to-parts[index].from, parts[index-1].target.Centre, sameCentreOnly)
+	found, _ := candidates.findParts(parts[index].to-parts[index].from, centre, saddlepath.Costs{})
 	if found == nil {
 		return Chain{}, false
 	}
--- a/internal/direct/saddlepath/find.go
+++ b/internal/direct/saddlepath/find.go
@@ -34,8 +34,8 @@
 // only the cheapest partial chain for each layer and data centre. Therefore it may miss a
 // chain that begins with a more expensive partial chain. Such a chain can be the only or the
 // cheapest one, if the cheapest partial chain contains an engine that is needed again for
-// later layers.
-func Find(engines []Engine, layers, centre int, costs Costs) []Part {
+// later layers. cost is the cost of the chain.
+func Find(engines []Engine, layers, centre int, costs Costs) (parts []Part, cost float64) {
 	s := newSearch(engines, layers)
 	s.relax(state{layer: 0, centre: centre}, step{cost: 0, previous: -1})
 	for layer := range layers {
@@ -139,7 +139,7 @@
 	return false
 }
 
-func (s *search) cheapest() []Part {
+func (s *search) cheapest() ([]Part, float64) {
 	cheapest := -1
 	for _, i := range s.statesByLayer[s.layers] {
 		if cheapest < 0 || s.steps[i].cost < s.steps[cheapest].cost {
@@ -147,12 +147,12 @@
 		}
 	}
 	if cheapest < 0 || math.IsInf(s.steps[cheapest].cost, 1) {
-		return nil
+		return nil, math.Inf(1)
 	}
 	var out []Part
 	for i := cheapest; s.steps[i].previous >= 0; i = s.steps[i].previous {
 		out = append(out, Part{Engine: s.steps[i].engine, From: s.steps[i].firstLayer, To: s.stateByIndex[i].layer})
 	}
 	slices.Reverse(out)
-	return out
+	return out, s.steps[cheapest].cost
 }
--- a/internal/direct/saddlepath/find_test.go
+++ b/internal/direct/saddlepath/find_test.go
@@ -56,7 +56,7 @@
 func TestChainRunsEveryLayerOnceInOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		engines := rapid.SliceOfN(rapid.Custom(drawEngine), 1, 8).Draw(t, "drawn engines")
-		parts := saddlepath.Find(engines, layers, 0, saddlepath.Costs{ToFirstPart: 1, BetweenParts: 4})
+		parts, _ := saddlepath.Find(engines, layers, 0, saddlepath.Costs{ToFirstPart: 1, BetweenParts: 4})
 		nextLayer := 0
 		used := map[int]bool{}
 		for _, p := range parts {
@@ -84,7 +84,11 @@
 			return e
 		}), 1, 5).Draw(t, "drawn engines")
 		costs := saddlepath.Costs{ToFirstPart: 1, BetweenParts: 4}
-		found := saddlepath.Find(engines, layers, 0, costs) != nil
+		parts, cost := saddlepath.Find(engines, layers, 0, costs)
+		found := parts != nil
+		if found == math.IsInf(cost, 1) {
+			t.Fatalf("chain of cost %v, found: %v", cost, found)
+		}
 		if exists := !math.IsInf(lowestCost(engines, 0, 0, map[int]bool{}, costs), 1); exists != found {
 			t.Fatalf("chain exists: %v, found: %v", exists, found)
 		}
@@ -108,7 +112,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			parts := saddlepath.Find(c.engines, layers, 0, saddlepath.Costs{ToFirstPart: 1, BetweenParts: 4})
+			parts, _ := saddlepath.Find(c.engines, layers, 0, saddlepath.Costs{ToFirstPart: 1, BetweenParts: 4})
 			is.Equal(len(parts), c.parts)
 			is.Equal(parts[0].Engine, c.head)
 		})
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -30,10 +30,9 @@
 	membersStale       bool
 	registryStale      bool // registrations and departures
 
-	entryLoads      []*saddlewire.EntryLoad // loads in the latest update that contained any
-	stepTimeFactors map[string]float64      // factors in the leader's latest update, by target
-
-	occupiedTokens map[string]uint64 // tokens in the leader's latest update, by data centre
+	peerDrafts      map[string]uint64  // tokens of the other entries' drafts in the latest update with such, by data centre
+	stepTimeFactors map[string]float64 // factors that the leader sent last, by target
+	occupiedTokens  map[string]uint64  // tokens that the leader sent last, by data centre
 }
 
 // replicaState is the state that one replica has sent.
@@ -93,19 +92,31 @@
 		delete(s.members, node)
 	}
 	b.updateRegistry(s, u)
-	if len(u.GetLoads()) > 0 {
-		b.entryLoads = u.GetLoads()
+	b.updateLoad(u)
+}
+
+// updateLoad applies the load of the engines. The leader sends the drafts of the other
+// entries with each update, and the state of the engines when it has changed.
+func (b *Builder) updateLoad(u *saddlewire.Update) {
+	if u.GetLeads() || len(u.GetPeerDrafts()) > 0 {
+		b.peerDrafts = tokensByCentre(u.GetPeerDrafts())
 	}
-	if u.GetLeads() {
-		b.stepTimeFactors = make(map[string]float64, len(u.GetPaces()))
-		for _, p := range u.GetPaces() {
-			b.stepTimeFactors[p.GetTarget()] = p.GetFactor()
-		}
-		b.occupiedTokens = make(map[string]uint64, len(u.GetOccupied()))
-		for _, o := range u.GetOccupied() {
-			b.occupiedTokens[o.GetCentre()] = o.GetTokens()
-		}
+	if !u.GetLeads() || u.GetEnginesUnchanged() {
+		return
 	}
+	b.stepTimeFactors = make(map[string]float64, len(u.GetPaces()))
+	for _, p := range u.GetPaces() {
+		b.stepTimeFactors[p.GetTarget()] = p.GetFactor()
+	}
+	b.occupiedTokens = tokensByCentre(u.GetOccupied())
+}
+
+func tokensByCentre(loads []*saddlewire.CentreLoad) map[string]uint64 {
+	out := make(map[string]uint64, len(loads))
+	for _, l := range loads {
+		out[l.GetCentre()] += l.GetTokens()
+	}
+	return out
 }
 
 // markStale marks the parts of the view that an update may change.
@@ -165,13 +176,15 @@
 	v.Ready = v.Ready || v.Confirmed || (b.allowUnconfirmed && v.Revision > 0)
 	if b.membersStale && v.Connected > 0 {
 		v.Members = b.mergeMembers()
+		v.MembersNumber++
 		v.Groups = membersByGroup(v.Members)
 	}
 	if b.registryStale {
 		v.Registrations, v.Departed = b.mergeRegistry()
+		v.RegistryNumber++
 	}
 	b.mergeRouting(v)
-	v.EntryLoads = b.entryLoads
+	v.PeerDrafts = b.peerDrafts
 	v.StepTimeFactors = b.stepTimeFactors
 	v.OccupiedTokens = b.occupiedTokens
 	b.registryStale = false
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -15,6 +15,7 @@
 	Placements           map[string]*saddlewire.Placement  // by target
 	Members              map[string]*saddlewire.Member     // by node
 	Groups               map[string][]*saddlewire.Member   // members with a target, by its group
+	MembersNumber        uint64                            // number of merges that led to Members; unchanged while Members is
 	Connected            int                               // number of connected replicas
 	MayLoad              bool                              // agents: the leader allows the engine to load weights
 
@@ -26,8 +27,9 @@
 	Registrations   map[string]*saddlewire.Registration // targets without an agent, by id
 	StepTimeFactors map[string]float64                  // factors of slow engines, by target; above 1: slower
 	OccupiedTokens  map[string]uint64                   // tokens in the engines' KV caches, by data centre
-	EntryLoads      []*saddlewire.EntryLoad             // load that the drafts of each entry cause
+	PeerDrafts      map[string]uint64                   // tokens that the drafts of the other entries reserve, by data centre
 	Departed        map[string]uint64                   // latest incarnation that accepts no new work, by target
+	RegistryNumber  uint64                              // number of merges that led to Registrations and Departed; unchanged while they are
 }
 
 // Leaving reports whether a target without an agent accepts no new work.
