Avoid engines that fail drafts as heads, and share that within a data centre

Each entry had to learn by itself.

Now error answers count; an engine with a quarter of its recent drafts failed costs more as a head than one in another data centre; entries tell those of their data centre, in a list that does not grow with the entries.

Two more faults that reading found: the comparison of a remote with a local plain service preferred the busier remote one when it came first; a probe of an earlier incarnation counted for its successor.

--- a/internal/control/saddlecontrol/members.go
+++ b/internal/control/saddlecontrol/members.go
@@ -71,6 +71,7 @@
 		a.GetAddress() == b.GetAddress() &&
 		a.GetAdmin() == b.GetAdmin() &&
 		slices.Equal(a.GetSuspects(), b.GetSuspects()) &&
+		slices.Equal(a.GetFailing(), b.GetFailing()) &&
 		slices.Equal(a.GetSlow(), b.GetSlow()) &&
 		proto.Equal(a.GetTarget(), b.GetTarget())
 }
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -170,6 +170,7 @@
 		Load:        &saddlewire.Load{Drafts: g.fleet.CentreLoads()},
 		Slow:        g.gateway.SlowCentres(time.Now()),
 		Suspects:    g.fleet.Suspects(),
+		Failing:     g.fleet.Failing(time.Now()),
 	}
 }
 
--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -58,6 +58,10 @@
 	crossCentreCostNS = float64(time.Second)
 	// headFaultCostNS is the cost that each recent fault of a head adds.
 	headFaultCostNS = float64(4 * time.Millisecond)
+	// failingHeadCostNS is the cost of a head that fails many drafts. A head in another
+	// data centre is preferred to it. It is a cost and no exclusion, so that drafts are
+	// still sent if all heads fail some.
+	failingHeadCostNS = 4 * remoteHeadCostNS
 )
 
 // PickChain selects the cheapest chain with capacity for the tokens of a request,
@@ -206,6 +210,10 @@
 			continue
 		}
 		acc := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
+		headCost := headFaultCostNS * t.faults.at(now)
+		if t.failing(now) {
+			headCost += failingHeadCostNS
+		}
 		for _, held := range t.reg.GetLayers() {
 			c.pathEngines = append(c.pathEngines, saddlepath.Engine{
 				From:      int(held.GetFrom()),
@@ -213,7 +221,7 @@
 				Centre:    c.centreIndex(t.Centre),
 				LayerCost: float64(model.StepTime(acc, 1)) * t.stepTimeFactor * t.stepTimeFactor * loadPenalty(load), // squared, because the queue grows with the factor as well
 				HopCost:   hopCostNS,
-				HeadCost:  headFaultCostNS * t.recentFaults(now),
+				HeadCost:  headCost,
 				MaxLayers: maxLayers,
 			})
 			c.targets = append(c.targets, t)
--- a/internal/direct/saddlefleet/counters.go
+++ b/internal/direct/saddlefleet/counters.go
@@ -2,4 +2,8 @@
 
 import "expvar"
 
-var countExclusions = expvar.NewInt("target_passed_over_total")
+// Counters of the fleet; docs/OPERATIONS.md lists them.
+var (
+	countExclusions = expvar.NewInt("target_passed_over_total")
+	countFailing    = expvar.NewInt("engine_failing_total")
+)
--- /dev/null
+++ b/internal/direct/saddlefleet/decayingcount.go
@@ -0,0 +1,35 @@
+package saddlefleet
+
+import "time"
+
+const (
+	// countHalfLife is the half-life of a decaying count.
+	countHalfLife = 2 * time.Second
+	// negligibleCount is the value below which a decaying count is taken as 0.
+	negligibleCount = 0.1
+)
+
+// decayingCount counts recent events. Its value is halved each countHalfLife.
+type decayingCount struct {
+	value   float64
+	updated time.Time
+}
+
+func (c *decayingCount) add(now time.Time) {
+	c.value = c.at(now) + 1
+	c.updated = now
+}
+
+func (c *decayingCount) reset() { c.value = 0 }
+
+// at returns the value after its decay until now.
+func (c *decayingCount) at(now time.Time) float64 {
+	for v, age := c.value, now.Sub(c.updated); ; v, age = v/2, age-countHalfLife {
+		if v < negligibleCount {
+			return 0
+		}
+		if age < countHalfLife {
+			return v
+		}
+	}
+}
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -110,8 +110,10 @@
 	t, ok := f.targets[id]
 	if !ok || t.incarnation != reg.GetIncarnation() {
 		t = &target{
-			Target:      Target{ID: id, Address: reg.GetAddress(), Centre: fireflysaddle.DataCentre(reg.GetCentre())},
-			incarnation: reg.GetIncarnation(),
+			Target: Target{
+				ID: id, Address: reg.GetAddress(), Centre: fireflysaddle.DataCentre(reg.GetCentre()),
+				incarnation: reg.GetIncarnation(),
+			},
 		}
 	}
 	t.reg = reg
@@ -119,11 +121,13 @@
 }
 
 // updateEntries counts the entries of a view and records which targets other entries
-// suspect.
+// suspect, and which engines fail the drafts of those in this data centre. An engine may
+// fail for one data centre only.
 func (f *Fleet) updateEntries(v *saddleview.View) {
 	f.entryCount = 0
 	f.peerEntryCounts = map[fireflysaddle.DataCentre]int{}
 	suspected := map[string]bool{}
+	failing := map[string]int{}
 	for _, m := range v.Members {
 		if fireflysaddle.Role(m.GetRole()) != fireflysaddle.RoleEntry {
 			continue
@@ -136,10 +140,17 @@
 		for _, id := range m.GetSuspects() {
 			suspected[id] = true
 		}
+		if fireflysaddle.DataCentre(m.GetCentre()) != f.centre {
+			continue
+		}
+		for _, id := range m.GetFailing() {
+			failing[id]++
+		}
 	}
 	f.entryCount = max(1, f.entryCount)
 	for id, t := range f.targets {
 		t.suspectedByPeer = suspected[string(id)]
+		t.failingForPeers = failing[string(id)]
 	}
 }
 
@@ -204,18 +215,22 @@
 	if a.usable(now) != b.usable(now) {
 		return a.usable(now)
 	}
-	if faulty := a.recentFaults(now) >= deprioritiseFaults; faulty != (b.recentFaults(now) >= deprioritiseFaults) {
+	if faulty := a.faults.at(now) >= deprioritiseFaults; faulty != (b.faults.at(now) >= deprioritiseFaults) {
 		return !faulty
 	}
-	if local := a.Centre == f.centre; local != (b.Centre == f.centre) {
-		// A remote target is preferred only if the local one has more than
-		// localPreference additional requests in flight.
-		return local == (a.inFlight <= b.inFlight+localPreference)
+	// A remote target is preferred only if the local one has more than localPreference
+	// additional requests in flight.
+	aLocal, bLocal := a.Centre == f.centre, b.Centre == f.centre
+	switch {
+	case aLocal && !bLocal:
+		return a.inFlight <= b.inFlight+localPreference
+	case bLocal && !aLocal:
+		return b.inFlight > a.inFlight+localPreference
 	}
 	return a.inFlight < b.inFlight
 }
 
-// deprioritiseFaults is the fault score from which other targets are preferred. A
+// deprioritiseFaults is the fault count from which other targets are preferred. A
 // target that loses some of its answers mostly works, but each lost answer uses up
 // one of the request's attempts.
 const deprioritiseFaults = 0.4
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -89,26 +89,39 @@
 func (f *Fleet) ProbeRequests() <-chan struct{} { return f.probeRequests }
 
 // RecordFault records a fault of a target that still answers. After two faults in quick
-// succession a plain service is excluded until its next probe is due.
+// succession a plain service is excluded until its next probe is due. An engine cannot be
+// probed for faults: it counts as failing while at least failingShare of its recent drafts
+// have failed, and drafts begin at other engines if there are any.
 func (f *Fleet) RecordFault(now time.Time, address, reason string) {
 	f.mu.Lock()
 	t, ok := f.byAddress[address]
-	exclude := false
+	exclude, newlyFailing := false, false
 	if ok {
-		t.addFault(now)
-		exclude = !t.isEngine() && t.recentFaults(now) >= excludeFaults
+		t.faults.add(now)
+		faults := t.faults.at(now)
+		exclude = !t.isEngine() && faults >= repeatedFaults
+		if t.isEngine() && faults >= repeatedFaults && faults >= failingShare*(faults+t.successes.at(now)) {
+			newlyFailing = !now.Before(t.failingUntil)
+			t.failingUntil = now.Add(failingTime)
+		}
 	}
 	f.mu.Unlock()
 	if exclude {
 		f.MarkDown(now, address, reason)
 	}
+	if newlyFailing {
+		countFailing.Add(1)
+		f.log.Warn().Str("target", string(t.ID)).Str("address", address).Str("reason", reason).
+			Uint64("target_incarnation", t.incarnation).Msg("engine fails drafts: others are preferred as heads")
+	}
 }
 
-// excludeFaults is the fault score from which a plain service is excluded.
-const excludeFaults = 1.5
+// repeatedFaults is the value of the fault count after two faults in quick succession.
+const repeatedFaults = 1.5
 
 // MarkWorking records that targets completed a request. It readmits excluded plain
-// services and clears their faults; engines are readmitted by probes only.
+// services and clears their faults; engines are readmitted by probes only, and the completed
+// requests lower their share of faults.
 func (f *Fleet) MarkWorking(now time.Time, addresses ...string) {
 	for _, a := range addresses {
 		f.mu.Lock()
@@ -117,8 +130,10 @@
 		if readmitted {
 			t.readmit()
 		}
-		if ok && !t.isEngine() {
-			t.faultScore = 0
+		if ok && t.isEngine() {
+			t.successes.add(now)
+		} else if ok {
+			t.faults.reset()
 		}
 		f.mu.Unlock()
 		if readmitted {
@@ -141,6 +156,22 @@
 	return out
 }
 
+// Failing returns the IDs of the engines that fail this entry's drafts, sorted. It leaves
+// out those that enough other entries of its data centre list, so that the reports of an
+// engine do not grow with the entries.
+func (f *Fleet) Failing(now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for id, t := range f.targets {
+		if now.Before(t.failingUntil) && t.failingForPeers < minFailingPeers {
+			out = append(out, string(id))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // StartDueProbes returns the engines that are to be probed now. An engine needs a probe
 // if it is excluded, if another entry suspects it or if a probe was requested. It is
 // returned once its next probe is due, and is then marked as being probed until the result
@@ -161,11 +192,12 @@
 }
 
 // RecordProbe records the result of a probe. The probe counts as failed if the engine does
-// not hold the layers of its registration, because such an engine has restarted.
+// not hold the layers of its registration, because such an engine has restarted. The result
+// of a probe of an earlier incarnation is ignored.
 func (f *Fleet) RecordProbe(now time.Time, probed Target, report fireflysaddle.EngineReport, err error) {
 	f.mu.Lock()
 	t, ok := f.targets[probed.ID]
-	if !ok {
+	if !ok || t.incarnation != probed.incarnation {
 		f.mu.Unlock()
 		return
 	}
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -12,13 +12,14 @@
 	ID      fireflysaddle.TargetID
 	Address string
 	Centre  fireflysaddle.DataCentre
+
+	incarnation uint64
 }
 
 // target is the state of one incarnation of a target.
 type target struct {
 	Target
 	reg            *saddlewire.Registration
-	incarnation    uint64
 	stepTimeFactor float64 // step time relative to other engines with its type of accelerator, at least 1
 
 	inFlight            int     // number of this entry's requests in flight
@@ -32,8 +33,10 @@
 	probeRequested      bool      // a probe was requested without excluding the target
 	suspectedByPeer     bool      // listed among another entry's suspects
 	probing             bool
-	faultScore          float64   // recent faults, halved each faultHalfLife
-	lastFault           time.Time // time of the last update of faultScore
+	faults              decayingCount // recent faults
+	successes           decayingCount // recent drafts that ended as they should; engines only
+	failingUntil        time.Time     // end of the time for which the engine counts as failing as a head
+	failingForPeers     int           // number of other entries of this data centre that list it as failing
 }
 
 const (
@@ -46,9 +49,16 @@
 	// refusalBackoff is how long an engine that refused a request gets no further
 	// requests. It is long enough for a full engine to finish some requests.
 	refusalBackoff = 150 * time.Millisecond
-	// faultHalfLife is the half-life of the fault score of a target that still
-	// answers.
-	faultHalfLife = 2 * time.Second
+	// failingTime is how long an engine counts as failing after a fault. Then a draft
+	// begins there again, and its fault starts the time anew.
+	failingTime = 2 * time.Second
+	// failingShare is the share of faults among recent drafts from which an engine counts
+	// as failing.
+	failingShare = 0.25
+	// minFailingPeers is the number of other entries of a data centre that must list an
+	// engine as failing before this entry takes it for failing too. One entry may have
+	// trouble of its own.
+	minFailingPeers = 2
 )
 
 // isEngine reports whether the target is an engine, which can be probed for its
@@ -76,23 +86,8 @@
 	return !t.excluded || (!t.isEngine() && now.After(t.nextProbe))
 }
 
-// addFault counts a failure that does not indicate that the target is down.
-func (t *target) addFault(now time.Time) {
-	t.faultScore = t.recentFaults(now) + 1
-	t.lastFault = now
+// failing reports whether drafts should begin at other engines, because the engine fails
+// many of them although it answers probes.
+func (t *target) failing(now time.Time) bool {
+	return now.Before(t.failingUntil) || t.failingForPeers >= minFailingPeers
 }
-
-// recentFaults returns the fault score after its decay until now.
-func (t *target) recentFaults(now time.Time) float64 {
-	for f, age := t.faultScore, now.Sub(t.lastFault); ; f, age = f/2, age-faultHalfLife {
-		if f < negligibleFaults {
-			return 0
-		}
-		if age < faultHalfLife {
-			return f
-		}
-	}
-}
-
-// negligibleFaults is the fault score below which a target counts as free of faults.
-const negligibleFaults = 0.1
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -179,6 +179,9 @@
 // handleErrorStatus sends an error answer of the engine to the caller, unless an answer
 // to the caller has begun or the call is to be retried.
 func (j *job) handleErrorStatus(reply *fireflysaddle.Reply) (ended bool, failure string) {
+	if reply.Status >= http.StatusInternalServerError && len(j.chainAddresses) > 0 {
+		j.cfg.Fleet.RecordFault(time.Now(), j.chainAddresses[0], "answered "+strconv.Itoa(reply.Status))
+	}
 	if j.headerSent || j.shouldRetryStatus(reply.Status) {
 		return false, "target answered " + strconv.Itoa(reply.Status)
 	}
@@ -225,6 +228,9 @@
 			return true, ""
 		}
 	}
+	if len(j.chainAddresses) > 0 {
+		j.cfg.Fleet.MarkWorking(time.Now(), j.chainAddresses[0])
+	}
 	countAnswered.Add(1)
 	j.recordEnd("answered", "", "")
 	return true, ""
--- a/internal/direct/saddlegateway/stream_test.go
+++ b/internal/direct/saddlegateway/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -190,3 +191,23 @@
 	close(b.closed)
 	return nil
 }
+
+// Pattern: the head of a chain answers its drafts with errors while its probe is good
+// (srv_grey). After two of them the entry's drafts begin at another head, and no further
+// retries are used up.
+func TestHeadThatAnswersErrorsIsAvoided(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(_ int, fw fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+		if fw.Address == "engine-a-0" {
+			return reply(http.StatusInternalServerError, strings.NewReader("failed")), nil
+		}
+		return answerRest(fw)
+	})
+	const drafts = 20
+	for range drafts {
+		got := f.serve(call("/draft/"))
+		is.True(!got.aborted)
+		is.Equal(got.refusal, nil)
+	}
+	is.True(len(f.fakeTargets.forwarded()) <= drafts+2)
+}
