Spread fetches of a new configuration, and size retry grants by the fleet

Cause: all entries asked the first replica in the order of addresses, so one replica sent a new configuration to every entry. Now an entry asks the replica of its data centre first, then the others from a position that depends on its name.

An entry requested 16 retries at a time, so eleven of a hundred entries could take all that the leader grants. It now requests twice its equal share, 2 to 16.

--- a/internal/daemon/saddledaemon/gatewayrouting.go
+++ b/internal/daemon/saddledaemon/gatewayrouting.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"slices"
 	"time"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlegateway"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleview"
@@ -60,11 +63,36 @@
 	}
 }
 
+// RoutingSourceOrder returns the addresses of the replicas that hold the newest routing
+// configuration in the order in which a node should ask them: first those of its own data
+// centre, and the others beginning at a position that depends on the node, so that the
+// nodes of a large fleet do not all fetch from the same replica.
+func RoutingSourceOrder(v *saddleview.View, node, centre string) []string {
+	local := map[string]bool{}
+	for _, m := range v.Members {
+		if fireflysaddle.Role(m.GetRole()) == fireflysaddle.RoleControl && m.GetCentre() == centre {
+			local[m.GetAddress()] = true
+		}
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(node)) // never fails
+	var near, far []string
+	for i := range v.RoutingSources {
+		address := v.RoutingSources[(i+int(h.Sum32()))%len(v.RoutingSources)]
+		if local[address] {
+			near = append(near, address)
+		} else {
+			far = append(far, address)
+		}
+	}
+	return slices.Concat(near, far)
+}
+
 // fetchRouting requests the newest routing configuration from one replica after another of
 // those that hold it. It installs the first valid configuration that a replica returns, and
 // reports whether a replica returned a valid configuration.
 func (g *gateway) fetchRouting(ctx context.Context) bool {
-	for _, address := range g.subscriber.View().RoutingSources {
+	for _, address := range RoutingSourceOrder(g.subscriber.View(), g.settings.Node, g.settings.Centre) {
 		in := &saddlewire.RoutingRequest{Have: g.currentRouting().GetVersion()}
 		callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		out, err := saddlewire.NewDRPCControlClient(g.pool.Conn(callCtx, address)).FetchRouting(callCtx, in)
--- a/internal/direct/saddlegateway/plain_test.go
+++ b/internal/direct/saddlegateway/plain_test.go
@@ -1,6 +1,7 @@
 package saddlegateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlegateway"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
 type answerFunc func(f fireflysaddle.Forward) (*fireflysaddle.Reply, error)
@@ -179,3 +181,29 @@
 	is.True(retries > calls/5+granted)
 	is.True(retries <= calls/5+100/8+1+granted)
 }
+
+// Pattern: a fault of many engines makes a hundred entries request grants at the same time.
+// None may take a large part of what the leader may grant to all of them.
+func TestGrantsAreSharedByManyEntries(t *testing.T) {
+	for entries, largest := range map[int]int{7: 12, 28: 3, 105: 2} {
+		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, answerSequence(internalError))
+			u := &saddlewire.Update{}
+			for i := range entries {
+				u.Members = append(u.Members, &saddlewire.Member{Node: fmt.Sprint("entry-", i+1), Role: "entry", Centre: "a"})
+			}
+			f.builder.Update("control", u)
+			f.fleet.Update(f.builder.Build())
+			wanted := 0
+			f.grantRetries = func(want, _ int) int {
+				wanted = max(wanted, want)
+				return want
+			}
+			for range 100 {
+				f.serve(call("/status/"))
+			}
+			is.Equal(wanted, largest)
+		})
+	}
+}
--- a/internal/direct/saddlegateway/retrybudget.go
+++ b/internal/direct/saddlegateway/retrybudget.go
@@ -27,9 +27,14 @@
 	// retryWindow is the period over which retries are bounded. It matches the period
 	// over which the platform counts retries.
 	retryWindow = 10 * time.Second
-	// grantSize is the number of retries requested at a time. A lost engine interrupts
-	// about thirty streams of each entry in one data centre.
-	grantSize = 16
+	// maxGrantSize is the largest number of retries requested at a time. A lost engine
+	// interrupts about thirty streams of each entry in one data centre.
+	maxGrantSize = 16
+	// minGrantSize is the smallest number of retries requested at a time.
+	minGrantSize = 2
+	// grantShares is the number of an entry's equal shares in what the leader may grant that
+	// it requests at a time. Above 1, because not all entries need retries at once.
+	grantShares = 2
 	// grantLifetime is how long a grant is valid. The leader counts the grant against the
 	// limit for longer than that.
 	grantLifetime = 1500 * time.Millisecond
@@ -76,7 +81,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	n := g.cfg.GrantRetries(ctx, group, grantSize, int(grantableReserveFraction*g.cfg.RetryReserve))
+	limit := int(grantableReserveFraction * g.cfg.RetryReserve)
+	n := g.cfg.GrantRetries(ctx, group, grantSize(limit, g.cfg.Fleet.EntryCount()), limit)
 	now = time.Now()
 	if n == 0 {
 		b.nextGrantAt = now.Add(grantBackoff)
@@ -88,6 +94,12 @@
 	return b.take(now)
 }
 
+// grantSize returns the number of retries to request at a time. It falls with the number of
+// entries, so that a few of them cannot use up what the leader may grant to all.
+func grantSize(limit, entries int) int {
+	return min(maxGrantSize, max(minGrantSize, grantShares*limit/max(1, entries)))
+}
+
 func (b *retryBudget) take(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
