--- a/internal/daemon/saddledaemon/reload_test.go
+++ b/internal/daemon/saddledaemon/reload_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
 	"github.com/fireflysaddle/fireflysaddle/internal/daemon/saddledaemon"
@@ -34,7 +35,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		stop()
 		var logs bytes.Buffer
-		is.NoErr(saddledaemon.RunGateway(ctx, settings, &logs, reloads))
+		is.NoErr(saddledaemon.RunGateway(ctx, settings, zerolog.SyncWriter(&logs), reloads))
 		is.True(strings.Contains(logs.String(), "settings reloaded"))
 	}
 }
