Learn the usual pause between events, and share probes of engines

Cause: the thresholds for a silent stream were made for events of two tokens, 33 ms apart.

Now an entry estimates the median pause and takes multiples of it, with the former values as lower bounds; and an engine that answered is probed again by each entry after a time that grows with the entries of its data centre.

--- a/internal/direct/saddlefleet/failing_test.go
+++ b/internal/direct/saddlefleet/failing_test.go
@@ -146,3 +146,31 @@
 		is.Equal(f.pick(t, start), "near")
 	}
 }
+
+// Pattern: the streams of a data centre are slow, and each of its entries wants to know
+// whether the engines still answer. What all entries together ask of an engine must not grow
+// with their number.
+func TestProbesOfAnEngineDoNotGrowWithEntries(t *testing.T) {
+	const seconds = 10
+	for entries, most := range map[int]int{2: 2 * 34, 7: 7 * 34, 21: 7 * 36} {
+		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(engine("a0", "a", 0, 2))
+			u := &saddlewire.Update{}
+			for i := range entries {
+				u.Members = append(u.Members, &saddlewire.Member{Node: fmt.Sprint("entry-", i+1), Role: "entry", Centre: "a"})
+			}
+			f.update(u)
+			probes := 0
+			for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(10 * time.Millisecond) {
+				f.fleet.RequestProbe(now, "a0")
+				for _, due := range f.fleet.StartDueProbes(now) {
+					probes++
+					f.fleet.RecordProbe(now, due, fireflysaddle.EngineReport{Holdings: []fireflysaddle.Holding{{From: 0, To: 2}}}, nil)
+				}
+			}
+			is.True(probes*entries <= most) // by all entries together
+			is.True(probes >= seconds)
+		})
+	}
+}
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// RequestProbe requests an immediate probe of an engine, unless it was probed within
-// minProbeInterval. The engine remains in use unless the probe fails.
+// RequestProbe requests an immediate probe of an engine, unless it was probed a short time
+// ago. The engine remains in use unless the probe fails.
 func (f *Fleet) RequestProbe(now time.Time, address string) {
 	f.mu.Lock()
 	t, ok := f.byAddress[address]
@@ -212,7 +212,7 @@
 		t.unresponsive = true
 	} else {
 		t.readmit()
-		t.nextProbe = now.Add(minProbeInterval)
+		t.nextProbe = now.Add(f.reprobeInterval())
 	}
 	f.mu.Unlock()
 	switch {
@@ -226,6 +226,14 @@
 	}
 }
 
+// reprobeInterval returns the time before an engine that answered is probed again. The
+// entries of a data centre use the same engines and tell one another which do not answer,
+// so each of them probes less often the more they are.
+func (f *Fleet) reprobeInterval() time.Duration {
+	sharing := time.Duration(f.peerEntryCounts[f.centre]+1) * minProbeInterval / probingEntries
+	return min(maxProbeInterval, max(minProbeInterval, sharing))
+}
+
 var errLayersMissing = errors.New("engine does not hold the layers of its registration")
 
 // holdsRegisteredLayers reports whether a report includes all layers that the target
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -46,6 +46,9 @@
 	// it, because it has a new registration.
 	minProbeInterval = 300 * time.Millisecond
 	maxProbeInterval = 1200 * time.Millisecond
+	// probingEntries is the number of entries of a data centre that may each probe an engine
+	// that answers once in minProbeInterval. More entries probe it less often.
+	probingEntries = 7
 	// refusalBackoff is how long an engine that refused a request gets no further
 	// requests. It is long enough for a full engine to finish some requests.
 	refusalBackoff = 150 * time.Millisecond
--- a/internal/direct/saddlegateway/attemptindex.go
+++ b/internal/direct/saddlegateway/attemptindex.go
@@ -10,12 +10,16 @@
 )
 
 const (
-	// engineActiveWindow is how long an engine counts as active after an event of any
-	// stream that passes through it. It is about twice the usual pause between events.
-	engineActiveWindow = 60 * time.Millisecond
-	// minStallSilence is the minimum time without an event after which a stream is rerouted
-	// or aborted if an engine of its chain is found to be down or stalled.
-	minStallSilence = 70 * time.Millisecond
+	// minActiveWindow and activeWindowFactor, a multiple of the usual pause between events,
+	// determine how long an engine counts as active after an event of any stream that
+	// passes through it.
+	minActiveWindow    = 60 * time.Millisecond
+	activeWindowFactor = 1.8
+	// minStallSilence and stallSilenceFactor, a multiple of the usual pause between events,
+	// determine the time without an event after which a stream is rerouted or aborted if an
+	// engine of its chain is found to be down or stalled.
+	minStallSilence    = 70 * time.Millisecond
+	stallSilenceFactor = 2.0
 )
 
 // attemptIndex maps engine addresses to the attempts in progress whose chains pass
@@ -58,15 +62,15 @@
 }
 
 // silentEngines returns the engines of a chain through which no stream has received an
-// event within engineActiveWindow.
-func (x *attemptIndex) silentEngines(chain saddlefleet.Chain) []string {
+// event within a time.
+func (x *attemptIndex) silentEngines(chain saddlefleet.Chain, within time.Duration) []string {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var out []string
 	for _, p := range chain.Parts {
 		active := false
 		for w := range x.byAddress[p.Address] {
-			active = active || w.silence() < engineActiveWindow
+			active = active || w.silence() < within
 		}
 		if !active {
 			out = append(out, p.Address)
@@ -75,11 +79,17 @@
 	return out
 }
 
+// stallSilence returns the time without an event after which a stream is rerouted or
+// aborted if an engine of its chain is down or stalled.
+func (g *Gateway) stallSilence() time.Duration {
+	return g.usualPause.atLeast(minStallSilence, stallSilenceFactor)
+}
+
 // HandleEngineDown reroutes or aborts the silent attempts whose chains pass through an
 // engine that was found to be down.
 func (g *Gateway) HandleEngineDown(address string) {
 	for _, w := range g.attemptIndex.passingThrough(address) {
-		if w.silence() > minStallSilence {
+		if w.silence() > g.stallSilence() {
 			go w.handleEngineLoss(address)
 		}
 	}
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -40,6 +40,7 @@
 	attemptIndex  attemptIndex
 	waitQueue     waitQueue
 	slowCentres   slowCentreDetector
+	usualPause    pauseEstimator
 }
 
 // New returns a gateway without a configuration.
--- a/internal/direct/saddlegateway/slowcentres.go
+++ b/internal/direct/saddlegateway/slowcentres.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// slowMeanPause is the mean pause between events above which the streams of a data
-	// centre are slow. Events usually arrive every 33 ms, and an answer is late after
-	// a pause of 250 ms. The threshold lies between twice the usual pause and half of the
-	// longest pause that is on time.
-	slowMeanPause = 90 * time.Millisecond
+	// minSlowMeanPause and slowMeanFactor, a multiple of the usual pause between events,
+	// determine the mean pause above which the streams of a data centre are slow. An answer
+	// is late after a pause of 200 to 300 ms.
+	minSlowMeanPause = 90 * time.Millisecond
+	slowMeanFactor   = 2.5
 	// slowWindow is the period over which the mean is taken.
 	slowWindow = 400 * time.Millisecond
 	// slowMinEvents is the minimum number of pauses for a valid mean.
@@ -37,8 +37,8 @@
 }
 
 // recordPause adds a pause between events of a chain that passes through the given data
-// centres.
-func (d *slowCentreDetector) recordPause(now time.Time, centres []fireflysaddle.DataCentre, pause time.Duration) {
+// centres. They are slow if their mean pause is above slowMean.
+func (d *slowCentreDetector) recordPause(now time.Time, centres []fireflysaddle.DataCentre, pause, slowMean time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.byCentre == nil {
@@ -55,7 +55,7 @@
 		if now.Sub(p.start) < slowWindow {
 			continue
 		}
-		if p.count >= slowMinEvents && p.sum/time.Duration(p.count) > slowMeanPause {
+		if p.count >= slowMinEvents && p.sum/time.Duration(p.count) > slowMean {
 			p.slowUntil = now.Add(slowHold)
 		}
 		p.start, p.sum, p.count = now, 0, 0
--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -16,10 +16,12 @@
 	// firstEventCheck is the time without a first event after which a report is
 	// requested from the head of the chain. A first event usually arrives within 100 ms.
 	firstEventCheck = 170 * time.Millisecond
-	// eventGapCheck is the time since the last event after which the report is requested.
-	// Events usually arrive every 33 ms, and an answer is late after a pause
-	// of 250 ms.
-	eventGapCheck = 90 * time.Millisecond
+	// minEventGapCheck is the shortest time since the last event after which the report is
+	// requested. An answer is late after a pause of 200 to 300 ms.
+	minEventGapCheck = 90 * time.Millisecond
+	// eventGapFactor is that time as a multiple of the usual pause between events. Most
+	// streams have a pause of one and a half times the usual one.
+	eventGapFactor = 2.5
 	// recheckInterval is the time between further checks. Reports are up to 200 ms old.
 	recheckInterval = 130 * time.Millisecond
 	// maxSilence is the time without an event after which an attempt is aborted
@@ -43,6 +45,7 @@
 	cancel        context.CancelCauseFunc
 	chain         atomic.Pointer[saddlefleet.Chain]
 	lastEvent     atomic.Int64 // nanoseconds from startTime to the last event
+	hasEvent      atomic.Bool  // an event has arrived
 	startTime     time.Time
 	timer         *time.Timer
 	faultyAddress atomic.Pointer[string] // address of the engine that caused the abort; nil: none
@@ -67,8 +70,12 @@
 // recordEvent records the arrival of an event and restarts the timer.
 func (w *watchdog) recordEvent() {
 	elapsed := int64(time.Since(w.startTime))
-	w.job.slowCentres.recordPause(time.Now(), w.chain.Load().Centres, time.Duration(elapsed-w.lastEvent.Swap(elapsed)))
-	w.timer.Reset(eventGapCheck)
+	pause := time.Duration(elapsed - w.lastEvent.Swap(elapsed))
+	if w.hasEvent.Swap(true) { // the time until the first event is not a pause between events
+		w.job.usualPause.record(pause)
+	}
+	w.job.slowCentres.recordPause(time.Now(), w.chain.Load().Centres, pause, w.job.usualPause.atLeast(minSlowMeanPause, slowMeanFactor))
+	w.timer.Reset(w.job.usualPause.atLeast(minEventGapCheck, eventGapFactor))
 }
 
 // stop ends the monitoring and returns the current chain.
@@ -116,7 +123,7 @@
 		w.timer.Reset(recheckInterval)
 		return
 	}
-	for _, address := range w.job.attemptIndex.silentEngines(*chain) {
+	for _, address := range w.job.attemptIndex.silentEngines(*chain, w.job.usualPause.atLeast(minActiveWindow, activeWindowFactor)) {
 		w.job.cfg.Fleet.RequestProbe(time.Now(), address)
 	}
 	report, err := w.job.engineReport(w.ctx, chain.Head.Address)
@@ -129,7 +136,7 @@
 		return
 	}
 	for _, s := range report.Stalled {
-		if w.silence() > minStallSilence && w.chain.Load().Includes(s.Address) {
+		if w.silence() > w.job.stallSilence() && w.chain.Load().Includes(s.Address) {
 			w.job.cfg.Fleet.MarkDown(time.Now(), s.Address, "a chain is stalled at the engine")
 			w.handleEngineLoss(s.Address)
 			return
