Let replicas tell one another which registrations they received

Now heartbeats of replicas carry fingerprints of the registrations received in the last second; a replica keeps an equal registration that another one received. One that differs expires as before, so nothing outdated stays.

Tests: TestTargetsThatReportInTurnDoNotExpire, TestOutdatedRegistrationExpires, TestTargetThatIsGoneExpires.

--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -204,6 +204,7 @@
 func (c *core) recordHeartbeat(now time.Time, m *saddlewire.Member) {
 	countHeartbeats.Add(1)
 	c.loadGrants.RecordHeartbeat(now, m.GetNode(), m.GetNeedsLoad(), m.GetLoading())
+	c.registry.MarkHeard(now, m.GetLoad().GetHeard())
 	if !c.members.record(now, m) {
 		return
 	}
--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -59,6 +59,8 @@
 	confirmed atomic.Bool   // whether a majority confirmed the applied state less than an election timeout ago
 	logEmpty  atomic.Bool   // whether the log holds no entries
 
+	heard atomic.Pointer[heardRegistrations]
+
 	updatePause atomic.Int64 // shortest time between two updates to a subscriber, nanoseconds
 }
 
@@ -147,6 +149,7 @@
 			return err
 		}
 		c.removeExpired(now)
+		c.collectHeard(now, time.Now())
 		c.confirmed.Store(c.replica.Confirmed(now))
 		c.lease.Store(c.leaseTerm(now))
 		c.logEmpty.Store(c.replica.LogEmpty())
--- a/internal/control/saddlecontrol/register.go
+++ b/internal/control/saddlecontrol/register.go
@@ -83,6 +83,42 @@
 	return ask(ctx, s, findRegistrationEvent{id: id, reply: reply}, reply)
 }
 
+const (
+	// heardPeriod is how far back a replica reports the registrations that it received. It
+	// is two intervals between heartbeats of control processes, so that one of them may be
+	// lost.
+	heardPeriod = time.Second
+	// heardInterval is the time between two collections of these registrations.
+	heardInterval = 250 * time.Millisecond
+)
+
+// heardRegistrations holds the fingerprints of the registrations that this replica received
+// within heardPeriod before a time.
+type heardRegistrations struct {
+	collectedAt  time.Time // with a monotonic reading, unlike the time of the core's clock
+	fingerprints []uint64
+}
+
+// collectHeard collects the registrations received lately if heardInterval has passed. now
+// is the time of the core's clock.
+func (c *core) collectHeard(now, monotonic time.Time) {
+	if last := c.heard.Load(); last != nil && monotonic.Sub(last.collectedAt) < heardInterval {
+		return
+	}
+	c.heard.Store(&heardRegistrations{collectedAt: monotonic, fingerprints: c.registry.HeardSince(now.Add(-heardPeriod))})
+}
+
+// HeardRegistrations returns the fingerprints of the registrations that this replica
+// received lately, for its heartbeats to the other replicas. It does not wait for the core,
+// which may be waiting for the disk, and returns none if the latest collection is too old.
+func (s *Server) HeardRegistrations(now time.Time) []uint64 {
+	heard := s.core.heard.Load()
+	if heard == nil || now.Sub(heard.collectedAt) > heardPeriod {
+		return nil
+	}
+	return heard.fingerprints
+}
+
 // RecordDeparture records in the log that an incarnation of a target accepts no new work.
 func (s *Server) RecordDeparture(ctx context.Context, id string, incarnation uint64) error {
 	_, err := s.Commit(ctx, &saddlewire.Command{
--- a/internal/control/saddleregistry/table.go
+++ b/internal/control/saddleregistry/table.go
@@ -1,6 +1,8 @@
 package saddleregistry
 
 import (
+	"encoding/binary"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -20,12 +22,16 @@
 	version    uint64
 	records    map[string]*record
 	tombstones map[string]tombstone
+
+	byFingerprint map[uint64]*record
 }
 
 type record struct {
 	registration  *saddlewire.Registration
-	lastHeartbeat time.Time
-	version       uint64 // table version at the last change that must be sent to nodes
+	lastHeartbeat time.Time // of the target to this replica
+	lastHeard     time.Time // of the target to any replica
+	version       uint64    // table version at the last change that must be sent to nodes
+	fingerprint   uint64
 }
 
 type tombstone struct {
@@ -36,7 +42,7 @@
 // New returns an empty table. RemoveExpired removes the targets that send nothing for
 // longer than timeout.
 func New(timeout time.Duration) *Table {
-	return &Table{timeout: timeout, records: map[string]*record{}, tombstones: map[string]tombstone{}}
+	return &Table{timeout: timeout, records: map[string]*record{}, tombstones: map[string]tombstone{}, byFingerprint: map[uint64]*record{}}
 }
 
 // Version counts the changes that must be sent to nodes.
@@ -59,8 +65,12 @@
 		return false
 	}
 	t.removePredecessors(reg)
-	rec := &record{registration: reg, lastHeartbeat: now}
+	rec := &record{registration: reg, lastHeartbeat: now, lastHeard: now, fingerprint: fingerprint(reg)}
+	if ok {
+		delete(t.byFingerprint, old.fingerprint)
+	}
 	t.records[reg.GetId()] = rec
+	t.byFingerprint[rec.fingerprint] = rec
 	if ok && sameForSelection(old.registration, reg) {
 		rec.version = old.version
 		return false
@@ -77,7 +87,7 @@
 	for id, rec := range t.records {
 		if id != reg.GetId() && rec.registration.GetAddress() == reg.GetAddress() &&
 			rec.registration.GetIncarnation() < reg.GetIncarnation() {
-			t.remove(rec.lastHeartbeat, id)
+			t.remove(rec.lastHeard, id)
 		}
 	}
 }
@@ -107,12 +117,60 @@
 		slices.EqualFunc(a.GetLayers(), b.GetLayers(), func(x, y *saddlewire.HeldLayers) bool { return proto.Equal(x, y) })
 }
 
-// RemoveExpired removes the targets that have sent nothing for longer than the timeout
-// and returns their ids.
+// fingerprint identifies what target selection depends on in a registration. Two
+// registrations with the same fingerprint differ at most in how late they were sent.
+func fingerprint(reg *saddlewire.Registration) uint64 {
+	h := fnv.New64a()
+	var buf []byte
+	for _, s := range []string{reg.GetId(), reg.GetGroup(), reg.GetAddress()} {
+		buf = append(binary.AppendUvarint(buf, uint64(len(s))), s...)
+	}
+	leaving := uint64(0)
+	if reg.GetLeaving() {
+		leaving = 1
+	}
+	for _, n := range []uint64{reg.GetIncarnation(), uint64(reg.GetSlots()), leaving} {
+		buf = binary.AppendUvarint(buf, n)
+	}
+	for _, l := range reg.GetLayers() {
+		for _, n := range []uint64{uint64(l.GetFrom()), uint64(l.GetTo()), l.GetVersion()} {
+			buf = binary.AppendUvarint(buf, n)
+		}
+	}
+	_, _ = h.Write(buf) // never fails
+	return h.Sum64()
+}
+
+// HeardSince returns the fingerprints of the registrations that their targets sent to this
+// replica after a time.
+func (t *Table) HeardSince(since time.Time) []uint64 {
+	var out []uint64
+	for _, rec := range t.records {
+		if rec.lastHeartbeat.After(since) {
+			out = append(out, rec.fingerprint)
+		}
+	}
+	return out
+}
+
+// MarkHeard records that targets sent their registrations to another replica. A target
+// that reports to different replicas in turn therefore does not expire at each of them. A
+// registration that differs from the one in this table is not marked, so that an outdated
+// one expires.
+func (t *Table) MarkHeard(now time.Time, fingerprints []uint64) {
+	for _, f := range fingerprints {
+		if rec, ok := t.byFingerprint[f]; ok {
+			rec.lastHeard = now
+		}
+	}
+}
+
+// RemoveExpired removes the targets that have sent nothing to any replica for longer than
+// the timeout and returns their ids.
 func (t *Table) RemoveExpired(now time.Time) []string {
 	var removed []string
 	for id, rec := range t.records {
-		if now.Sub(rec.lastHeartbeat) > t.timeout {
+		if now.Sub(rec.lastHeard) > t.timeout {
 			t.remove(now, id)
 			removed = append(removed, id)
 		}
@@ -128,6 +186,9 @@
 
 func (t *Table) remove(now time.Time, id string) {
 	t.version++
+	if rec, ok := t.records[id]; ok {
+		delete(t.byFingerprint, rec.fingerprint)
+	}
 	delete(t.records, id)
 	t.tombstones[id] = tombstone{removedAt: now, version: t.version}
 }
--- a/internal/control/saddleregistry/table_test.go
+++ b/internal/control/saddleregistry/table_test.go
@@ -1,6 +1,7 @@
 package saddleregistry_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -112,3 +113,69 @@
 	_, err = saddleregistry.Load(name)
 	is.True(err != nil)
 }
+
+// Pattern: targets report to five replicas in turn, so that each replica hears of a target
+// now and then only. Nothing about them may change at any replica: each change would be sent
+// to all nodes of the fleet.
+func TestTargetsThatReportInTurnDoNotExpire(t *testing.T) {
+	is := is.New(t)
+	const replicas, targets = 5, 20
+	const heartbeat = 1200 * time.Millisecond
+	tables := make([]*saddleregistry.Table, replicas)
+	for i := range tables {
+		tables[i] = saddleregistry.New(timeout)
+		for id := range targets {
+			tables[i].Put(start, reg(fmt.Sprint("t", id), fmt.Sprint("10.0.0.", id, ":80"), 1, 0))
+		}
+	}
+	version := tables[0].Version()
+	now := start
+	for round := range 100 {
+		now = now.Add(heartbeat)
+		for id := range targets {
+			at := (round/20 + id) % replicas // a target stays with a replica for longer than the timeout
+			tables[at].Put(now, reg(fmt.Sprint("t", id), fmt.Sprint("10.0.0.", id, ":80"), 1, uint64(round+1)))
+		}
+		for from := range tables {
+			for to := range tables {
+				tables[to].MarkHeard(now, tables[from].HeardSince(now.Add(-time.Second)))
+			}
+			is.Equal(len(tables[from].RemoveExpired(now)), 0)
+		}
+	}
+	is.Equal(tables[0].Version(), version)
+}
+
+// A registration that another replica holds in a newer form is outdated. It must expire here
+// although the target still reports there.
+func TestOutdatedRegistrationExpires(t *testing.T) {
+	for name, newer := range map[string]*saddlewire.Registration{
+		"restarted":          reg("a", "10.0.0.1:80", 2, 1),
+		"holds layers now":   {Id: "a", Group: "drafts", Address: "10.0.0.1:80", Incarnation: 1, Sequence: 2, Layers: []*saddlewire.HeldLayers{{From: 0, To: 8}}},
+		"has become leaving": {Id: "a", Group: "drafts", Address: "10.0.0.1:80", Incarnation: 1, Sequence: 2, Leaving: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			here, there := saddleregistry.New(timeout), saddleregistry.New(timeout)
+			here.Put(start, reg("a", "10.0.0.1:80", 1, 1))
+			later := start.Add(timeout + time.Second)
+			there.Put(later, newer)
+			here.MarkHeard(later, there.HeardSince(start))
+			is.Equal(here.RemoveExpired(later), []string{"a"})
+		})
+	}
+}
+
+// A target that is gone expires at all replicas.
+func TestTargetThatIsGoneExpires(t *testing.T) {
+	is := is.New(t)
+	here, there := saddleregistry.New(timeout), saddleregistry.New(timeout)
+	here.Put(start, reg("a", "10.0.0.1:80", 1, 1))
+	there.Put(start.Add(time.Second), reg("a", "10.0.0.1:80", 1, 2))
+	for now := start; now.Before(start.Add(4 * time.Second)); now = now.Add(500 * time.Millisecond) {
+		here.MarkHeard(now, there.HeardSince(now.Add(-time.Second)))
+	}
+	gone := start.Add(4*time.Second + timeout + time.Second)
+	is.Equal(here.RemoveExpired(gone), []string{"a"})
+	is.Equal(there.RemoveExpired(gone), []string{"a"})
+}
--- a/internal/daemon/saddledaemon/control.go
+++ b/internal/daemon/saddledaemon/control.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	defer func() { _ = cleanup() }()
-	subscriber := newControlSubscriber(settings, p, slices.Collect(maps.Values(replicas)))
+	subscriber := newControlSubscriber(settings, p, slices.Collect(maps.Values(replicas)), nil)
 	return p.serve(ctx, s.Ready, func(stop <-chan struct{}) error {
 		runCtx, cancel := context.WithCancel(context.Background())
 		defer cancel()
--- a/internal/daemon/saddledaemon/controlsubscriber.go
+++ b/internal/daemon/saddledaemon/controlsubscriber.go
@@ -16,8 +16,8 @@
 
 // newControlSubscriber returns a subscriber that registers a control process as a
 // member of the fleet, so that operators see which revision is in force on the process and
-// find its admin listener.
-func newControlSubscriber(settings saddlesettings.Control, p *process, controls []string) *saddlesubscriber.Subscriber {
+// find its admin listener. load returns what its heartbeats say of its load; it may be nil.
+func newControlSubscriber(settings saddlesettings.Control, p *process, controls []string, load func() *saddlewire.Load) *saddlesubscriber.Subscriber {
 	var s *saddlesubscriber.Subscriber
 	cfg := saddlesubscriber.Config{
 		Controls:              controls,
@@ -27,7 +27,7 @@
 		Network:               p.network,
 		Member: func() *saddlewire.Member {
 			view := s.View()
-			return &saddlewire.Member{
+			m := &saddlewire.Member{
 				Node:        settings.Node,
 				Role:        string(fireflysaddle.RoleControl),
 				Incarnation: uint64(p.incarnation),
@@ -37,6 +37,10 @@
 				Revision:    view.Revision,
 				Confirmed:   view.Confirmed,
 			}
+			if load != nil {
+				m.Load = load()
+			}
+			return m
 		},
 	}
 	s = saddlesubscriber.New(cfg, nil)
--- a/internal/daemon/saddledaemon/directory.go
+++ b/internal/daemon/saddledaemon/directory.go
@@ -39,7 +39,7 @@
 	}
 	p.log.Info().Strs("contacts", settings.Group.Addresses()).Msg("no data folder is set: referring callers to the control replicas")
 	d := &directory{process: p, settings: settings}
-	d.subscriber = newControlSubscriber(settings, p, settings.Group.Addresses())
+	d.subscriber = newControlSubscriber(settings, p, settings.Group.Addresses(), nil)
 	return p.serve(ctx, d.ready, func(stop <-chan struct{}) error {
 		runCtx, cancel := context.WithCancel(context.Background())
 		defer cancel()
--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -44,7 +44,8 @@
 		return err
 	}
 	contacts := settings.Group.Addresses()
-	g := &groupReplica{settings: settings, process: p, contacts: contacts, subscriber: newControlSubscriber(settings, p, contacts)}
+	g := &groupReplica{settings: settings, process: p, contacts: contacts}
+	g.subscriber = newControlSubscriber(settings, p, contacts, g.load)
 	return p.serve(ctx, g.ready, func(stop <-chan struct{}) error {
 		runCtx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -197,6 +198,16 @@
 	return nil
 }
 
+// load returns the load for the heartbeats of this replica: the registrations that it
+// received lately.
+func (g *groupReplica) load() *saddlewire.Load {
+	s := g.server.Load()
+	if s == nil {
+		return nil
+	}
+	return &saddlewire.Load{Heard: s.HeardRegistrations(time.Now())}
+}
+
 // setEngineState passes the state of the engines to the replica, which sends it to the
 // entries.
 func (g *groupReplica) setEngineState(ctx context.Context, state saddlecontrol.EngineState) {
