Report which settings each process uses, and apply reloads as a whole

A gateway took over the control replicas of a new file and silently ignored the rest of it.

Now a digest of the settings without what identifies the process, and the time from which they are used, are in heartbeats, counters and log lines, and saddlectl status lists the processes of a role that differ. A gateway takes over key lease, limits of retries, shutdown times and control replicas, or refuses the whole file and names the keys that need a restart.

An entry's part of the retry reserve now follows the number of entries that it knows; it was fixed at the first request, when it may not know them yet.

--- a/internal/agent/saddleagent/config.go
+++ b/internal/agent/saddleagent/config.go
@@ -18,6 +18,7 @@
 	Advertise         string   // address that other processes connect to
 	AnnounceAddress   string   // listen address for the target's HTTP announcements
 	Admin             string   // address of the admin listener, as reported to control
+	Settings          string   // digest of the settings in force, for the heartbeats
 	Controls          []string // addresses of the control replicas
 	HeartbeatInterval time.Duration
 	SilenceTimeout    time.Duration // time without a message after which the connection to a control replica or another agent is closed
--- a/internal/agent/saddleagent/server.go
+++ b/internal/agent/saddleagent/server.go
@@ -176,6 +176,8 @@
 		Centre:      string(s.cfg.Centre),
 		Address:     s.cfg.Advertise,
 		Admin:       s.cfg.Admin,
+		Settings:    s.cfg.Settings,
+		SettingsNs:  int64(s.cfg.Incarnation), // the time of the start; settings are read once
 		Leaving:     s.stopping.Load(),
 		Revision:    view.Revision,
 		Confirmed:   view.Confirmed,
--- a/internal/command/saddlectl/command_test.go
+++ b/internal/command/saddlectl/command_test.go
@@ -292,3 +292,30 @@
 	is.True(strings.Contains(old.out, "30s"))
 	is.Equal(f.run(t, "template", "show", "meet", "-revision", "9").code, saddlectl.ExitFailed)
 }
+
+// An operator sees which processes of a role use other settings than most, and since when.
+func TestStatusShowsSettingsThatDiffer(t *testing.T) {
+	is := is.New(t)
+	f := newFakeControl(t)
+	f.update(func() {
+		f.members = []*saddlewire.Member{
+			{Node: "front-a-1", Role: "entry", Settings: "aa11", SettingsNs: 1_800_000_000e9},
+			{Node: "front-b-1", Role: "entry", Settings: "bb22", SettingsNs: 1_800_000_060e9},
+			{Node: "front-b-2", Role: "entry", Settings: "aa11", SettingsNs: 1_800_000_000e9},
+			{Node: "front-c-1", Role: "entry"},
+			{Node: "control-1", Role: "control", Settings: "cc33"},
+		}
+	})
+	got := f.run(t, "status")
+	is.Equal(got.code, saddlectl.ExitOK)
+	for _, line := range []string{
+		"settings of role control: cc33 on 1 of 1\n",
+		"settings of role entry: aa11 on 2 of 4\n",
+		"  bb22 since 2027-01-15T08:01:00Z front-b-1\n",
+		"  not reported front-c-1\n",
+	} {
+		is.True(strings.Contains(got.out, line))
+	}
+	view := f.run(t, "status", "-json")
+	is.True(strings.Contains(view.out, `"digest": "bb22"`) || strings.Contains(view.out, `"digest":"bb22"`))
+}
--- a/internal/command/saddlectl/status.go
+++ b/internal/command/saddlectl/status.go
@@ -16,6 +16,7 @@
 	InForce            *rolloutStatus `json:"in_force"`
 	UnconfirmedMembers []string       `json:"unconfirmed_views,omitempty"` // members whose view no majority has confirmed recently
 	NotReporting       []string       `json:"not_heard,omitempty"`         // control replicas missing from the member list
+	Settings           []roleSettings `json:"settings,omitempty"`          // settings in force, by role
 	Templates          int            `json:"templates"`
 	Deployments        int            `json:"deployments"`
 }
@@ -30,6 +31,7 @@
 		Term:         state.GetTerm(),
 		InForce:      newRolloutStatus(state, state.GetRevision()),
 		NotReporting: replicasNotReporting(state),
+		Settings:     settingsByRole(state.GetMembers()),
 		Templates:    len(state.GetTemplates()),
 		Deployments:  len(state.GetDeployments()),
 	}
@@ -72,5 +74,8 @@
 	for _, node := range st.NotReporting {
 		_, _ = fmt.Fprintf(w, "  control replica not heard: %s\n", node)
 	}
+	for _, s := range st.Settings {
+		s.write(w)
+	}
 	_, _ = fmt.Fprintf(w, "%d templates, %d deployments\n", st.Templates, st.Deployments)
 }
--- a/internal/daemon/saddledaemon/agent.go
+++ b/internal/daemon/saddledaemon/agent.go
@@ -14,7 +14,7 @@
 
 // RunAgent runs an agent until the context ends and its work in progress has finished.
 func RunAgent(ctx context.Context, settings saddlesettings.Agent, logs io.Writer) error {
-	p, err := newProcess(time.Now(), settings.Common, fireflysaddle.RoleAgent, logs)
+	p, err := newProcess(time.Now(), settings.Common, settings.Digest(), fireflysaddle.RoleAgent, logs)
 	if err != nil {
 		return err
 	}
@@ -26,6 +26,7 @@
 		Advertise:         cmp.Or(settings.Advertise, settings.Listen),
 		AnnounceAddress:   settings.Announce,
 		Admin:             settings.Admin,
+		Settings:          settings.Digest(),
 		Controls:          settings.Attend.Controls,
 		HeartbeatInterval: settings.Attend.HeartbeatInterval.Std(),
 		SilenceTimeout:    settings.Attend.ControlSilenceTimeout.Std(),
--- a/internal/daemon/saddledaemon/control.go
+++ b/internal/daemon/saddledaemon/control.go
@@ -23,7 +23,7 @@
 		return runGroupReplica(ctx, settings, logs)
 	}
 	now := time.Now()
-	p, err := newProcess(now, settings.Common, fireflysaddle.RoleControl, logs)
+	p, err := newProcess(now, settings.Common, settings.Digest(), fireflysaddle.RoleControl, logs)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/saddledaemon/controlsubscriber.go
+++ b/internal/daemon/saddledaemon/controlsubscriber.go
@@ -25,7 +25,7 @@
 		ControlSilenceTimeout: controlSilenceTimeout,
 		Timeline:              p.timeline,
 		Network:               p.network,
-		Member: func() *saddlewire.Member {
+		Member: p.withSettings(func() *saddlewire.Member {
 			view := s.View()
 			m := &saddlewire.Member{
 				Node:        settings.Node,
@@ -41,7 +41,7 @@
 				m.Load = load()
 			}
 			return m
-		},
+		}),
 	}
 	s = saddlesubscriber.New(cfg, nil)
 	return s
--- a/internal/daemon/saddledaemon/counters.go
+++ b/internal/daemon/saddledaemon/counters.go
@@ -6,5 +6,7 @@
 var (
 	countReplicaReopens  = expvar.NewInt("control_replica_reopened_total")
 	countSettingsReloads = expvar.NewInt("settings_reloads_total")
+	countReloadsRefused  = expvar.NewInt("settings_reloads_refused_total")
+	publishedSettings    = expvar.NewString("settings_digest")
 	countRoutingFetches  = expvar.NewInt("routing_fetches_total")
 )
--- a/internal/daemon/saddledaemon/directory.go
+++ b/internal/daemon/saddledaemon/directory.go
@@ -33,7 +33,7 @@
 const maxSubscribedReplicas = 12
 
 func runDirectory(ctx context.Context, settings saddlesettings.Control, logs io.Writer) error {
-	p, err := newProcess(time.Now(), settings.Common, fireflysaddle.RoleControl, logs)
+	p, err := newProcess(time.Now(), settings.Common, settings.Digest(), fireflysaddle.RoleControl, logs)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/saddledaemon/entry.go
+++ b/internal/daemon/saddledaemon/entry.go
@@ -14,7 +14,7 @@
 // RunEntry runs an entry until the context ends and the requests in progress have
 // finished.
 func RunEntry(ctx context.Context, settings saddlesettings.Entry, logs io.Writer) error {
-	p, err := newProcess(time.Now(), settings.Common, fireflysaddle.RoleEntry, logs)
+	p, err := newProcess(time.Now(), settings.Common, settings.Digest(), fireflysaddle.RoleEntry, logs)
 	if err != nil {
 		return err
 	}
@@ -24,6 +24,7 @@
 		Centre:                fireflysaddle.DataCentre(settings.Centre),
 		Listen:                settings.Listen,
 		Admin:                 settings.Admin,
+		Settings:              settings.Digest(),
 		Controls:              settings.Attend.Controls,
 		HeartbeatInterval:     settings.Attend.HeartbeatInterval.Std(),
 		ControlSilenceTimeout: settings.Attend.ControlSilenceTimeout.Std(),
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -53,7 +53,7 @@
 
 // gateway is an entry to targets that run without agents.
 type gateway struct {
-	settings         saddlesettings.Gateway
+	settings         atomic.Pointer[saddlesettings.Gateway] // in force; reloads replace them
 	process          *process
 	fleet            *saddlefleet.Fleet
 	gateway          *saddlegateway.Gateway
@@ -70,11 +70,11 @@
 }
 
 // RunGateway runs a gateway until the context ends and the requests in progress have
-// finished. When new settings arrive on reloads, the gateway also subscribes to the control
-// replicas that they name; other settings are not reloaded.
+// finished. New settings that arrive on reloads are applied as a whole, or refused if they
+// need a restart.
 func RunGateway(ctx context.Context, settings saddlesettings.Gateway, logs io.Writer, reloads <-chan saddlesettings.Gateway) error {
 	now := time.Now()
-	p, err := newProcess(now, settings.Common, fireflysaddle.RoleEntry, logs)
+	p, err := newProcess(now, settings.Common, settings.Digest(), fireflysaddle.RoleEntry, logs)
 	if err != nil {
 		return err
 	}
@@ -82,7 +82,8 @@
 	defer func() { _ = closeClient() }()
 	pool, closePool := saddlelink.NewPoolWithNetwork(p.network)
 	defer func() { _ = closePool() }()
-	g := &gateway{settings: settings, process: p, pool: pool, client: client, started: now, fetchRequests: make(chan struct{}, 1)}
+	g := &gateway{process: p, pool: pool, client: client, started: now, fetchRequests: make(chan struct{}, 1)}
+	g.settings.Store(&settings)
 	g.fleet = saddlefleet.New(settings.Node, fireflysaddle.DataCentre(settings.Centre), p.log, func(address string) {
 		g.gateway.HandleEngineDown(address)
 		g.subscriber.SendHeartbeats()
@@ -90,9 +91,7 @@
 	g.gateway = saddlegateway.New(saddlegateway.Config{
 		Forwarder:    client,
 		Fleet:        g.fleet,
-		KeyLease:     keyLease(settings),
-		RetryShare:   settings.RetryShare,
-		RetryReserve: settings.RetryReserve,
+		Limits:       gatewayLimits(settings),
 		GrantRetries: g.requestRetries,
 		Log:          p.log,
 	})
@@ -102,7 +101,7 @@
 		ControlSilenceTimeout: settings.Attend.ControlSilenceTimeout.Std(),
 		Timeline:              p.timeline,
 		Network:               p.network,
-		Member:                g.member,
+		Member:                p.withSettings(g.member),
 	}, g.updateView)
 	stopReloads := g.watchReloads(reloads)
 	defer stopReloads()
@@ -121,12 +120,12 @@
 			case <-done:
 				select {
 				case s := <-reloads:
-					g.applyReload(s)
+					g.applyReload(time.Now(), s)
 				default:
 				}
 				return
 			case s := <-reloads:
-				g.applyReload(s)
+				g.applyReload(time.Now(), s)
 			}
 		}
 	})
@@ -136,11 +135,29 @@
 	}
 }
 
-// applyReload subscribes to the control replicas named in the settings.
-func (g *gateway) applyReload(s saddlesettings.Gateway) {
+// applyReload applies new settings, or none of them if one needs a restart. The gateway
+// subscribes to the control replicas that they name; it also stays with those that it
+// knows, because a confirmed list of replicas decides which of them remain.
+func (g *gateway) applyReload(now time.Time, s saddlesettings.Gateway) {
+	previous := g.process.inForce.Load()
+	if err := g.settings.Load().CheckReload(s); err != nil {
+		countReloadsRefused.Add(1)
+		g.process.log.Error().Err(err).Str("settings", previous.digest).Str("refused", s.Digest()).
+			Msg("settings not reloaded: the previous ones stay in force")
+		return
+	}
 	countSettingsReloads.Add(1)
+	g.settings.Store(&s)
+	g.gateway.SetLimits(gatewayLimits(s))
 	g.subscriber.AddReplicas(s.Attend.Addresses())
-	g.process.log.Info().Strs("controls", s.Attend.Addresses()).Msg("settings reloaded")
+	g.process.setSettings(now, s.Digest())
+	g.subscriber.SendHeartbeats()
+	g.process.log.Info().Strs("controls", s.Attend.Addresses()).Str("settings", s.Digest()).Str("before", previous.digest).
+		Msg("settings reloaded")
+}
+
+func gatewayLimits(s saddlesettings.Gateway) saddlegateway.Limits {
+	return saddlegateway.Limits{KeyLease: keyLease(s), RetryShare: s.RetryShare, RetryReserve: s.RetryReserve}
 }
 
 // keyLeaseMargin is subtracted from the lease of API keys, because a replica's confirmation
@@ -159,11 +176,11 @@
 func (g *gateway) member() *saddlewire.Member {
 	view := g.subscriber.View()
 	return &saddlewire.Member{
-		Node:        g.settings.Node,
+		Node:        g.settings.Load().Node,
 		Role:        string(fireflysaddle.RoleEntry),
 		Incarnation: uint64(g.process.incarnation),
-		Centre:      g.settings.Centre,
-		Admin:       g.settings.Admin,
+		Centre:      g.settings.Load().Centre,
+		Admin:       g.settings.Load().Admin,
 		Leaving:     g.shuttingDown.Load(),
 		Revision:    view.Revision,
 		Confirmed:   view.Confirmed,
@@ -177,13 +194,13 @@
 // shutdownTimeout returns the time limit, after the lame-duck period, for the requests in
 // progress to finish.
 func (g *gateway) shutdownTimeout() time.Duration {
-	if grace := g.settings.Grace.Std(); grace > 0 {
-		return max(time.Second, grace-g.settings.LameDuck.Std())
+	if grace := g.settings.Load().Grace.Std(); grace > 0 {
+		return max(time.Second, grace-g.settings.Load().LameDuck.Std())
 	}
-	if g.settings.ShutdownTimeout == 0 {
+	if g.settings.Load().ShutdownTimeout == 0 {
 		return unlimitedShutdownTimeout
 	}
-	return g.settings.ShutdownTimeout.Std()
+	return g.settings.Load().ShutdownTimeout.Std()
 }
 
 // run serves until stop is closed, continues for the lame-duck period, and then waits
@@ -209,13 +226,13 @@
 		}
 		g.shuttingDown.Store(true)
 		ingress.DisableKeepAlives()
-		if grace := g.settings.Grace.Std(); grace > 0 {
+		if grace := g.settings.Load().Grace.Std(); grace > 0 {
 			g.gateway.SetShutdownDeadline(time.Now().Add(grace))
 		}
-		g.process.log.Info().Dur("lame_duck", g.settings.LameDuck.Std()).Msg("shutting down: reporting not ready, still accepting requests for the lame-duck period")
-		sleep(ctx, g.settings.LameDuck.Std())
+		g.process.log.Info().Dur("lame_duck", g.settings.Load().LameDuck.Std()).Msg("shutting down: reporting not ready, still accepting requests for the lame-duck period")
+		sleep(ctx, g.settings.Load().LameDuck.Std())
 		stopServing()
 	}()
-	srv := &http.Server{Addr: g.settings.Listen, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
+	srv := &http.Server{Addr: g.settings.Load().Listen, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
 	return ingress.Serve(serveCtx, srv, g.shutdownTimeout())
 }
--- a/internal/daemon/saddledaemon/gatewayready.go
+++ b/internal/daemon/saddledaemon/gatewayready.go
@@ -16,7 +16,7 @@
 		return eris.New("the gateway is shutting down")
 	case s.Routing == nil:
 		return eris.New("no routing configuration has been fetched yet")
-	case keyLease(g.settings) > 0 && g.subscriber.Now().Sub(s.Confirmed) > keyLease(g.settings):
+	case keyLease(*g.settings.Load()) > 0 && g.subscriber.Now().Sub(s.Confirmed) > keyLease(*g.settings.Load()):
 		return eris.New("the key lease has expired: control has not confirmed the configuration in time")
 	case !g.coverageWaitDone.Load():
 		return eris.New("the usable engines do not hold all layers of every model yet")
--- a/internal/daemon/saddledaemon/gatewayrouting.go
+++ b/internal/daemon/saddledaemon/gatewayrouting.go
@@ -92,7 +92,7 @@
 // those that hold it. It installs the first valid configuration that a replica returns, and
 // reports whether a replica returned a valid configuration.
 func (g *gateway) fetchRouting(ctx context.Context) bool {
-	for _, address := range RoutingSourceOrder(g.subscriber.View(), g.settings.Node, g.settings.Centre) {
+	for _, address := range RoutingSourceOrder(g.subscriber.View(), g.settings.Load().Node, g.settings.Load().Centre) {
 		in := &saddlewire.RoutingRequest{Have: g.currentRouting().GetVersion()}
 		callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		out, err := saddlewire.NewDRPCControlClient(g.pool.Conn(callCtx, address)).FetchRouting(callCtx, in)
--- a/internal/daemon/saddledaemon/process.go
+++ b/internal/daemon/saddledaemon/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -13,6 +14,7 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
 	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
 // process holds what the daemons of all roles share.
@@ -22,9 +24,17 @@
 	log         zerolog.Logger
 	timeline    *saddletimeline.Ring
 	network     fireflysaddle.Network // connections between processes of the fleet
+	inForce     atomic.Pointer[settingsInForce]
 }
 
-func newProcess(now time.Time, settings saddlesettings.Common, role fireflysaddle.Role, logs io.Writer) (*process, error) {
+// settingsInForce identifies the settings that a process uses.
+type settingsInForce struct {
+	digest string
+	since  time.Time
+}
+
+// newProcess returns the process of a role. digest identifies its settings.
+func newProcess(now time.Time, settings saddlesettings.Common, digest string, role fireflysaddle.Role, logs io.Writer) (*process, error) {
 	log, err := newLogger(settings.Log, logs)
 	if err != nil {
 		return nil, err
@@ -34,6 +44,7 @@
 		incarnation: fireflysaddle.Incarnation(now.UnixNano()),
 		timeline:    saddletimeline.NewRing(settings.Node, settings.TimelineCapacity),
 	}
+	p.setSettings(now, digest)
 	p.network, err = newNetwork(settings.TLS)
 	if err != nil {
 		return nil, err
@@ -42,6 +53,24 @@
 	return p, nil
 }
 
+// setSettings records which settings the process uses from now on.
+func (p *process) setSettings(now time.Time, digest string) {
+	p.inForce.Store(&settingsInForce{digest: digest, since: now})
+	publishedSettings.Set(digest)
+}
+
+// withSettings returns a function that returns the member with the settings in force, for
+// heartbeats.
+func (p *process) withSettings(member func() *saddlewire.Member) func() *saddlewire.Member {
+	return func() *saddlewire.Member {
+		m := member()
+		inForce := p.inForce.Load()
+		m.Settings = inForce.digest
+		m.SettingsNs = inForce.since.UnixNano()
+		return m
+	}
+}
+
 func newNetwork(settings saddlesettings.TLS) (fireflysaddle.Network, error) {
 	if !settings.Enabled() {
 		return saddlelink.TCP{}, nil
@@ -79,7 +108,7 @@
 	}
 	defer func() { _ = closeAdmin() }()
 	p.timeline.Add(time.Now(), saddletimeline.Event{Name: "start"})
-	p.log.Info().Msg("started")
+	p.log.Info().Str("settings", p.inForce.Load().digest).Msg("started")
 	stop := make(chan struct{})
 	adminCtx, stopAdmin := context.WithCancel(context.Background())
 	var g run.Group
--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -39,7 +39,7 @@
 }
 
 func runGroupReplica(ctx context.Context, settings saddlesettings.Control, logs io.Writer) error {
-	p, err := newProcess(time.Now(), settings.Common, fireflysaddle.RoleControl, logs)
+	p, err := newProcess(time.Now(), settings.Common, settings.Digest(), fireflysaddle.RoleControl, logs)
 	if err != nil {
 		return err
 	}
--- a/internal/direct/saddlegateway/config.go
+++ b/internal/direct/saddlegateway/config.go
@@ -15,6 +15,16 @@
 type Config struct {
 	Forwarder fireflysaddle.Forwarder
 	Fleet     *saddlefleet.Fleet
+	Limits    Limits // until SetLimits is called
+	// GrantRetries requests retries to a group beyond this entry's own budget and
+	// returns the number granted; limit bounds what all entries are granted together.
+	// If GrantRetries is nil, no further retries are available.
+	GrantRetries func(ctx context.Context, group fireflysaddle.Group, want, limit int) int
+	Log          zerolog.Logger
+}
+
+// Limits are the settings that SetLimits can replace.
+type Limits struct {
 	// KeyLease is how long API keys are accepted after the last confirmation by a
 	// control majority; 0 means without limit.
 	KeyLease time.Duration
@@ -23,11 +33,6 @@
 	// of retries beyond it.
 	RetryShare   float64
 	RetryReserve float64
-	// GrantRetries requests retries to a group beyond this entry's own budget and
-	// returns the number granted; limit bounds what all entries are granted together.
-	// If GrantRetries is nil, no further retries are available.
-	GrantRetries func(ctx context.Context, group fireflysaddle.Group, want, limit int) int
-	Log          zerolog.Logger
 }
 
 // State is the routing configuration in use.
--- a/internal/direct/saddlegateway/fixture_test.go
+++ b/internal/direct/saddlegateway/fixture_test.go
@@ -174,7 +174,8 @@
 	f := &fixture{fakeTargets: s, builder: saddleview.NewBuilder(), now: start}
 	f.fleet = saddlefleet.New("entry-1", "a", zerolog.Nop(), func(address string) { f.gateway.HandleEngineDown(address) })
 	f.gateway = saddlegateway.New(saddlegateway.Config{
-		Forwarder: s, Fleet: f.fleet, KeyLease: 4 * time.Second, RetryShare: 0.2, RetryReserve: 100, Log: zerolog.Nop(),
+		Forwarder: s, Fleet: f.fleet, Log: zerolog.Nop(),
+		Limits: saddlegateway.Limits{KeyLease: 4 * time.Second, RetryShare: 0.2, RetryReserve: 100},
 		GrantRetries: func(_ context.Context, _ fireflysaddle.Group, want, limit int) int {
 			if f.grantRetries == nil {
 				return 0
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -31,6 +31,7 @@
 type Gateway struct {
 	cfg        Config
 	state      atomic.Pointer[State]
+	limits     atomic.Pointer[Limits]
 	shutdownAt atomic.Int64 // Unix nanoseconds at which the process will be killed; 0: no shutdown requested
 
 	mu            sync.Mutex    // guards stateChanged, retryBudgets and engineReports
@@ -47,6 +48,7 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{cfg: cfg, stateChanged: make(chan struct{}), retryBudgets: map[fireflysaddle.Group]*retryBudget{}, engineReports: map[string]*cachedReport{}}
 	g.state.Store(&State{})
+	g.SetLimits(cfg.Limits)
 	return g
 }
 
@@ -60,6 +62,10 @@
 	g.stateChanged = make(chan struct{})
 }
 
+// SetLimits replaces the limits. They apply from the next decision on, also to requests in
+// progress.
+func (g *Gateway) SetLimits(l Limits) { g.limits.Store(&l) }
+
 // SetShutdownDeadline records that the process is shutting down and when it will be killed.
 func (g *Gateway) SetShutdownDeadline(deadline time.Time) { g.shutdownAt.Store(deadline.UnixNano()) }
 
@@ -120,7 +126,7 @@
 	if route.Public || !s.Routing.RequiresKey() {
 		return route, nil, nil
 	}
-	if g.cfg.KeyLease > 0 && age > g.cfg.KeyLease {
+	if keyLease := g.limits.Load().KeyLease; keyLease > 0 && age > keyLease {
 		return route, nil, notReady("API keys cannot be verified: the configuration has not been confirmed within the key lease")
 	}
 	tenant := s.Routing.Tenant(call.Key)
--- a/internal/direct/saddlegateway/plain_test.go
+++ b/internal/direct/saddlegateway/plain_test.go
@@ -207,3 +207,13 @@
 		})
 	}
 }
+
+// New limits apply from the next request on.
+func TestLimitsAreReplacedWhileServing(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, answerSequence(ok))
+	f.setRouting(routing(t), 3*time.Second)
+	is.Equal(f.serve(call("/status/")).refusal, nil)
+	f.gateway.SetLimits(saddlegateway.Limits{KeyLease: 2 * time.Second})
+	is.True(f.serve(call("/status/")).refusal != nil)
+}
--- a/internal/direct/saddlegateway/retrybudget.go
+++ b/internal/direct/saddlegateway/retrybudget.go
@@ -81,7 +81,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	limit := int(grantableReserveFraction * g.cfg.RetryReserve)
+	limit := int(grantableReserveFraction * g.limits.Load().RetryReserve)
 	n := g.cfg.GrantRetries(ctx, group, grantSize(limit, g.cfg.Fleet.EntryCount()), limit)
 	now = time.Now()
 	if n == 0 {
@@ -106,14 +106,21 @@
 	return b.window.TakeRetry(now)
 }
 
+// retryBudget returns the budget of a group with the present limits. This entry's part of
+// the reserve changes with the number of entries that it knows of.
 func (g *Gateway) retryBudget(group fireflysaddle.Group) *retryBudget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	limits := g.limits.Load()
+	share := localShareFraction * limits.RetryShare
+	reserve := localReserveFraction * limits.RetryReserve / float64(max(minReserveEntries, g.cfg.Fleet.EntryCount()))
 	b, ok := g.retryBudgets[group]
 	if !ok {
-		reserve := localReserveFraction * g.cfg.RetryReserve / float64(max(minReserveEntries, g.cfg.Fleet.EntryCount()))
-		b = &retryBudget{window: saddleretry.NewWindow(localShareFraction*g.cfg.RetryShare, reserve, retryWindow)}
+		b = &retryBudget{window: saddleretry.NewWindow(share, reserve, retryWindow)}
 		g.retryBudgets[group] = b
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window.SetLimits(share, reserve)
 	return b
 }
--- a/internal/entry/saddleentry/config.go
+++ b/internal/entry/saddleentry/config.go
@@ -16,6 +16,7 @@
 	Centre                fireflysaddle.DataCentre
 	Listen                string   // address of the callers' HTTP interface
 	Admin                 string   // address of the admin listener
+	Settings              string   // digest of the settings in force, for the heartbeats
 	Controls              []string // addresses of the control replicas
 	HeartbeatInterval     time.Duration
 	ControlSilenceTimeout time.Duration // a control replica that sends nothing for this long counts as lost
--- a/internal/entry/saddleretry/window.go
+++ b/internal/entry/saddleretry/window.go
@@ -32,6 +32,9 @@
 	return &Window{share: share, reserve: reserve, span: span}
 }
 
+// SetLimits replaces the share and the reserve. Attempts that were recorded still count.
+func (w *Window) SetLimits(share, reserve float64) { w.share, w.reserve = share, reserve }
+
 // RecordFirstAttempt records a first attempt.
 func (w *Window) RecordFirstAttempt(now time.Time) { w.currentInterval(now).firstAttempts++ }
 
