--- a/internal/direct/saddlegateway/attemptindex.go
+++ b/internal/direct/saddlegateway/attemptindex.go
@@ -17,9 +17,10 @@
 	activeWindowFactor = 1.8
 	// minStallSilence and stallSilenceFactor, a multiple of the usual pause between events,
 	// determine the time without an event after which a stream is rerouted or aborted if an
-	// engine of its chain is found to be down or stalled.
+	// engine of its chain is found to be down or stalled. Events that had passed the engine
+	// before arrive within that time.
 	minStallSilence    = 70 * time.Millisecond
-	stallSilenceFactor = 2.0
+	stallSilenceFactor = 1.0
 )
 
 // attemptIndex maps engine addresses to the attempts in progress whose chains pass
