Send entries counts of what the others report of targets

Now a replica keeps counts by target, and the leader sends an entry those of the others; entries no longer receive members of which only the reports changed. Control processes still do, for the placer.

Test: TestReportsOfManyEntriesAreSentAsCounts. The cases of another data centre moved there from TestEntriesOfADataCentreShareFailingEngines, as control now selects them.

--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -200,14 +200,19 @@
 }
 
 // recordHeartbeat updates the load grants and the member table, and wakes the subscribers
-// if the member changed.
+// that are to hear of a change of the member.
 func (c *core) recordHeartbeat(now time.Time, m *saddlewire.Member) {
 	countHeartbeats.Add(1)
 	c.loadGrants.RecordHeartbeat(now, m.GetNode(), m.GetNeedsLoad(), m.GetLoading())
 	c.registry.MarkHeard(now, m.GetLoad().GetHeard())
-	if !c.members.record(now, m) {
+	change := c.members.record(now, m)
+	if change == memberUnchanged {
 		return
 	}
 	c.cfg.Timeline.Add(now, saddletimeline.Event{Name: "member", Subject: m.GetNode(), Target: m.GetTarget().GetId()})
+	if change == memberReportChanged && !c.sendsReports(now) {
+		c.wakeControls()
+		return
+	}
 	c.wakeSubscribers()
 }
--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -290,3 +290,12 @@
 		sub.wake()
 	}
 }
+
+// wakeControls wakes the control processes among the subscribers.
+func (c *core) wakeControls() {
+	for sub := range c.subscribers {
+		if sub.role == fireflysaddle.RoleControl {
+			sub.wake()
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/saddlecontrol/entryreports.go
@@ -0,0 +1,86 @@
+package saddlecontrol
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// entryReports sums what the entries report in their heartbeats. Entries receive the sums,
+// whose size does not grow with the number of entries, in place of every entry's report.
+type entryReports struct {
+	drafts   map[string]uint64            // tokens that the drafts of all entries reserve, by data centre
+	suspects map[string]uint32            // entries that suspect a target, by target
+	failing  map[string]map[string]uint32 // entries that list an engine as failing, by data centre of the entry and target
+}
+
+func newEntryReports() entryReports {
+	return entryReports{drafts: map[string]uint64{}, suspects: map[string]uint32{}, failing: map[string]map[string]uint32{}}
+}
+
+// add adds the reports of a member.
+func (r *entryReports) add(m *saddlewire.Member) {
+	for _, d := range m.GetLoad().GetDrafts() {
+		r.drafts[d.GetCentre()] += d.GetTokens()
+	}
+	for _, id := range m.GetSuspects() {
+		r.suspects[id]++
+	}
+	for _, id := range m.GetFailing() {
+		if r.failing[m.GetCentre()] == nil {
+			r.failing[m.GetCentre()] = map[string]uint32{}
+		}
+		r.failing[m.GetCentre()][id]++
+	}
+}
+
+// remove removes the reports of a member that were added before.
+func (r *entryReports) remove(m *saddlewire.Member) {
+	for _, d := range m.GetLoad().GetDrafts() {
+		r.drafts[d.GetCentre()] -= d.GetTokens()
+	}
+	for _, id := range m.GetSuspects() {
+		decrement(r.suspects, id)
+	}
+	for _, id := range m.GetFailing() {
+		decrement(r.failing[m.GetCentre()], id)
+	}
+}
+
+func decrement(counts map[string]uint32, id string) {
+	counts[id]--
+	if counts[id] == 0 {
+		delete(counts, id)
+	}
+}
+
+// addTo adds the sums of all entries but one to an update for that one.
+func (r *entryReports) addTo(u *saddlewire.Update, entry *saddlewire.Member) {
+	own := map[string]uint64{}
+	for _, d := range entry.GetLoad().GetDrafts() {
+		own[d.GetCentre()] += d.GetTokens()
+	}
+	for _, centre := range slices.Sorted(maps.Keys(r.drafts)) {
+		if tokens := r.drafts[centre] - own[centre]; tokens > 0 {
+			u.PeerDrafts = append(u.PeerDrafts, &saddlewire.CentreLoad{Centre: centre, Tokens: tokens})
+		}
+	}
+	u.Suspects = countsWithout(r.suspects, entry.GetSuspects())
+	u.Failing = countsWithout(r.failing[entry.GetCentre()], entry.GetFailing())
+}
+
+// countsWithout returns the counts, each less one for the targets in own.
+func countsWithout(counts map[string]uint32, own []string) []*saddlewire.TargetCount {
+	var out []*saddlewire.TargetCount
+	for _, id := range slices.Sorted(maps.Keys(counts)) {
+		n := counts[id]
+		if slices.Contains(own, id) {
+			n--
+		}
+		if n > 0 {
+			out = append(out, &saddlewire.TargetCount{Target: id, Entries: n})
+		}
+	}
+	return out
+}
--- a/internal/control/saddlecontrol/heartbeat_test.go
+++ b/internal/control/saddlecontrol/heartbeat_test.go
@@ -139,3 +139,45 @@
 	ticks := int(time.Since(began)/(500*time.Millisecond)) + 1
 	is.True(updates <= int(time.Since(began)/pause)+ticks+1)
 }
+
+// Pattern: an engine is lost, and a hundred entries suspect it within a moment. Each entry
+// is sent how many others suspect it, and not what each of them suspects.
+func TestReportsOfManyEntriesAreSentAsCounts(t *testing.T) {
+	is := is.New(t)
+	cfg := config(t)
+	cfg.NodeSilenceTimeout, cfg.NodeLostTimeout = waitTimeout, waitTimeout
+	run(t, cfg)
+	const entries = 100
+	beat := func(i int, suspects, failing []string) *saddlewire.Beat {
+		b := entryBeat(i, 1)
+		b.Member.Centre = []string{"a", "b"}[i%2]
+		b.Member.Suspects, b.Member.Failing = suspects, failing
+		return b
+	}
+	stream := openAttendStream(t, cfg)
+	for i := range entries {
+		is.NoErr(stream.Send(beat(i, nil, nil)))
+	}
+	known := 0
+	awaitUpdate(t, stream, func(u *saddlewire.Update) bool {
+		known += len(u.GetMembers())
+		return known >= entries && len(u.GetMembers()) == 0
+	})
+	lost, grey := []string{"engine-1", "engine-2"}, []string{"engine-3"}
+	for i := range entries {
+		is.NoErr(stream.Send(beat(i, lost, grey)))
+	}
+	bytes := 0
+	u := awaitUpdate(t, stream, func(u *saddlewire.Update) bool {
+		is.Equal(len(u.GetMembers()), 0)
+		bytes += proto.Size(u)
+		return len(u.GetFailing()) == 1 && u.GetFailing()[0].GetEntries() == entries/2-1
+	})
+	is.Equal(len(u.GetSuspects()), 2)
+	is.Equal(u.GetSuspects()[0].GetEntries(), uint32(entries-1)) // without the reader itself
+	is.True(bytes < 10*entries)
+	for i := range entries {
+		is.NoErr(stream.Send(beat(i, nil, nil)))
+	}
+	awaitUpdate(t, stream, func(u *saddlewire.Update) bool { return len(u.GetSuspects())+len(u.GetFailing()) == 0 })
+}
--- a/internal/control/saddlecontrol/members.go
+++ b/internal/control/saddlecontrol/members.go
@@ -20,45 +20,63 @@
 	version    uint64
 	members    map[string]*memberRecord
 	tombstones map[string]tombstone
-	draftTotal map[string]uint64 // tokens that the drafts of all entries reserve, by data centre
+	reports    entryReports
 }
 
 type memberRecord struct {
 	member        *saddlewire.Member
 	lastHeartbeat time.Time
 	version       uint64 // table version at the last change that must be sent to subscribers
+	reportVersion uint64 // table version at the last change of what the member reports of targets
 }
 
+// memberChange says what a heartbeat changed.
+type memberChange int
+
+const (
+	memberUnchanged memberChange = iota
+	// memberReportChanged: only what the member reports of targets. Entries receive it as
+	// counts, and control processes as part of the member.
+	memberReportChanged
+	// memberChanged: a change that all subscribers receive.
+	memberChanged
+)
+
 type tombstone struct {
 	removedAt time.Time
 	version   uint64
 }
 
 func newMemberTable() *memberTable {
-	return &memberTable{members: map[string]*memberRecord{}, tombstones: map[string]tombstone{}, draftTotal: map[string]uint64{}}
+	return &memberTable{members: map[string]*memberRecord{}, tombstones: map[string]tombstone{}, reports: newEntryReports()}
 }
 
-// record stores a heartbeat and reports whether a change must be sent to subscribers.
-// A heartbeat of an earlier incarnation is dropped.
-func (t *memberTable) record(now time.Time, m *saddlewire.Member) bool {
+// record stores a heartbeat and returns what it changed. A heartbeat of an earlier
+// incarnation is dropped.
+func (t *memberTable) record(now time.Time, m *saddlewire.Member) memberChange {
 	old, ok := t.members[m.GetNode()]
 	if ok && m.GetIncarnation() < old.member.GetIncarnation() {
-		return false
+		return memberUnchanged
 	}
 	rec := &memberRecord{member: m, lastHeartbeat: now}
 	if ok {
-		t.subtractDrafts(old.member)
+		t.reports.remove(old.member)
+		rec.version, rec.reportVersion = old.version, old.reportVersion
 	}
-	t.addDrafts(m)
+	t.reports.add(m)
 	t.members[m.GetNode()] = rec
-	if ok && sameForSubscribers(old.member, m) {
-		rec.version = old.version
-		return false
+	switch {
+	case !ok || !sameForSubscribers(old.member, m):
+		t.version++
+		rec.version = t.version
+		delete(t.tombstones, m.GetNode())
+		return memberChanged
+	case !sameReports(old.member, m):
+		t.version++
+		rec.reportVersion = t.version
+		return memberReportChanged
 	}
-	t.version++
-	rec.version = t.version
-	delete(t.tombstones, m.GetNode())
-	return true
+	return memberUnchanged
 }
 
 // sameForSubscribers reports whether two records of a member are equal in all fields whose
@@ -70,12 +88,16 @@
 		a.GetLeaving() == b.GetLeaving() &&
 		a.GetAddress() == b.GetAddress() &&
 		a.GetAdmin() == b.GetAdmin() &&
-		slices.Equal(a.GetSuspects(), b.GetSuspects()) &&
-		slices.Equal(a.GetFailing(), b.GetFailing()) &&
-		slices.Equal(a.GetSlow(), b.GetSlow()) &&
 		proto.Equal(a.GetTarget(), b.GetTarget())
 }
 
+// sameReports reports whether two records of a member report the same of the targets.
+func sameReports(a, b *saddlewire.Member) bool {
+	return slices.Equal(a.GetSuspects(), b.GetSuspects()) &&
+		slices.Equal(a.GetFailing(), b.GetFailing()) &&
+		slices.Equal(a.GetSlow(), b.GetSlow())
+}
+
 // removeExpired removes the members without a heartbeat for the given time and returns
 // their names.
 func (t *memberTable) removeExpired(now time.Time, timeout time.Duration) []string {
@@ -85,7 +107,7 @@
 			continue
 		}
 		t.version++
-		t.subtractDrafts(rec.member)
+		t.reports.remove(rec.member)
 		delete(t.members, node)
 		t.tombstones[node] = tombstone{removedAt: now, version: t.version}
 		removed = append(removed, node)
@@ -100,13 +122,14 @@
 }
 
 // changesSince returns the members that changed after a table version, and the names of
-// the members that were lost after it.
-func (t *memberTable) changesSince(version uint64) (members []*saddlewire.Member, removed []string) {
+// the members that were lost after it. With reports, members of which only their reports
+// changed are included.
+func (t *memberTable) changesSince(version uint64, reports bool) (members []*saddlewire.Member, removed []string) {
 	if version == t.version {
 		return nil, nil
 	}
 	for _, rec := range t.members {
-		if rec.version > version {
+		if rec.version > version || (reports && rec.reportVersion > version) {
 			members = append(members, rec.member)
 		}
 	}
@@ -118,34 +141,12 @@
 	return members, removed
 }
 
-func (t *memberTable) addDrafts(m *saddlewire.Member) {
-	for _, d := range m.GetLoad().GetDrafts() {
-		t.draftTotal[d.GetCentre()] += d.GetTokens()
+// find returns a member, or nil if there is none.
+func (t *memberTable) find(node string) *saddlewire.Member {
+	if rec, ok := t.members[node]; ok {
+		return rec.member
 	}
-}
-
-func (t *memberTable) subtractDrafts(m *saddlewire.Member) {
-	for _, d := range m.GetLoad().GetDrafts() {
-		t.draftTotal[d.GetCentre()] -= d.GetTokens()
-	}
-}
-
-// peerDrafts returns the tokens that the drafts of all entries but the given one reserve,
-// by data centre.
-func (t *memberTable) peerDrafts(entry string) []*saddlewire.CentreLoad {
-	own := map[string]uint64{}
-	if rec, ok := t.members[entry]; ok {
-		for _, d := range rec.member.GetLoad().GetDrafts() {
-			own[d.GetCentre()] += d.GetTokens()
-		}
-	}
-	var out []*saddlewire.CentreLoad
-	for _, centre := range slices.Sorted(maps.Keys(t.draftTotal)) {
-		if tokens := t.draftTotal[centre] - own[centre]; tokens > 0 {
-			out = append(out, &saddlewire.CentreLoad{Centre: centre, Tokens: tokens})
-		}
-	}
-	return out
+	return nil
 }
 
 // needsLoad reports whether a member's engine waits for a grant to load weights.
--- a/internal/control/saddlecontrol/subscriber.go
+++ b/internal/control/saddlecontrol/subscriber.go
@@ -72,10 +72,10 @@
 		u.MayLoad = c.mayLoad(now, sub.node)
 	}
 	if sub.role != fireflysaddle.RoleAgent {
-		u.Members, u.Gone = c.members.changesSince(sub.sentMembersVersion)
+		u.Members, u.Gone = c.members.changesSince(sub.sentMembersVersion, sub.role == fireflysaddle.RoleControl)
 	}
 	if sub.role == fireflysaddle.RoleEntry {
-		c.addLoad(now, u, sub)
+		c.addReports(now, u, sub)
 	}
 	if sub.role != fireflysaddle.RoleAgent {
 		u.Registrations, u.Unregistered = c.registry.Since(sub.sentRegistryVersion)
@@ -92,13 +92,12 @@
 	return u
 }
 
-// addLoad adds the load of the engines to an update for an entry. Every replica receives
-// the loads of all entries. Only the leader sends them, or any replica while no leader
-// confirms its state.
-func (c *core) addLoad(now time.Time, u *saddlewire.Update, sub *subscriber) {
+// addReports adds what the other entries report, and the state of the engines, to an update
+// for an entry.
+func (c *core) addReports(now time.Time, u *saddlewire.Update, sub *subscriber) {
 	u.Leads = c.replica.LeaseValid(now)
-	if u.GetLeads() || !u.GetConfirmed() {
-		u.PeerDrafts = c.members.peerDrafts(sub.node)
+	if c.sendsReports(now) {
+		c.members.reports.addTo(u, c.members.find(sub.node))
 	}
 	if !u.GetLeads() {
 		sub.sentEngines = engineStateVersion{}
@@ -114,6 +113,13 @@
 	u.Occupied = c.engineState.OccupiedTokens
 }
 
+// sendsReports reports whether this replica sends the entries what the others report. Every
+// replica receives these reports. Only the leader sends them, or any replica while no leader
+// confirms its state.
+func (c *core) sendsReports(now time.Time) bool {
+	return c.replica.LeaseValid(now) || !c.replica.Confirmed(now)
+}
+
 // mayLoad reports whether the engine of an agent may start to load weights. Only a
 // leader with a valid lease grants this, so that all grants are counted in one place.
 func (c *core) mayLoad(now time.Time, node string) bool {
--- a/internal/direct/saddlefleet/chain_test.go
+++ b/internal/direct/saddlefleet/chain_test.go
@@ -190,7 +190,7 @@
 func TestEngineSuspectedByAnotherEntryIsProbed(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(engine("a0", "a", 0, 4))
-	f.update(&saddlewire.Update{Members: []*saddlewire.Member{{Node: "entry-2", Role: "entry", Suspects: []string{"a0"}}}})
+	f.update(&saddlewire.Update{Suspects: []*saddlewire.TargetCount{{Target: "a0", Entries: 1}}})
 	due := f.fleet.StartDueProbes(start)
 	is.Equal(len(due), 1)
 	f.fleet.RecordProbe(start, due[0], fireflysaddle.EngineReport{Holdings: []fireflysaddle.Holding{{From: 0, To: 4}}}, nil)
--- a/internal/direct/saddlefleet/failing_test.go
+++ b/internal/direct/saddlefleet/failing_test.go
@@ -76,28 +76,16 @@
 // Pattern: a hundred entries send drafts to the same engine that fails them. The entries of
 // a data centre tell one another, so that not each of them has to see faults itself.
 func TestEntriesOfADataCentreShareFailingEngines(t *testing.T) {
-	for name, c := range map[string]struct {
-		centres []string // of the entries that list a0 as failing
-		head    string
-	}{
-		"two entries here":                  {[]string{"a", "a"}, "b0"},
-		"one entry here":                    {[]string{"a"}, "a0"},
-		"two entries of another centre":     {[]string{"c", "c"}, "a0"},
-		"one here and one in another":       {[]string{"a", "c"}, "a0"},
-		"three entries here, one elsewhere": {[]string{"a", "a", "a", "b"}, "b0"},
-	} {
-		t.Run(name, func(t *testing.T) {
+	for entries, head := range map[uint32]string{1: "a0", 2: "b0", 20: "b0"} {
+		t.Run(fmt.Sprint(entries, " other entries"), func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(engine("a0", "a", 0, 2), engine("a2", "a", 2, 4), engine("b0", "b", 0, 2), engine("b2", "b", 2, 4))
-			u := &saddlewire.Update{}
-			for i, centre := range c.centres {
-				u.Members = append(u.Members, &saddlewire.Member{
-					Node: fmt.Sprint("entry-", i+2), Role: "entry", Centre: centre, Failing: []string{"a0"},
-				})
-			}
-			f.update(u)
-			head, _, _ := f.chain(start, 1)
-			is.Equal(head, c.head)
+			f.update(&saddlewire.Update{Failing: []*saddlewire.TargetCount{{Target: "a0", Entries: entries}}})
+			got, _, _ := f.chain(start, 1)
+			is.Equal(got, head)
+			f.update(&saddlewire.Update{Leads: true})
+			got, _, _ = f.chain(start, 1)
+			is.Equal(got, "a0") // they no longer list it
 		})
 	}
 }
@@ -109,10 +97,7 @@
 	f.fleet.RecordFault(start, "a0", "answered 500")
 	f.fleet.RecordFault(start, "a0", "answered 500")
 	is.Equal(f.fleet.Failing(start), []string{"a0"})
-	f.update(&saddlewire.Update{Members: []*saddlewire.Member{
-		{Node: "entry-2", Role: "entry", Centre: "a", Failing: []string{"a0"}},
-		{Node: "entry-3", Role: "entry", Centre: "a", Failing: []string{"a0"}},
-	}})
+	f.update(&saddlewire.Update{Failing: []*saddlewire.TargetCount{{Target: "a0", Entries: 2}}})
 	is.Equal(len(f.fleet.Failing(start)), 0)
 }
 
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -53,16 +53,17 @@
 func (f *Fleet) Update(v *saddleview.View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	registryChanged := v.RegistryNumber != f.registryNumber
-	if registryChanged {
+	if v.RegistryNumber != f.registryNumber {
 		f.updateTargets(v)
 	}
-	if registryChanged || v.MembersNumber != f.membersNumber {
-		f.updateEntries(v)
+	if v.MembersNumber != f.membersNumber {
+		f.countEntries(v)
 	}
 	f.registryNumber, f.membersNumber = v.RegistryNumber, v.MembersNumber
 	for id, t := range f.targets {
 		t.stepTimeFactor = max(1, v.StepTimeFactors[string(id)])
+		t.suspectedByPeer = v.Suspects[string(id)] > 0
+		t.failingForPeers = int(v.Failing[string(id)])
 	}
 	f.reportedTokens = tokensByCentre(v.OccupiedTokens)
 	f.peerTokens = tokensByCentre(v.PeerDrafts)
@@ -120,38 +121,20 @@
 	return t
 }
 
-// updateEntries counts the entries of a view and records which targets other entries
-// suspect, and which engines fail the drafts of those in this data centre. An engine may
-// fail for one data centre only.
-func (f *Fleet) updateEntries(v *saddleview.View) {
+// countEntries counts the entries of a view.
+func (f *Fleet) countEntries(v *saddleview.View) {
 	f.entryCount = 0
 	f.peerEntryCounts = map[fireflysaddle.DataCentre]int{}
-	suspected := map[string]bool{}
-	failing := map[string]int{}
 	for _, m := range v.Members {
 		if fireflysaddle.Role(m.GetRole()) != fireflysaddle.RoleEntry {
 			continue
 		}
 		f.entryCount++
-		if m.GetNode() == f.node {
-			continue
-		}
-		f.peerEntryCounts[fireflysaddle.DataCentre(m.GetCentre())]++
-		for _, id := range m.GetSuspects() {
-			suspected[id] = true
-		}
-		if fireflysaddle.DataCentre(m.GetCentre()) != f.centre {
-			continue
-		}
-		for _, id := range m.GetFailing() {
-			failing[id]++
+		if m.GetNode() != f.node {
+			f.peerEntryCounts[fireflysaddle.DataCentre(m.GetCentre())]++
 		}
 	}
 	f.entryCount = max(1, f.entryCount)
-	for id, t := range f.targets {
-		t.suspectedByPeer = suspected[string(id)]
-		t.failingForPeers = failing[string(id)]
-	}
 }
 
 // EntryCount returns the number of entries that share the targets, including this one.
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -30,7 +30,9 @@
 	membersStale       bool
 	registryStale      bool // registrations and departures
 
-	peerDrafts      map[string]uint64  // tokens of the other entries' drafts in the latest update with such, by data centre
+	peerDrafts      map[string]uint64  // tokens of the other entries' drafts in the latest update with reports, by data centre
+	suspects        map[string]uint32  // number of other entries that suspect a target, in the same update
+	failing         map[string]uint32  // number of other entries of the data centre that list an engine as failing, in the same update
 	stepTimeFactors map[string]float64 // factors that the leader sent last, by target
 	occupiedTokens  map[string]uint64  // tokens that the leader sent last, by data centre
 }
@@ -95,11 +97,14 @@
 	b.updateLoad(u)
 }
 
-// updateLoad applies the load of the engines. The leader sends the drafts of the other
-// entries with each update, and the state of the engines when it has changed.
+// updateLoad applies the reports of the other entries and the state of the engines. The
+// leader sends the reports with each update, and the state of the engines when it has
+// changed.
 func (b *Builder) updateLoad(u *saddlewire.Update) {
-	if u.GetLeads() || len(u.GetPeerDrafts()) > 0 {
+	if u.GetLeads() || len(u.GetPeerDrafts())+len(u.GetSuspects())+len(u.GetFailing()) > 0 {
 		b.peerDrafts = tokensByCentre(u.GetPeerDrafts())
+		b.suspects = countsByTarget(u.GetSuspects())
+		b.failing = countsByTarget(u.GetFailing())
 	}
 	if !u.GetLeads() || u.GetEnginesUnchanged() {
 		return
@@ -111,6 +116,14 @@
 	b.occupiedTokens = tokensByCentre(u.GetOccupied())
 }
 
+func countsByTarget(counts []*saddlewire.TargetCount) map[string]uint32 {
+	out := make(map[string]uint32, len(counts))
+	for _, c := range counts {
+		out[c.GetTarget()] = c.GetEntries()
+	}
+	return out
+}
+
 func tokensByCentre(loads []*saddlewire.CentreLoad) map[string]uint64 {
 	out := make(map[string]uint64, len(loads))
 	for _, l := range loads {
@@ -184,7 +197,7 @@
 		v.RegistryNumber++
 	}
 	b.mergeRouting(v)
-	v.PeerDrafts = b.peerDrafts
+	v.PeerDrafts, v.Suspects, v.Failing = b.peerDrafts, b.suspects, b.failing
 	v.StepTimeFactors = b.stepTimeFactors
 	v.OccupiedTokens = b.occupiedTokens
 	b.registryStale = false
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -28,6 +28,8 @@
 	StepTimeFactors map[string]float64                  // factors of slow engines, by target; above 1: slower
 	OccupiedTokens  map[string]uint64                   // tokens in the engines' KV caches, by data centre
 	PeerDrafts      map[string]uint64                   // tokens that the drafts of the other entries reserve, by data centre
+	Suspects        map[string]uint32                   // number of other entries that suspect a target, by target
+	Failing         map[string]uint32                   // number of other entries of this data centre that list an engine as failing, by target
 	Departed        map[string]uint64                   // latest incarnation that accepts no new work, by target
 	RegistryNumber  uint64                              // number of merges that led to Registrations and Departed; unchanged while they are
 }
