Report damaged entries of a checkpoint segment; a lower revision confirms nothing

Cause, store: the records of a checkpoint segment are written before its first sync, so they name no synced bytes, and a damaged one at the end counted as a torn write: synced entries were lost without an error. The checkpoint now says how many entries were synced with it.

Cause, view: an update with a lower revision than the replica sent before left the higher revision in place and marked it confirmed.

Both found by reading; TestDamagedEntryOfCheckpointIsReported and TestLowerRevisionConfirmsNothing fail before.

--- a/internal/control/saddlestore/corruption_test.go
+++ b/internal/control/saddlestore/corruption_test.go
@@ -1,6 +1,7 @@
 package saddlestore_test
 
 import (
+	"encoding/binary"
 	"errors"
 	"testing"
 
@@ -78,6 +79,37 @@
 	fs.SetContent(name, append(fs.Content(name), make([]byte, n)...))
 }
 
+// The entries that a checkpoint segment begins with were synced before it got its name. If
+// one of them is damaged, it must not be taken for a torn write, also if nothing follows it.
+func TestDamagedEntryOfCheckpointIsReported(t *testing.T) {
+	for name, damage := range map[string]func(*saddledisk.Memory){
+		"last entry":         func(fs *saddledisk.Memory) { flipBit("log-2", len(fs.Content("log-2"))-1)(fs) },
+		"end is missing":     func(fs *saddledisk.Memory) { truncate(fs, "log-2", 1) },
+		"all but checkpoint": func(fs *saddledisk.Memory) { fs.SetContent("log-2", fs.Content("log-2")[:firstRecordBytes(fs)]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fs := saddledisk.New()
+			s, _, _, err := saddlestore.OpenFS(fs, largeSegment)
+			is.NoErr(err)
+			for _, b := range []batch{hardState(1, "a"), entries(1, 1, 2, 3, 4), snapshotAt(1, 1)} {
+				is.NoErr(b.apply(s))
+			}
+			damage(fs)
+			_, _, _, err = saddlestore.OpenFS(fs, largeSegment)
+			var corrupt *saddlestore.CorruptionError
+			is.True(errors.As(err, &corrupt))
+			is.Equal(corrupt.File, "log-2")
+		})
+	}
+}
+
+// firstRecordBytes returns the length of the first record of log-2: a header of 20 bytes and
+// the payload, whose length is in the header.
+func firstRecordBytes(fs *saddledisk.Memory) int {
+	return 20 + int(binary.LittleEndian.Uint32(fs.Content("log-2")[4:]))
+}
+
 // A crash can tear an unsynced write at any byte, or leave only a later part of it
 // on the disk. The torn tail is truncated when the store is opened, and new
 // records can be appended.
--- a/internal/control/saddlestore/load.go
+++ b/internal/control/saddlestore/load.go
@@ -74,11 +74,14 @@
 		}
 		segmentPayloads[i] = payloads
 		start = i
-		if startsWithCheckpoint(payloads) {
+		if c := leadingCheckpoint(payloads); c != nil {
+			if uint64(len(payloads)-1) < c.GetEntries() {
+				return &CorruptionError{File: segmentName(numbers[i]), Offset: size, Reason: "invalid record, although it was synced together with the checkpoint"}
+			}
 			break
 		}
 	}
-	if start == 0 && !startsWithCheckpoint(segmentPayloads[0]) && numbers[0] != 1 {
+	if start == 0 && leadingCheckpoint(segmentPayloads[0]) == nil && numbers[0] != 1 {
 		return &CorruptionError{File: segmentName(numbers[0] - 1), Reason: "segment is missing"}
 	}
 	for i := start; i < len(numbers); i++ {
@@ -123,12 +126,16 @@
 	return decodeRecords(name, data, last)
 }
 
-func startsWithCheckpoint(payloads [][]byte) bool {
+// leadingCheckpoint returns the checkpoint with which a segment starts, or nil.
+func leadingCheckpoint(payloads [][]byte) *saddlewire.Checkpoint {
 	if len(payloads) == 0 {
-		return false
+		return nil
 	}
 	rec := &saddlewire.StoreRecord{}
-	return proto.Unmarshal(payloads[0], rec) == nil && rec.GetCheckpoint() != nil
+	if err := proto.Unmarshal(payloads[0], rec); err != nil {
+		return nil // replayRecords reports it
+	}
+	return rec.GetCheckpoint()
 }
 
 func (s *Store) replayRecords(name string, payloads [][]byte) error {
--- a/internal/control/saddlestore/segment.go
+++ b/internal/control/saddlestore/segment.go
@@ -27,7 +27,7 @@
 // segment gets its final name once it is complete and synced.
 func (s *Store) startCheckpointSegment() error {
 	records := []*saddlewire.StoreRecord{{Record: &saddlewire.StoreRecord_Checkpoint{
-		Checkpoint: &saddlewire.Checkpoint{Index: s.snapshotIndex, Term: s.snapshotTerm, Hard: s.hard},
+		Checkpoint: &saddlewire.Checkpoint{Index: s.snapshotIndex, Term: s.snapshotTerm, Hard: s.hard, Entries: uint64(len(s.entries))},
 	}}}
 	for _, e := range s.entries {
 		records = append(records, &saddlewire.StoreRecord{Record: &saddlewire.StoreRecord_Entry{Entry: e}})
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -81,7 +81,7 @@
 	}
 	b.markStale(s, u)
 	s.connected = true
-	s.confirmed = u.GetConfirmed()
+	s.confirmed = u.GetConfirmed() && u.GetRevision() >= s.revision // a confirmed lower revision says nothing about the one that is kept
 	s.mayLoad = u.GetMayLoad()
 	if u.GetSnapshot() {
 		s.members = map[string]*saddlewire.Member{}
--- a/internal/node/saddleview/builder_test.go
+++ b/internal/node/saddleview/builder_test.go
@@ -95,3 +95,17 @@
 	u.Deployments = []*saddlewire.Deployment{{Workspace: "volos", Revision: u.GetRevision()}}
 	return u
 }
+
+// A replica that confirms a lower revision than it sent before, for example after it lost its
+// disk, does not confirm the higher one that the node keeps.
+func TestLowerRevisionConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	b := saddleview.NewBuilder()
+	b.Update("a", &saddlewire.Update{Snapshot: true, Revision: 7})
+	b.Update("a", &saddlewire.Update{Revision: 5, Confirmed: true})
+	v := b.Build()
+	is.Equal(v.Revision, uint64(7))
+	is.True(!v.Confirmed)
+	b.Update("a", &saddlewire.Update{Revision: 7, Confirmed: true})
+	is.True(b.Build().Confirmed)
+}
