Check templates in a fixed order, so that a refusal reads the same everywhere

Cause: the checks iterated over maps and reported the first error, so replicas stored different texts for the same refusal. Found by reading; each of the five cases of TestRefusalDoesNotDependOnOrder fails before.

--- a/internal/control/saddletemplate/template.go
+++ b/internal/control/saddletemplate/template.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"regexp"
 	"slices"
 	"strings"
@@ -93,7 +94,8 @@
 }
 
 func (t *Template) checkParameters() error {
-	for name, p := range t.parameters {
+	for _, name := range slices.Sorted(maps.Keys(t.parameters)) {
+		p := t.parameters[name]
 		if !slices.Contains(parameterTypes, p.Type) {
 			return &Error{Template: t.Name, Parameter: name, Value: p.Type, Reason: fmt.Sprintf("type must be one of %q", parameterTypes)}
 		}
@@ -127,7 +129,8 @@
 	if len(t.deployment) == 0 {
 		return &Error{Template: t.Name, Reason: "the table deployment is missing or empty"}
 	}
-	for key, value := range t.deployment {
+	for _, key := range slices.Sorted(maps.Keys(t.deployment)) {
+		value := t.deployment[key]
 		if !slices.Contains(deploymentKeys, key) {
 			return &Error{Template: t.Name, Reason: fmt.Sprintf("unknown key %q under deployment", key)}
 		}
@@ -151,7 +154,7 @@
 		}
 	}
 	for _, table := range tables {
-		for name := range table {
+		for _, name := range slices.Sorted(maps.Keys(table)) {
 			if !slices.Contains(grantKeys, name) {
 				return &Error{Template: t.Name, Reason: fmt.Sprintf("unknown key %q under deployment.%s", name, key)}
 			}
@@ -178,8 +181,8 @@
 			}
 		}
 	case map[string]any:
-		for _, item := range v {
-			if err := t.checkPlaceholders(item); err != nil {
+		for _, key := range slices.Sorted(maps.Keys(v)) {
+			if err := t.checkPlaceholders(v[key]); err != nil {
 				return err
 			}
 		}
--- a/internal/control/saddletemplate/template_test.go
+++ b/internal/control/saddletemplate/template_test.go
@@ -82,3 +82,25 @@
 		})
 	}
 }
+
+// Each replica checks a template by itself, and the refusal is part of the replicated state.
+// So the same text must be refused with the same words every time.
+func TestRefusalDoesNotDependOnOrder(t *testing.T) {
+	for name, body := range map[string]string{
+		"unknown keys":             "[deployment]\nmodles = []\nweihgt = 1\nzeal = 2\n",
+		"unknown keys of a grant":  "[deployment]\nmodels = [{nam = \"m\", verison = \"1\", kidn = \"k\"}]\n",
+		"types of parameters":      "[parameters.a]\ntype = \"x\"\n[parameters.b]\ntype = \"y\"\n[parameters.c]\ntype = \"z\"\n[deployment]\nweight = 1\n",
+		"undeclared placeholders":  "[deployment]\nmodels = [{name = \"${a}\", version = \"${b}\", group = \"${c}\"}]\n",
+		"placeholders of two keys": "[deployment]\nweight = \"${a}\"\npriority = \"${b}\"\ntimeout = \"${c}\"\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, first := saddletemplate.Parse("forms", body)
+			is.True(first != nil)
+			for range 100 {
+				_, err := saddletemplate.Parse("forms", body)
+				is.Equal(err.Error(), first.Error())
+			}
+		})
+	}
+}
