--- a/internal/control/saddletemplate/template_test.go
+++ b/internal/control/saddletemplate/template_test.go
@@ -88,7 +88,7 @@
 func TestRefusalDoesNotDependOnOrder(t *testing.T) {
 	for name, body := range map[string]string{
 		"unknown keys":             "[deployment]\nmodles = []\nweihgt = 1\nzeal = 2\n",
-		"unknown keys of a grant":  "[deployment]\nmodels = [{nam = \"m\", verison = \"1\", kidn = \"k\"}]\n",
+		"unknown keys of a grant":  "[deployment]\nmodels = [{nam = \"m\", vresion = \"1\", kidn = \"k\"}]\n",
 		"types of parameters":      "[parameters.a]\ntype = \"x\"\n[parameters.b]\ntype = \"y\"\n[parameters.c]\ntype = \"z\"\n[deployment]\nweight = 1\n",
 		"undeclared placeholders":  "[deployment]\nmodels = [{name = \"${a}\", version = \"${b}\", group = \"${c}\"}]\n",
 		"placeholders of two keys": "[deployment]\nweight = \"${a}\"\npriority = \"${b}\"\ntimeout = \"${c}\"\n",
