--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -19,10 +19,9 @@
 	// minEventGapCheck is the shortest time since the last event after which the report is
 	// requested. An answer is late after a pause of 200 to 300 ms.
 	minEventGapCheck = 90 * time.Millisecond
-	// eventGapFactor is that time as a multiple of the usual pause between events. Few
-	// streams have a longer pause while all engines work, and a stream whose engine is lost
-	// can still be rerouted in time.
-	eventGapFactor = 1.8
+	// eventGapFactor is that time as a multiple of the usual pause between events. Hardly
+	// any stream has a longer pause while all engines work.
+	eventGapFactor = 2.5
 	// recheckInterval is the time between further checks. Reports are up to 200 ms old.
 	recheckInterval = 130 * time.Millisecond
 	// maxSilence is the time without an event after which an attempt is aborted
