--- a/internal/bench/saddlehops/options.go
+++ b/internal/bench/saddlehops/options.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/bench/saddlereport"
 )
@@ -17,6 +18,12 @@
 	json   bool
 }
 
+// measurement measures one table.
+type measurement struct {
+	name    string
+	measure func(context.Context, options) (*saddlereport.Table, error)
+}
+
 // Run runs the measurements and writes their tables. args are the flags -table,
 // -tokens and -json.
 func Run(ctx context.Context, args []string, out io.Writer) error {
@@ -32,14 +39,14 @@
 		}
 		return err
 	}
-	tables := []struct {
-		name    string
-		measure func(context.Context, options) (*saddlereport.Table, error)
-	}{
+	tables := []measurement{
 		{"hops", measureHops},
 		{"streams", measureStreams},
 		{"recovery", measureRecovery},
 	}
+	if o.table != "" && !slices.ContainsFunc(tables, func(t measurement) bool { return t.name == o.table }) {
+		return fmt.Errorf("-table %q must be hops, streams or recovery", o.table)
+	}
 	for _, t := range tables {
 		if o.table != "" && o.table != t.name {
 			continue
