--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -59,8 +59,7 @@
 	confirmed atomic.Bool   // whether a majority confirmed the applied state less than an election timeout ago
 	logEmpty  atomic.Bool   // whether the log holds no entries
 
-	heard atomic.Pointer[heardRegistrations]
-
+	heard       atomic.Pointer[heardRegistrations]
 	updatePause atomic.Int64 // shortest time between two updates to a subscriber, nanoseconds
 }
 
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -31,8 +31,8 @@
 	entryCount      int                                                            // entries that share the engines, including this one
 	peerEntryCounts map[fireflysaddle.DataCentre]int                               // number of the other entries in each data centre
 	rotation        int                                                            // offset at which Pick starts, to alternate between equal targets
-	registryNumber  uint64                                                         // of the view that targets were taken from
-	membersNumber   uint64                                                         // of the view that the entries were taken from
+	registryVersion uint64                                                         // of the view that targets were taken from
+	membersVersion  uint64                                                         // of the view that the entries were taken from
 	linkBudget      linkBudget
 	probeRequests   chan struct{} // receives a value when an engine is to be probed immediately; capacity 1
 	onDown          func(address string)
@@ -53,13 +53,13 @@
 func (f *Fleet) Update(v *saddleview.View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v.RegistryNumber != f.registryNumber {
+	if v.RegistryVersion != f.registryVersion {
 		f.updateTargets(v)
 	}
-	if v.MembersNumber != f.membersNumber {
+	if v.MembersVersion != f.membersVersion {
 		f.countEntries(v)
 	}
-	f.registryNumber, f.membersNumber = v.RegistryNumber, v.MembersNumber
+	f.registryVersion, f.membersVersion = v.RegistryVersion, v.MembersVersion
 	for id, t := range f.targets {
 		t.stepTimeFactor = max(1, v.StepTimeFactors[string(id)])
 		t.suspectedByPeer = v.Suspects[string(id)] > 0
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -189,12 +189,12 @@
 	v.Ready = v.Ready || v.Confirmed || (b.allowUnconfirmed && v.Revision > 0)
 	if b.membersStale && v.Connected > 0 {
 		v.Members = b.mergeMembers()
-		v.MembersNumber++
+		v.MembersVersion++
 		v.Groups = membersByGroup(v.Members)
 	}
 	if b.registryStale {
 		v.Registrations, v.Departed = b.mergeRegistry()
-		v.RegistryNumber++
+		v.RegistryVersion++
 	}
 	b.mergeRouting(v)
 	v.PeerDrafts, v.Suspects, v.Failing = b.peerDrafts, b.suspects, b.failing
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -15,7 +15,7 @@
 	Placements           map[string]*saddlewire.Placement  // by target
 	Members              map[string]*saddlewire.Member     // by node
 	Groups               map[string][]*saddlewire.Member   // members with a target, by its group
-	MembersNumber        uint64                            // number of merges that led to Members; unchanged while Members is
+	MembersVersion       uint64                            // changes whenever Members is merged again
 	Connected            int                               // number of connected replicas
 	MayLoad              bool                              // agents: the leader allows the engine to load weights
 
@@ -31,7 +31,7 @@
 	Suspects        map[string]uint32                   // number of other entries that suspect a target, by target
 	Failing         map[string]uint32                   // number of other entries of this data centre that list an engine as failing, by target
 	Departed        map[string]uint64                   // latest incarnation that accepts no new work, by target
-	RegistryNumber  uint64                              // number of merges that led to Registrations and Departed; unchanged while they are
+	RegistryVersion uint64                              // changes whenever Registrations and Departed are merged again
 }
 
 // Leaving reports whether a target without an agent accepts no new work.
