Give layers a third holder where engines would stand idle

Cause: in a data centre of 26 engines two copies of the model leave eight engines empty.

Test: TestIdleEnginesHoldLayersAsThird.

--- a/internal/place/saddleplan/plan.go
+++ b/internal/place/saddleplan/plan.go
@@ -54,6 +54,9 @@
 	// whose engines can hold them. When an engine is lost, requests continue on the other
 	// copy immediately.
 	maxCopies = 2
+	// reserveEngines is the number of engines that are left empty when engines are assigned
+	// layers that two others hold already.
+	reserveEngines = 1
 )
 
 // Plan returns the new layers of the engines whose layers are to change. Each data centre
@@ -106,7 +109,8 @@
 
 // planCentre plans one data centre. Lost engines count as absent. While layers have no
 // holder at all, only these are assigned. After that, layers held only by slow engines
-// are assigned first, then layers of the bottleneck, then the second copy.
+// are assigned first, then layers of the bottleneck, then the second copy, then a third
+// holder of some layers.
 func planCentre(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
 	live := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Lost })
 	if !slices.ContainsFunc(live, func(e Engine) bool { return e.Held.Len() > 0 }) {
@@ -122,7 +126,10 @@
 	if out := copyBottleneckLayers(model, fast); out != nil {
 		return out
 	}
-	return extendSecondCopy(model, fast)
+	if out := extendSecondCopy(model, fast); out != nil {
+		return out
+	}
+	return addThirdHolder(model, fast)
 }
 
 // rangesHeldBy returns the ranges of layers that are held by exactly the given number of
--- a/internal/place/saddleplan/plan_test.go
+++ b/internal/place/saddleplan/plan_test.go
@@ -270,3 +270,30 @@
 		}
 	})
 }
+
+// Pattern: engines of a large data centre are lost, and half of its streams passed through
+// one of them. Engines that would stand idle hold layers that two others hold, and one stays
+// empty to replace a lost one.
+func TestIdleEnginesHoldLayersAsThird(t *testing.T) {
+	is := is.New(t)
+	m := model()
+	m.TokenBytes = 328_000
+	list := engines("joburg-a", map[fireflysaddle.Accelerator]int{"a100s": 3, "l4": 10, "t4": 13})
+	for range len(list) {
+		apply(list, saddleplan.Plan(m, list))
+	}
+	is.Equal(len(saddleplan.Plan(m, list)), 0) // nothing more is ordered
+	holders := make([]int, m.Layers)
+	empty := 0
+	for _, e := range list {
+		if e.Held.Len() == 0 {
+			empty++
+		}
+		for l := e.Held.From; l < e.Held.To; l++ {
+			holders[l]++
+		}
+	}
+	is.Equal(empty, 1)
+	is.Equal(slices.Min(holders), 2)
+	is.Equal(slices.Max(holders), 3)
+}
