--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -53,7 +53,7 @@
 	// requests. It is long enough for a full engine to finish some requests.
 	refusalBackoff = 150 * time.Millisecond
 	// failingTime is how long an engine counts as failing after a fault. Then a draft
-	// begins there again, and its fault starts the time anew.
+	// begins there again, and a fault of it restarts the time.
 	failingTime = 2 * time.Second
 	// failingShare is the share of faults among recent drafts from which an engine counts
 	// as failing.
