--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -90,8 +90,9 @@
 
 // RecordFault records a fault of a target that still answers. After two faults in quick
 // succession a plain service is excluded until its next probe is due. An engine cannot be
-// probed for faults: it counts as failing while at least failingShare of its recent drafts
-// have failed, and drafts begin at other engines if there are any.
+// probed for faults: if this is not its only recent fault and at least failingShare of its
+// recent drafts have failed, it counts as failing for failingTime, and drafts begin at other
+// engines if there are any.
 func (f *Fleet) RecordFault(now time.Time, address, reason string) {
 	f.mu.Lock()
 	t, ok := f.byAddress[address]
--- a/internal/place/saddleplan/plan.go
+++ b/internal/place/saddleplan/plan.go
@@ -54,8 +54,8 @@
 	// whose engines can hold them. When an engine is lost, requests continue on the other
 	// copy immediately.
 	maxCopies = 2
-	// reserveEngines is the number of engines that are left empty when engines are assigned
-	// layers that two others hold already.
+	// reserveEngines is the number of engines of a data centre that are left empty when
+	// engines are assigned layers that two others hold already.
 	reserveEngines = 1
 )
 
@@ -69,6 +69,8 @@
 //     the layers directly before and after.
 //   - Layers with a single holder are assigned to empty engines, if the engines can hold
 //     the model twice or if the holder has little token capacity.
+//   - Layers with two holders are assigned to empty engines, as long as reserveEngines of
+//     these remain.
 //
 // No engine is ever ordered to release layers, because it would first have to wait for
 // all requests that use them.
