Log how an answer was framed and what followed its last complete event

The logs of the entry showed them as answered, and could not tell whether the target had framed the answer at all, and whether it ended inside an event.

request ended and attempt failed now carry framing (length, chunks, close) and partial_bytes. No behaviour changes.

--- a/forwarder.go
+++ b/forwarder.go
@@ -96,6 +96,7 @@
 	Status       int
 	Header       http.Header // end-to-end headers, to be forwarded to the caller
 	Length       int64       // length of the body in bytes, -1: unknown
+	Framing      Framing
 	Body         io.ReadCloser
 	NotRun       bool   // the target reported that it did not run the request
 	FaultyEngine string // address of the engine that caused the refusal, empty when the response names none
--- a/internal/direct/saddlegateway/fixture_test.go
+++ b/internal/direct/saddlegateway/fixture_test.go
@@ -155,6 +155,31 @@
 
 func (c *fakeResponder) Refuse(r saddlegateway.Refusal) { c.refusal = &r }
 
+// lockedBuffer collects log lines.
+type lockedBuffer struct {
+	mu    sync.Mutex
+	bytes strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bytes.Write(p)
+}
+
+// lines returns the lines with a message.
+func (b *lockedBuffer) lines(message string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for line := range strings.Lines(b.bytes.String()) {
+		if strings.Contains(line, `"message":"`+message+`"`) {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
 const layers = 4
 
 // fixture is a gateway with three plain targets and two data centres of two engines each.
@@ -165,6 +190,7 @@
 	fakeTargets  *fakeTargets
 	builder      *saddleview.Builder
 	now          time.Time
+	log          lockedBuffer
 	grantRetries func(want, limit int) int // nil: nothing is granted
 }
 
@@ -174,7 +200,7 @@
 	f := &fixture{fakeTargets: s, builder: saddleview.NewBuilder(), now: start}
 	f.fleet = saddlefleet.New("entry-1", "a", zerolog.Nop(), func(address string) { f.gateway.HandleEngineDown(address) })
 	f.gateway = saddlegateway.New(saddlegateway.Config{
-		Forwarder: s, Fleet: f.fleet, Log: zerolog.Nop(),
+		Forwarder: s, Fleet: f.fleet, Log: zerolog.New(&f.log),
 		Limits: saddlegateway.Limits{KeyLease: 4 * time.Second, RetryShare: 0.2, RetryReserve: 100},
 		GrantRetries: func(_ context.Context, _ fireflysaddle.Group, want, limit int) int {
 			if f.grantRetries == nil {
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -38,6 +38,8 @@
 	triedTargets   []fireflysaddle.TargetID
 	avoidUntil     map[string]time.Time // engine addresses to avoid, and until when
 	chainAddresses []string             // engine addresses of the most recent chain
+	framing        string               // framing of the most recent answer that ran; empty: none
+	partialBytes   int                  // bytes of that answer after its last complete event
 }
 
 // avoidEngine excludes an engine from further chains of this call for the duration d.
@@ -111,6 +113,15 @@
 	return e.Int64("after_ms", time.Since(j.startTime).Milliseconds())
 }
 
+// logFraming adds how the most recent answer was framed, and what followed its last
+// complete event.
+func (j *job) logFraming(e *zerolog.Event) *zerolog.Event {
+	if j.framing == "" {
+		return e
+	}
+	return e.Str("framing", j.framing).Int("partial_bytes", j.partialBytes)
+}
+
 // refuse answers with a refusal, or aborts an answer that has begun.
 func (j *job) refuse(r Refusal) {
 	if j.headerSent {
@@ -168,6 +179,7 @@
 	if len(j.triedTargets) > 0 {
 		e = e.Str("target", string(j.triedTargets[len(j.triedTargets)-1]))
 	}
+	e = j.logFraming(e)
 	if code != "" {
 		e = e.Str("code", string(code)).Str("reason", message)
 	}
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -43,7 +43,7 @@
 			return
 		}
 		reason = failure
-		j.logEvent(zerolog.InfoLevel).Str("target", string(target.ID)).Str("reason", failure).Int("runs", j.runs).Msg("attempt failed")
+		j.logFraming(j.logEvent(zerolog.InfoLevel)).Str("target", string(target.ID)).Str("reason", failure).Int("runs", j.runs).Msg("attempt failed")
 		if ctx.Err() != nil || (j.runs > 0 && (!j.route.Retryable() || j.runs >= j.route.MaxAttempts)) {
 			j.failCall(ctx, fireflysaddle.CodeTargetFailed, reason, targetsFullRetryAfter)
 			return
@@ -70,6 +70,7 @@
 		return false, "target refused the request without running it"
 	}
 	j.runs++
+	j.framing = reply.Framing.String()
 	j.firstByteAt = time.Now()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferedAnswerBytes))
 	if err != nil {
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -62,7 +62,7 @@
 		if ended {
 			return
 		}
-		j.logEvent(zerolog.InfoLevel).Strs("chain", j.chainAddresses).Str("reason", failure).Int("runs", j.runs).
+		j.logFraming(j.logEvent(zerolog.InfoLevel)).Strs("chain", j.chainAddresses).Str("reason", failure).Int("runs", j.runs).
 			Int("events", j.eventsSent).Str("last_event", j.lastEventID).Strs("avoid", j.avoidedAddresses(time.Now())).Msg("attempt failed")
 		if ctx.Err() != nil || (j.runs > 0 && (!j.route.Retryable() || j.runs >= j.route.MaxAttempts)) {
 			j.failCall(ctx, fireflysaddle.CodeTargetFailed, failure, noCapacityRetryAfter)
@@ -160,6 +160,7 @@
 		return false, j.recordRefusal(reply)
 	}
 	j.runs++
+	j.framing, j.partialBytes = reply.Framing.String(), 0
 	if reply.Status != http.StatusOK {
 		return j.handleErrorStatus(reply)
 	}
@@ -199,6 +200,9 @@
 	events := saddlesse.NewReader(reply.Body)
 	for {
 		e, err := events.Next()
+		if err != nil {
+			j.partialBytes = len(e.Raw)
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
