A stream that ends inside an event has been broken off

Cause: a body with neither a length nor chunks ends with its connection, so an engine that closes it early gives a plain end of file. The reader of events handed the bytes after the last complete event over together with io.EOF, and the gateway took each end of file as the end of the stream and completed its own chunked answer.

Change: the reader reports an end inside an event as a PartialEventError, whatever the framing, and the gateway treats it as an interruption: the stream is resumed after the last delivered event, or the caller's answer is aborted; the partial event is never sent, the engine's fault is recorded. A body that ends with its connection before any event is no proof of an empty stream and counts as interrupted too. Since the end of an event matters now, line ends of CR alone are read as such, and an answer of another content type is forwarded as a plain body.

The case 'without a last new line' of the reader's test held the fault: it expected the partial event with io.EOF. It is replaced by TestEndInsideEventIsAnError, which expects an error and none of its bytes.

--- a/internal/direct/saddlegateway/framing_test.go
+++ b/internal/direct/saddlegateway/framing_test.go
@@ -30,3 +30,18 @@
 	lines := append(f.log.lines("request ended"), f.log.lines("attempt failed")...)
 	is.True(strings.Contains(strings.Join(lines, ""), `"framing":"close","partial_bytes":8`))
 }
+
+// An answer to a streaming request that is not a stream of events is forwarded whole.
+func TestAnswerOfOtherTypeIsForwarded(t *testing.T) {
+	is := is.New(t)
+	const body = `{"error":"the model has no such adapter"}`
+	f := newFixture(t, answerSequence(func(fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+		r := okReply(body)
+		r.Header.Set("Content-Type", "application/json")
+		return r, nil
+	}))
+	got := f.serve(call("/draft/"))
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.body.String(), body)
+	is.True(!got.aborted)
+}
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -164,9 +165,37 @@
 	if reply.Status != http.StatusOK {
 		return j.handleErrorStatus(reply)
 	}
+	if !isEventStream(reply.Header) {
+		return j.relayBody(reply)
+	}
 	return j.relay(ctx, reply, watch)
 }
 
+// isEventStream reports whether an answer to a streaming request is a stream of events,
+// which is assumed of an answer without a content type.
+func isEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	if contentType == "" {
+		return true
+	}
+	media, _, err := mime.ParseMediaType(contentType)
+	return err == nil && media == "text/event-stream"
+}
+
+// relayBody sends an answer that is not a stream of events to the caller, unless an answer
+// to the caller has begun.
+func (j *job) relayBody(reply *fireflysaddle.Reply) (ended bool, failure string) {
+	if j.headerSent {
+		return false, "the rest of the stream has the content type " + reply.Header.Get("Content-Type")
+	}
+	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferedAnswerBytes))
+	if err != nil {
+		return false, "answer truncated: " + err.Error()
+	}
+	j.sendAnswer(reply, body)
+	return true, ""
+}
+
 // recordRefusal records that an engine of the chain refused the call without running it.
 // The call avoids that engine for avoidFullFor. It returns the reason.
 func (j *job) recordRefusal(reply *fireflysaddle.Reply) string {
@@ -194,22 +223,21 @@
 	return true, ""
 }
 
+// errNoEvent reports a body without an event that ended with its connection. Its end is
+// no evidence that the engine had nothing to send.
+var errNoEvent = errors.New("the connection ended before the first event")
+
 // relay sends events to the caller as they arrive, except those that the caller has
 // already received.
 func (j *job) relay(ctx context.Context, reply *fireflysaddle.Reply, watch *watchdog) (ended bool, failure string) {
 	events := saddlesse.NewReader(reply.Body)
-	for {
+	for received := 0; ; received++ {
 		e, err := events.Next()
-		if err != nil {
-			j.partialBytes = len(e.Raw)
+		if errors.Is(err, io.EOF) && received == 0 && reply.Framing == fireflysaddle.FramingClose {
+			err = errNoEvent
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
-			if cause := context.Cause(ctx); cause != nil {
-				err = cause
-			} else {
-				j.cfg.Fleet.RecordFault(time.Now(), j.chainAddresses[0], err.Error())
-			}
-			return false, "stream interrupted: " + err.Error()
+			return false, j.recordInterruption(ctx, err)
 		}
 		watch.recordEvent()
 		if len(e.Raw) > 0 && !j.alreadyDelivered(e.ID) {
@@ -224,6 +252,21 @@
 	}
 }
 
+// recordInterruption records that a stream ended before its end was reached, as a fault of
+// the head unless the context ended. It returns the reason.
+func (j *job) recordInterruption(ctx context.Context, err error) string {
+	var partial *saddlesse.PartialEventError
+	if errors.As(err, &partial) {
+		j.partialBytes = partial.Bytes
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	} else {
+		j.cfg.Fleet.RecordFault(time.Now(), j.chainAddresses[0], err.Error())
+	}
+	return "stream interrupted: " + err.Error()
+}
+
 func (j *job) endStream(reply *fireflysaddle.Reply) (ended bool, failure string) {
 	if !j.headerSent {
 		j.headerSent = true
--- a/internal/direct/saddlegateway/stream_test.go
+++ b/internal/direct/saddlegateway/stream_test.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// closeAfter answers without framing: the events up to n and part of the next one, then an
+// orderly close.
+func closeAfter(n int, part string) answerFunc {
+	return func(fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+		return closedReply(eventStream(0, n) + part), nil
+	}
+}
+
 // stallAfter answers with the events up to n and then blocks.
 func stallAfter(n int) answerFunc {
 	return func(fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
@@ -67,6 +75,11 @@
 		{"head unreachable", "/draft/", []answerFunc{refuseConnection, answerRest}, true, 2},
 		{"refused by an engine of the chain", "/draft/", []answerFunc{refuse, answerRest}, true, 2},
 		{"answer of the head lost", "/draft/", []answerFunc{loseAnswer, answerRest}, true, 2},
+		{"closed within an event", "/draft/", []answerFunc{closeAfter(4, "id: 5\nda"), answerRest}, true, 2},
+		{"closed before the empty line of an event", "/draft/", []answerFunc{closeAfter(4, "id: 5\ndata: token 5\n"), answerRest}, true, 2},
+		{"closed before the first event", "/draft/", []answerFunc{closeAfter(-1, ""), answerRest}, true, 2},
+		{"closed after the last event", "/draft/", []answerFunc{closeAfter(lastEventID, "")}, true, 1},
+		{"closed within an event, not resumable", "/once/", []answerFunc{closeAfter(4, "id: 5\nda"), answerRest}, false, 1},
 		{"truncated twice", "/draft/", []answerFunc{truncateAfter(4), truncateAfter(6)}, false, 2},
 		{"not resumable", "/once/", []answerFunc{truncateAfter(4), answerRest}, false, 1},
 	} {
--- a/internal/direct/saddlesse/reader.go
+++ b/internal/direct/saddlesse/reader.go
@@ -17,10 +17,12 @@
 	ID  string // empty: none
 }
 
-// Reader reads events. It is not safe for concurrent use.
+// Reader reads events, whose lines end with LF, CRLF or CR. It is not safe for concurrent
+// use.
 type Reader struct {
 	buffered *bufio.Reader
 	raw      []byte
+	afterCR  bool // the previous line ended with CR, and the next byte may be the LF that belongs to it
 }
 
 // NewReader returns a Reader of the events in body.
@@ -28,40 +30,83 @@
 	return &Reader{buffered: bufio.NewReaderSize(body, readBufferBytes)}
 }
 
-var idField = []byte("id:")
+var (
+	idField       = []byte("id:")
+	commentPrefix = []byte(":")
+)
 
-// Next returns the next complete event. At the end of the body it returns io.EOF,
-// together with any bytes after the last complete event. If reading the body fails, it
-// returns that error and drops an incomplete event.
+// Next returns the next complete event. At the end of the body it returns io.EOF if the
+// body ended between two events, together with the comments after the last one. If the
+// body ended inside an event, the error is a *PartialEventError. If reading the body
+// fails, it returns that error.
 func (r *Reader) Next() (Event, error) {
 	r.raw = r.raw[:0]
 	var e Event
+	complete := true // no field has been read since the last event
 	for {
-		start := len(r.raw)
-		if err := r.readLine(); err != nil {
-			if errors.Is(err, io.EOF) {
-				return Event{Raw: r.raw}, io.EOF
-			}
+		line, err := r.readLine()
+		switch {
+		case errors.Is(err, io.EOF) && complete && len(line) == 0:
+			return Event{Raw: r.raw}, io.EOF
+		case errors.Is(err, io.EOF):
+			return Event{}, &PartialEventError{Bytes: len(r.raw)}
+		case err != nil:
 			return Event{}, err
-		}
-		line := bytes.TrimRight(r.raw[start:], "\r\n")
-		if len(line) == 0 {
+		case len(line) == 0:
 			e.Raw = r.raw
 			return e, nil
+		case bytes.HasPrefix(line, commentPrefix):
+			continue
 		}
+		complete = false
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			e.ID = string(bytes.TrimSpace(id))
 		}
 	}
 }
 
-// readLine appends one line, including its line end, to the current event.
-func (r *Reader) readLine() error {
+// readLine appends one line with its line end to the current event, and returns it without
+// the line end. With an error it returns the part of the line that was read.
+func (r *Reader) readLine() ([]byte, error) {
+	r.appendLF()
+	start := len(r.raw)
 	for {
-		part, err := r.buffered.ReadSlice('\n')
-		r.raw = append(r.raw, part...)
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return err
+		if _, err := r.buffered.Peek(1); err != nil {
+			return r.raw[start:], err
+		}
+		buf, err := r.buffered.Peek(r.buffered.Buffered())
+		if err != nil {
+			return r.raw[start:], err
 		}
+		end := bytes.IndexAny(buf, "\r\n")
+		if end < 0 {
+			r.appendBuffered(len(buf))
+			continue
+		}
+		r.afterCR = buf[end] == '\r'
+		r.appendBuffered(end + 1)
+		line := r.raw[start : len(r.raw)-1]
+		if r.afterCR && r.buffered.Buffered() > 0 {
+			r.appendLF()
+		}
+		return line, nil
 	}
 }
+
+// appendLF appends the LF of a CRLF whose CR has been appended.
+func (r *Reader) appendLF() {
+	if !r.afterCR {
+		return
+	}
+	r.afterCR = false
+	if next, err := r.buffered.Peek(1); err == nil && next[0] == '\n' {
+		r.appendBuffered(1)
+	}
+}
+
+// appendBuffered moves bytes from the buffer to the current event.
+func (r *Reader) appendBuffered(n int) {
+	buf, _ := r.buffered.Peek(n) // n bytes are buffered
+	r.raw = append(r.raw, buf...)
+	_, _ = r.buffered.Discard(n)
+}
--- a/internal/direct/saddlesse/reader_test.go
+++ b/internal/direct/saddlesse/reader_test.go
@@ -1,7 +1,6 @@
 package saddlesse_test
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"strings"
@@ -15,12 +14,17 @@
 
 var errReset = errors.New("connection reset")
 
-func readAll(in io.Reader) (events []saddlesse.Event, err error) {
+// event is a saddlesse.Event that remains valid.
+type event struct {
+	Raw, ID string
+}
+
+func readAll(in io.Reader) (events []event, err error) {
 	r := saddlesse.NewReader(in)
 	for {
 		e, err := r.Next()
 		if len(e.Raw) > 0 {
-			events = append(events, saddlesse.Event{Raw: bytes.Clone(e.Raw), ID: e.ID})
+			events = append(events, event{Raw: string(e.Raw), ID: e.ID})
 		}
 		if err != nil {
 			return events, err
@@ -34,28 +38,35 @@
 		in  string
 		ids []string
 	}{
-		"two":                     {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"1", "2"}},
-		"CRLF line ends":          {"id: 1\r\ndata: a\r\n\r\n", []string{"1"}},
-		"other fields first":      {"weights: 2\nid: 7\ndata: a\n\n", []string{"7"}},
-		"longer than the buffer":  {long, []string{"3"}},
-		"without an identifier":   {"data: a\n\n", []string{""}},
-		"without a last new line": {"id: 1\ndata: a\n\nid: 2\ndata: b", []string{"1", "2"}},
-		"nothing":                 {"", nil},
+		"two":                       {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"1", "2"}},
+		"CRLF line ends":            {"id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", []string{"1", "2"}},
+		"CR line ends":              {"id: 1\rdata: a\r\rid: 2\r\r", []string{"1", "2"}},
+		"mixed line ends":           {"id: 1\r\ndata: a\n\r\nid: 2\rdata: b\n\r", []string{"1", "2"}},
+		"other fields first":        {"weights: 2\nid: 7\ndata: a\n\n", []string{"7"}},
+		"longer than the buffer":    {long, []string{"3"}},
+		"without an identifier":     {"data: a\n\n", []string{""}},
+		"comment before an event":   {": waiting\nid: 1\ndata: a\n\n", []string{"1"}},
+		"comment after the last":    {"id: 1\ndata: a\n\n: done\n", []string{"1", ""}},
+		"empty line after the last": {"id: 1\ndata: a\n\n\n", []string{"1", ""}},
+		"nothing":                   {"", nil},
 	} {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			for _, in := range []io.Reader{strings.NewReader(c.in), iotest.OneByteReader(strings.NewReader(c.in))} {
+			for chunking, in := range map[string]io.Reader{
+				"at once": strings.NewReader(c.in), "byte by byte": iotest.OneByteReader(strings.NewReader(c.in)),
+			} {
+				is := is.New(t)
 				events, err := readAll(in)
 				is.Equal(err, io.EOF)
 				var ids []string
 				var raw strings.Builder
 				for _, e := range events {
-					ids = append(ids, e.ID)
-					raw.Write(e.Raw)
+					raw.WriteString(e.Raw)
+					if strings.TrimSpace(e.Raw) != "" || chunking == "at once" { // the LF of a CRLF may follow by itself
+						ids = append(ids, e.ID)
+					}
 				}
 				is.Equal(raw.String(), c.in) // all bytes are preserved
-				// Without a last new line, the last event is returned without its identifier.
-				if c.ids != nil && name != "without a last new line" {
+				if chunking == "at once" || name != "empty line after the last" {
 					is.Equal(ids, c.ids)
 				}
 			}
@@ -63,6 +74,34 @@
 	}
 }
 
+// Guards against a body that ends inside an event being taken for a complete stream.
+func TestEndInsideEventIsAnError(t *testing.T) {
+	const complete = "id: 1\ndata: a\n\n"
+	for name, partial := range map[string]string{
+		"inside a line":     "id: 2\nda",
+		"after a line":      "id: 2\ndata: b\n",
+		"after a CRLF line": "id: 2\r\ndata: b\r\n",
+		"after a CR line":   "id: 2\rdata: b\r",
+		"inside a comment":  ": waiti",
+		"after one byte":    "i",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, in := range []io.Reader{
+				strings.NewReader(complete + partial), iotest.OneByteReader(strings.NewReader(complete + partial)),
+			} {
+				is := is.New(t)
+				events, err := readAll(in)
+				var ended *saddlesse.PartialEventError
+				is.True(errors.As(err, &ended))
+				is.Equal(ended.Bytes, len(partial))
+				is.True(!errors.Is(err, io.EOF))
+				is.Equal(len(events), 1) // nothing of the partial event is returned
+				is.Equal(events[0].Raw, complete)
+			}
+		})
+	}
+}
+
 func TestPartialEventIsDropped(t *testing.T) {
 	is := is.New(t)
 	in := io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), iotest.ErrReader(errReset))
