A broken stream of a plain service no longer panics

Callers of a streaming route whose group is a plain service got a closed connection when the stream broke off, and the route's further attempts were not made: recording the fault took the first engine of the chain, and a plain service has no chain. net/http recovered the panic, so the request had no line in the log either.

The fault, and the success, are recorded for the address that the attempt was sent to, so those of plain services count as well. The two new cases of TestStreamIsCompleteOrAborted panicked with 'index out of range [0] with length 0' before.

--- a/internal/direct/saddlegateway/fixture_test.go
+++ b/internal/direct/saddlegateway/fixture_test.go
@@ -268,6 +268,7 @@
 	add("/status/", saddlerouting.Idempotent, "desk", 2)
 	add("/draft/", saddlerouting.Streaming, "drafts", 2).Resumable = true
 	add("/once/", saddlerouting.Streaming, "drafts", 2)
+	add("/feed/", saddlerouting.Streaming, "desk", 2).Resumable = true
 	add("/open/", saddlerouting.Idempotent, "desk", 2).Public = true
 	if err := r.Check(); err != nil {
 		t.Fatal(err)
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -139,7 +139,7 @@
 	f.Address = chain.Head.Address
 	f.Chain = chain.Parts
 	f.LastEventID = j.lastEventID
-	j.chainAddresses = chain.Addresses()
+	j.chainAddresses, j.streamAddress = chain.Addresses(), chain.Head.Address
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := j.startWatchdog(ctx, cancel, chain)
@@ -209,8 +209,8 @@
 // handleErrorStatus sends an error answer of the engine to the caller, unless an answer
 // to the caller has begun or the call is to be retried.
 func (j *job) handleErrorStatus(reply *fireflysaddle.Reply) (ended bool, failure string) {
-	if reply.Status >= http.StatusInternalServerError && len(j.chainAddresses) > 0 {
-		j.cfg.Fleet.RecordFault(time.Now(), j.chainAddresses[0], "answered "+strconv.Itoa(reply.Status))
+	if reply.Status >= http.StatusInternalServerError {
+		j.cfg.Fleet.RecordFault(time.Now(), j.streamAddress, "answered "+strconv.Itoa(reply.Status))
 	}
 	if j.headerSent || j.shouldRetryStatus(reply.Status) {
 		return false, "target answered " + strconv.Itoa(reply.Status)
@@ -253,7 +253,7 @@
 }
 
 // recordInterruption records that a stream ended before its end was reached, as a fault of
-// the head unless the context ended. It returns the reason.
+// the target unless the context ended. It returns the reason.
 func (j *job) recordInterruption(ctx context.Context, err error) string {
 	var partial *saddlesse.PartialEventError
 	if errors.As(err, &partial) {
@@ -262,7 +262,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	} else {
-		j.cfg.Fleet.RecordFault(time.Now(), j.chainAddresses[0], err.Error())
+		j.cfg.Fleet.RecordFault(time.Now(), j.streamAddress, err.Error())
 	}
 	return "stream interrupted: " + err.Error()
 }
@@ -275,9 +275,7 @@
 			return true, ""
 		}
 	}
-	if len(j.chainAddresses) > 0 {
-		j.cfg.Fleet.MarkWorking(time.Now(), j.chainAddresses[0])
-	}
+	j.cfg.Fleet.MarkWorking(time.Now(), j.streamAddress)
 	countAnswered.Add(1)
 	j.recordEnd("answered", "", "")
 	return true, ""
--- a/internal/direct/saddlegateway/stream_test.go
+++ b/internal/direct/saddlegateway/stream_test.go
@@ -80,6 +80,8 @@
 		{"closed before the first event", "/draft/", []answerFunc{closeAfter(-1, ""), answerRest}, true, 2},
 		{"closed after the last event", "/draft/", []answerFunc{closeAfter(lastEventID, "")}, true, 1},
 		{"closed within an event, not resumable", "/once/", []answerFunc{closeAfter(4, "id: 5\nda"), answerRest}, false, 1},
+		{"of a plain service, truncated", "/feed/", []answerFunc{truncateAfter(4), answerRest}, true, 2},
+		{"of a plain service, closed within an event", "/feed/", []answerFunc{closeAfter(4, "id: 5\nda"), answerRest}, true, 2},
 		{"truncated twice", "/draft/", []answerFunc{truncateAfter(4), truncateAfter(6)}, false, 2},
 		{"not resumable", "/once/", []answerFunc{truncateAfter(4), answerRest}, false, 1},
 	} {
