Do not announce the first engine's length for a stream that may be resumed

A caller got 'unexpected EOF' on a stream that was resumed in full: the header of the first engine's answer had a length, which went to the caller, and the events of the second run were longer by a field. The other way round the caller would have waited for bytes that never come.

Streams now go to callers in chunks whatever the engine announced.

--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -168,6 +168,7 @@
 	if !isEventStream(reply.Header) {
 		return j.relayBody(reply)
 	}
+	reply.Length = -1 // the events of a further attempt may have another length
 	return j.relay(ctx, reply, watch)
 }
 
