Bound what is read from a target before its answer, and each event

A target that sends bytes which are no answer, without end, filled the entry's memory: a header or status line until the attempt timed out, and an event until the watchdog ended the attempt.

The client reads at most 256 KiB until a header is complete, which includes informational answers and late answers that it discards, and an event ends at 256 KiB. Both are errors of the target: the connection is closed, the fault is recorded for it, and the request is tried elsewhere. The body of a refusal is no longer read: the request goes on at once, and the connection is kept if the body has arrived. Chunk extensions and trailers were bounded by net/http; bodies are copied with constant memory until the deadline of the request.

--- a/internal/direct/saddlehttpclient/body.go
+++ b/internal/direct/saddlehttpclient/body.go
@@ -16,6 +16,7 @@
 	stopCancel func() bool  // stops the end of the context from closing conn; false: conn is closed already
 	written    <-chan error // yields the error of writing the request, nil on success
 	closeAfter bool         // the target announced that it closes the connection
+	unread     int64        // bytes of the body that have not been read; negative: unknown
 	atEOF      bool
 	closed     bool
 }
@@ -23,18 +24,23 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
+	b.unread -= int64(n)
 	b.atEOF = b.atEOF || errors.Is(err, io.EOF)
 	return n, err
 }
 
 // Close implements io.Closer. It returns the connection for reuse only if the exchange
-// is complete and no further bytes have arrived.
+// is complete and no further bytes have arrived. A rest of the body counts as read if it
+// has arrived and its length is known.
 func (b *body) Close() error {
 	if b.closed {
 		return nil
 	}
 	b.closed = true
 	alive := b.stopCancel()
+	if alive && !b.atEOF && b.unread >= 0 && b.unread <= int64(b.conn.reader.Buffered()) {
+		_, _ = io.Copy(io.Discard, b) // cannot block; an error leaves atEOF unset
+	}
 	if !alive || b.closeAfter || !b.atEOF || !b.requestWritten() || b.conn.reader.Buffered() > 0 {
 		return b.conn.Close()
 	}
--- a/internal/direct/saddlehttpclient/client.go
+++ b/internal/direct/saddlehttpclient/client.go
@@ -28,6 +28,9 @@
 	// maxStrayAnswers bounds the late answers to earlier requests that are discarded on
 	// one connection.
 	maxStrayAnswers = 2
+	// maxHeaderBytes bounds the bytes that are read until the header of an answer is
+	// complete, including informational answers and late answers to earlier requests.
+	maxHeaderBytes = 256 << 10
 	// maxBufferedBody is the size up to which a body is written before the answer is
 	// read. Such a body fits into the socket buffers.
 	maxBufferedBody = 16 << 10
@@ -85,7 +88,7 @@
 		return nil, &fireflysaddle.TargetError{Target: fireflysaddle.TargetID(r.Address), Err: err}
 	}
 	cn.updateIdleTimeout(resp.Header)
-	resp.Body = &body{reader: resp.Body, client: c, conn: cn, address: r.Address, stopCancel: stop, written: written, closeAfter: resp.Close}
+	resp.Body = &body{reader: resp.Body, client: c, conn: cn, address: r.Address, stopCancel: stop, written: written, closeAfter: resp.Close, unread: resp.ContentLength}
 	return resp, nil
 }
 
@@ -139,13 +142,17 @@
 }
 
 // receive reads the header of the answer that belongs to the request. It discards answers
-// to other requests, up to maxStrayAnswers of them.
+// to other requests, up to maxStrayAnswers of them. It reads no more than maxHeaderBytes.
 func receive(cn *conn, r Request) (*http.Response, error) {
 	firstAnswer := !cn.used
 	cn.used = true
+	cn.bounds.remaining = maxHeaderBytes
+	defer func() { cn.bounds.remaining = unbounded }()
 	for strayAnswers := 0; ; {
 		resp, err := http.ReadResponse(cn.reader, r.HTTP)
 		switch {
+		case err != nil && cn.bounds.remaining <= 0: // the error may be about a line that was cut off
+			return nil, &HeaderTooLongError{Limit: maxHeaderBytes}
 		case err != nil:
 			return nil, err
 		case resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK:
--- a/internal/direct/saddlehttpclient/client_test.go
+++ b/internal/direct/saddlehttpclient/client_test.go
@@ -187,6 +187,7 @@
 	}{
 		"complete answer":               {respond(answer("ok")), 1},
 		"answer with Connection: close": {respond("HTTP/1.1 200 OK\r\nX-Id: ID\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"), 2},
+		"not read to its end":           {respond("HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 2\r\n\r\nok"), 1},
 		"followed by another answer":    {respond(answer("ok") + "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 2\r\n\r\nno"), 2},
 		"followed by invalid bytes":     {respond(answer("ok") + "garbage"), 2},
 		"idle timeout expired":          {respond("HTTP/1.1 200 OK\r\nX-Id: ID\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok"), 2},
@@ -197,6 +198,12 @@
 			s := newTarget(t, c.first, respond(answer("ok")))
 			client := newClient(t)
 			for _, id := range []string{"one", "two"} {
+				if name == "not read to its end" {
+					resp, err := client.Do(t.Context(), time.Now(), request(s.lis.Addr().String(), id))
+					is.NoErr(err)
+					is.NoErr(resp.Body.Close())
+					continue
+				}
 				body, err := send(t, client, s.lis.Addr().String(), id)
 				is.NoErr(err)
 				is.Equal(body, "ok")
@@ -323,3 +330,22 @@
 	_, conns := s.received()
 	is.Equal(conns, 2)
 }
+
+// What arrives before the header of an answer is complete is bounded, whether it is a header
+// or answers that are discarded.
+func TestHeaderIsBounded(t *testing.T) {
+	for name, c := range map[string]struct{ start, filler string }{
+		"header":                {"HTTP/1.1 200 OK\r\nX-Id: ID\r\n", "X-Filler: x\r\n"},
+		"informational answers": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"late answer":           {"HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newTarget(t, respond(c.start+strings.Repeat(c.filler, 512<<10/len(c.filler))))
+			_, err := send(t, newClient(t), s.lis.Addr().String(), "one")
+			var tooLong *saddlehttpclient.HeaderTooLongError
+			is.True(errors.As(err, &tooLong))
+		})
+	}
+}
--- a/internal/direct/saddlehttpclient/conn.go
+++ b/internal/direct/saddlehttpclient/conn.go
@@ -19,14 +19,16 @@
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
+	reader      *bufio.Reader // reads from bounds
+	bounds      *boundedReader
 	used        bool          // the connection has carried a request
 	idleTimeout time.Duration // idle time after which the connection is not reused
 	idleSince   time.Time     // time at which the connection became idle
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	bounds := &boundedReader{reader: c, remaining: unbounded}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(bounds, readBufferBytes), bounds: bounds, idleTimeout: defaultIdleTimeout}
 }
 
 // usable reports whether an idle connection is still open and nothing has arrived on
--- a/internal/direct/saddlesse/reader.go
+++ b/internal/direct/saddlesse/reader.go
@@ -11,6 +11,9 @@
 // shorter.
 const readBufferBytes = 2 << 10
 
+// maxEventBytes bounds an event. Events hold the text of a few tokens.
+const maxEventBytes = 256 << 10
+
 // Event is one event as received. Raw is only valid until the next call of Next.
 type Event struct {
 	Raw []byte // including the empty line that ends the event
@@ -38,7 +41,8 @@
 // Next returns the next complete event. At the end of the body it returns io.EOF if the
 // body ended between two events, together with the comments after the last one. If the
 // body ended inside an event, the error is a *PartialEventError. If reading the body
-// fails, it returns that error.
+// fails, it returns that error. An event longer than maxEventBytes is an
+// *EventTooLongError.
 func (r *Reader) Next() (Event, error) {
 	r.raw = r.raw[:0]
 	var e Event
@@ -55,6 +59,8 @@
 		case len(line) == 0:
 			e.Raw = r.raw
 			return e, nil
+		case len(r.raw) > maxEventBytes:
+			return Event{}, &EventTooLongError{Limit: maxEventBytes}
 		case bytes.HasPrefix(line, commentPrefix):
 			continue
 		}
@@ -81,6 +87,9 @@
 		end := bytes.IndexAny(buf, "\r\n")
 		if end < 0 {
 			r.appendBuffered(len(buf))
+			if len(r.raw) > maxEventBytes {
+				return nil, &EventTooLongError{Limit: maxEventBytes}
+			}
 			continue
 		}
 		r.afterCR = buf[end] == '\r'
--- a/internal/direct/saddlesse/reader_test.go
+++ b/internal/direct/saddlesse/reader_test.go
@@ -110,3 +110,15 @@
 	is.Equal(len(events), 1)
 	is.Equal(events[0].ID, "1")
 }
+
+// An event is bounded, so that a target cannot fill the memory.
+func TestEventIsBounded(t *testing.T) {
+	for name, line := range map[string]string{"one line": "x", "lines": "data: x\n", "comments": ": x\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := readAll(strings.NewReader(strings.Repeat(line, 1<<20/len(line))))
+			var tooLong *saddlesse.EventTooLongError
+			is.True(errors.As(err, &tooLong))
+		})
+	}
+}
