Bound the lines of an engine's token stream and the headers of targets with agents

The adapter to engines decoded each line of a token stream without a bound, so an engine that never ends a line filled the agent's memory until the request's deadline; headers were bounded at the 10 MiB default of net/http. Lines end at 256 KiB, headers at 64 KiB, and either is an error of the target. Found while looking for what the entry's data path lacked.

--- a/internal/target/saddleengine/engine.go
+++ b/internal/target/saddleengine/engine.go
@@ -1,6 +1,7 @@
 package saddleengine
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -14,7 +15,12 @@
 	"github.com/fireflysaddle/fireflysaddle"
 )
 
-const maxAnswerBytes = 64 << 20
+const (
+	maxAnswerBytes = 64 << 20
+	maxHeaderBytes = 64 << 10
+	// maxLineBytes bounds a line of a token stream. A line holds the text of one token.
+	maxLineBytes = 256 << 10
+)
 
 // Engine implements fireflysaddle.Engine over HTTP.
 type Engine struct {
@@ -26,7 +32,7 @@
 // New returns an adapter to the engine at an address, and a function that closes
 // its idle connections.
 func New(target fireflysaddle.TargetID, address string) (*Engine, func()) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, MaxResponseHeaderBytes: maxHeaderBytes}
 	e := &Engine{target: target, address: address, client: &http.Client{Transport: transport}}
 	return e, transport.CloseIdleConnections
 }
@@ -47,11 +53,12 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	decoder := json.NewDecoder(resp.Body)
-	for {
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxLineBytes)
+	for lines.Scan() {
 		var line GenerateLine
-		if err := decoder.Decode(&line); err != nil {
-			return e.targetError(fmt.Errorf("token stream ended early: %w", err))
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			return e.targetError(fmt.Errorf("decode a line of the token stream: %w", err))
 		}
 		if line.Done {
 			return nil
@@ -60,6 +67,11 @@
 			return err
 		}
 	}
+	err = lines.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return e.targetError(fmt.Errorf("token stream ended early: %w", err))
 }
 
 // Step runs the engine's layers for one step of a request.
--- a/internal/target/saddleservice/service.go
+++ b/internal/target/saddleservice/service.go
@@ -17,6 +17,7 @@
 	// MaxAnswerBytes is the largest answer body that is forwarded; a larger one is an
 	// error.
 	MaxAnswerBytes = 16 << 20
+	maxHeaderBytes = 64 << 10
 	// RequestHeader carries the request ID to the service.
 	RequestHeader = "X-Request-Id"
 )
@@ -33,7 +34,7 @@
 // an idle connection while a request was being sent on it, the adapter could not
 // tell whether the request was run.
 func New(target fireflysaddle.TargetID, address string) (*Service, func()) {
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	client := &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
