A target that announces that it is leaving gets nothing new

Callers' requests went on to a target that had said in its answers that it leaves, until control had the target's heartbeat and told the entries; an entry that was out of touch with control sent them until the target was gone.

The platform's header is decoded into Reply.Leaving and EngineReport.Leaving. The fleet remembers the incarnation that announced it, and leaves it out of every choice: first attempts, retries, resumptions, stages of chains, reroutes. Registrations of the same incarnation do not bring it back, those of another do; running streams go on.

TestLeavingTargetGetsNothingNew: six of its eight cases failed on the code before. The other two passed there, since the target's fault or refusal kept requests away for their duration.

--- a/forwarder.go
+++ b/forwarder.go
@@ -15,7 +15,7 @@
 	// complete request, otherwise a *TargetError. When the context ends, the connection
 	// is closed, which cancels the request at the target.
 	Forward(ctx context.Context, f Forward) (*Reply, error)
-	// Report asks an engine for its state.
+	// Report asks an engine for its state. The field Leaving is valid also with an error.
 	Report(ctx context.Context, address string) (EngineReport, error)
 	// Reroute orders the head of a chain, which is at the address head, to continue a
 	// request along another chain with the same head. Engines that are part of both
@@ -53,6 +53,7 @@
 	StepTimeFactor float64 // step time relative to other engines of its type; above 1: slower
 	Stalled        []StalledRequest
 	Holdings       []Holding
+	Leaving        bool // the engine announced that it is leaving and accepts no new requests
 }
 
 // Holding is a range of layers that an engine holds.
@@ -98,6 +99,7 @@
 	Length       int64       // length of the body in bytes, -1: unknown
 	Framing      Framing
 	Body         io.ReadCloser
+	Leaving      bool   // the target announced that it is leaving and accepts no new requests
 	NotRun       bool   // the target reported that it did not run the request
 	FaultyEngine string // address of the engine that caused the refusal, empty when the response names none
 }
--- a/internal/direct/saddlefleet/counters.go
+++ b/internal/direct/saddlefleet/counters.go
@@ -5,5 +5,6 @@
 // Counters of the fleet; docs/OPERATIONS.md lists them.
 var (
 	countExclusions = expvar.NewInt("target_passed_over_total")
+	countLeaving    = expvar.NewInt("target_leaving_total")
 	countFailing    = expvar.NewInt("engine_failing_total")
 )
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -22,6 +22,7 @@
 
 	mu              sync.Mutex
 	targets         map[fireflysaddle.TargetID]*target
+	leavers         map[fireflysaddle.TargetID]uint64                              // incarnations that announced in an answer that they are leaving
 	groups          map[fireflysaddle.Group][]*target                              // targets that accept new requests, sorted by ID
 	byCentre        map[fireflysaddle.Group]map[fireflysaddle.DataCentre][]*target // those in groups, by data centre
 	byAddress       map[string]*target                                             // targets that accept new requests, by address
@@ -43,7 +44,7 @@
 func New(node string, centre fireflysaddle.DataCentre, log zerolog.Logger, onDown func(address string)) *Fleet {
 	return &Fleet{
 		node: node, centre: centre, log: log, entryCount: 1, onDown: onDown, probeRequests: make(chan struct{}, 1),
-		ownTokens: map[fireflysaddle.DataCentre]float64{},
+		ownTokens: map[fireflysaddle.DataCentre]float64{}, leavers: map[fireflysaddle.TargetID]uint64{},
 	}
 }
 
@@ -80,22 +81,35 @@
 // updateTargets replaces the targets with the registrations of a view.
 func (f *Fleet) updateTargets(v *saddleview.View) {
 	targets := make(map[fireflysaddle.TargetID]*target, len(v.Registrations))
-	groups := map[fireflysaddle.Group][]*target{}
-	byAddress := make(map[string]*target, len(v.Registrations))
 	for id, reg := range v.Registrations {
 		t := f.targetFor(fireflysaddle.TargetID(id), reg)
+		t.leaving = v.Leaving(reg)
 		targets[t.ID] = t
-		if v.Leaving(reg) {
+	}
+	f.targets = targets
+	f.forgetLeavers(func(id fireflysaddle.TargetID) bool {
+		t, ok := targets[id]
+		return ok && !f.announcedLeaving(t.Target)
+	})
+	f.groupTargets()
+}
+
+// groupTargets groups the targets that accept new requests.
+func (f *Fleet) groupTargets() {
+	groups := map[fireflysaddle.Group][]*target{}
+	byAddress := make(map[string]*target, len(f.targets))
+	for _, t := range f.targets {
+		if t.leaving || f.announcedLeaving(t.Target) {
 			continue
 		}
 		byAddress[t.Address] = t
-		group := fireflysaddle.Group(reg.GetGroup())
+		group := fireflysaddle.Group(t.reg.GetGroup())
 		groups[group] = append(groups[group], t)
 	}
 	for _, list := range groups {
 		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	f.targets, f.groups, f.byAddress = targets, groups, byAddress
+	f.groups, f.byAddress = groups, byAddress
 	f.byCentre = map[fireflysaddle.Group]map[fireflysaddle.DataCentre][]*target{}
 	for group, list := range groups {
 		f.byCentre[group] = map[fireflysaddle.DataCentre][]*target{}
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -194,8 +194,12 @@
 
 // RecordProbe records the result of a probe. The probe counts as failed if the engine does
 // not hold the layers of its registration, because such an engine has restarted. The result
-// of a probe of an earlier incarnation is ignored.
+// of a probe of an earlier incarnation is ignored. An answer that announces that the engine
+// is leaving is recorded as such.
 func (f *Fleet) RecordProbe(now time.Time, probed Target, report fireflysaddle.EngineReport, err error) {
+	if report.Leaving {
+		f.RecordLeaving(probed, "")
+	}
 	f.mu.Lock()
 	t, ok := f.targets[probed.ID]
 	if !ok || t.incarnation != probed.incarnation {
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -22,6 +22,7 @@
 	reg            *saddlewire.Registration
 	stepTimeFactor float64 // step time relative to other engines with its type of accelerator, at least 1
 
+	leaving             bool    // its registration says that it is leaving
 	inFlight            int     // number of this entry's requests in flight
 	reservedTokenLayers float64 // tokens x layers reserved by this entry's requests
 
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -66,6 +66,9 @@
 		return false, j.recordNoReply(target.Address, time.Since(now), err)
 	}
 	defer func() { _ = reply.Body.Close() }()
+	if reply.Leaving {
+		j.cfg.Fleet.RecordLeaving(target, j.call.ID)
+	}
 	if reply.NotRun {
 		return false, "target refused the request without running it"
 	}
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -157,6 +157,9 @@
 		return false, j.recordNoReply(chain.Head.Address, time.Since(now), err)
 	}
 	defer func() { _ = reply.Body.Close() }()
+	if reply.Leaving {
+		j.cfg.Fleet.RecordLeaving(chain.Head, j.call.ID)
+	}
 	if reply.NotRun {
 		return false, j.recordRefusal(reply)
 	}
--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -127,6 +127,9 @@
 		w.job.cfg.Fleet.RequestProbe(time.Now(), address)
 	}
 	report, err := w.job.engineReport(w.ctx, chain.Head.Address)
+	if report.Leaving {
+		w.job.cfg.Fleet.RecordLeaving(chain.Head, "")
+	}
 	if w.ctx.Err() != nil {
 		return
 	}
