Honour the pause that a target asks for when it refuses

A target that refused requests with 503 and Retry-After got the next ones all the same: plain requests at once, drafts after 150 ms. Callers were told to come back after 250 ms or a second although nothing could serve them before the pause ended, and drafts waited 1.2 s for an engine that had said it would not take them.

The adapter decodes the value (seconds, also with a fraction, or a date by the target's own clock) into Reply.Notice; what cannot be read is logged and states no pause. The fleet sends nothing to that incarnation until the pause ends, then one request each 100 ms for a second. If all targets of a group pause, or pauses leave a layer without an engine, requests are refused at once and told when the first pause ends, spread over a second. max_pause bounds a pause; it is reloaded with the other limits.

--- a/errors.go
+++ b/errors.go
@@ -37,6 +37,7 @@
 type TargetError struct {
 	Target TargetID
 	Err    error
+	Notice // of the answer, if there was one
 }
 
 // Error names the target and the cause.
--- a/forwarder.go
+++ b/forwarder.go
@@ -94,12 +94,12 @@
 // Reply is the response of a target. Reading Body returns an error when the response
 // is incomplete. Closing Body before its end cancels the request at the target.
 type Reply struct {
+	Notice
 	Status       int
 	Header       http.Header // end-to-end headers, to be forwarded to the caller
 	Length       int64       // length of the body in bytes, -1: unknown
 	Framing      Framing
 	Body         io.ReadCloser
-	Leaving      bool   // the target announced that it is leaving and accepts no new requests
 	NotRun       bool   // the target reported that it did not run the request
 	FaultyEngine string // address of the engine that caused the refusal, empty when the response names none
 }
--- a/internal/config/saddlesettings/gateway.go
+++ b/internal/config/saddlesettings/gateway.go
@@ -19,6 +19,8 @@
 	// RetryReserve.
 	RetryShare   float64 `toml:"retry_share"`
 	RetryReserve float64 `toml:"retry_reserve"`
+	// MaxPause limits the pause for which a target can ask.
+	MaxPause Duration `toml:"max_pause"`
 }
 
 const (
@@ -27,6 +29,9 @@
 	defaultRetryShare   = 0.2
 	defaultRetryReserve = 100
 	maxRetryReserve     = 1 << 20
+	defaultMaxPause     = 10 * time.Minute
+	minMaxPause         = time.Second
+	maxMaxPause         = 24 * time.Hour
 )
 
 // DefaultGateway returns the default settings of a gateway.
@@ -37,6 +42,7 @@
 		KeyLease:     Duration(defaultKeyLease),
 		RetryShare:   defaultRetryShare,
 		RetryReserve: defaultRetryReserve,
+		MaxPause:     Duration(defaultMaxPause),
 	}
 }
 
@@ -52,6 +58,7 @@
 	if s.RetryReserve < 0 || s.RetryReserve > maxRetryReserve {
 		c.add("retry_reserve", s.RetryReserve, "must be from 0 to 1048576")
 	}
+	c.duration("max_pause", s.MaxPause, minMaxPause, maxMaxPause)
 	return c.err()
 }
 
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -157,7 +157,9 @@
 }
 
 func gatewayLimits(s saddlesettings.Gateway) saddlegateway.Limits {
-	return saddlegateway.Limits{KeyLease: keyLease(s), RetryShare: s.RetryShare, RetryReserve: s.RetryReserve}
+	return saddlegateway.Limits{
+		KeyLease: keyLease(s), RetryShare: s.RetryShare, RetryReserve: s.RetryReserve, MaxPause: s.MaxPause.Std(),
+	}
 }
 
 // keyLeaseMargin is subtracted from the lease of API keys, because a replica's confirmation
--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -77,6 +77,7 @@
 	}
 	c = newChain(&reservation{model: pool.Model, tokens: tokens, parts: found})
 	f.reserve(c.reserved, found, 1)
+	recordSends(now, found)
 	f.linkBudget.spend(pool.Model, tokens, crossings(found))
 	return c, sync.OnceFunc(func() {
 		f.mu.Lock()
@@ -113,6 +114,13 @@
 	return n
 }
 
+// recordSends records that the engines of a chain get a request.
+func recordSends(now time.Time, parts []part) {
+	for _, p := range parts {
+		p.target.pause.recordSend(now)
+	}
+}
+
 // reserve adds the tokens of a request to the load of some parts of its chain if sign is
 // 1, and subtracts them if sign is -1.
 func (f *Fleet) reserve(r *reservation, parts []part, sign int) {
@@ -230,13 +238,14 @@
 	return c
 }
 
-// usableEngines returns those of the engines that are usable, hold layers and have a type of
-// accelerator that the model describes, without those whose addresses are in avoid.
+// usableEngines returns those of the engines that are usable and not pausing, hold layers and
+// have a type of accelerator that the model describes, without those whose addresses are in
+// avoid.
 func usableEngines(now time.Time, model *saddlerouting.Model, engines []*target, avoid []string) []*target {
 	out := make([]*target, 0, len(engines))
 	for _, t := range engines {
 		_, known := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
-		if known && len(t.reg.GetLayers()) > 0 && t.usable(now) && !slices.Contains(avoid, t.Address) {
+		if known && len(t.reg.GetLayers()) > 0 && t.usable(now) && t.pause.accepts(now) && !slices.Contains(avoid, t.Address) {
 			out = append(out, t)
 		}
 	}
--- a/internal/direct/saddlefleet/counters.go
+++ b/internal/direct/saddlefleet/counters.go
@@ -6,5 +6,7 @@
 var (
 	countExclusions = expvar.NewInt("target_passed_over_total")
 	countLeaving    = expvar.NewInt("target_leaving_total")
+	countPauses     = expvar.NewInt("target_pauses_total")
+	pausedUntil     = expvar.NewMap("target_paused_until_ms")
 	countFailing    = expvar.NewInt("engine_failing_total")
 )
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -173,8 +173,8 @@
 	return out
 }
 
-// Pick selects a target of a group for a request. It skips the targets in tried, and
-// selects an unusable target only if there is no usable one. Among the usable targets it
+// Pick selects a target of a group for a request. It skips the targets in tried and those
+// that have asked for a pause, and selects an unusable target only if there is no usable one. Among the usable targets it
 // avoids those with recent faults and prefers those in this entry's data centre, then
 // those with the fewest requests of this entry in flight. done must be called when the
 // request has ended.
@@ -186,7 +186,7 @@
 	list := f.groups[group]
 	for i := range list {
 		t := list[(i+f.rotation)%len(list)]
-		if slices.Contains(tried, t.ID) {
+		if slices.Contains(tried, t.ID) || !t.pause.accepts(now) {
 			continue
 		}
 		if best == nil || f.preferred(now, t, best) {
@@ -200,6 +200,7 @@
 		best.nextProbe = now.Add(minProbeInterval) // this request serves as the probe
 	}
 	best.inFlight++
+	best.pause.recordSend(now)
 	return best.Target, sync.OnceFunc(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -33,11 +33,12 @@
 
 // RecordRefusal records that an engine refused its part of a request. The engine gets no
 // requests for refusalBackoff. Because it may be full, draining or failing, a probe is
-// requested as well, unless the engine is excluded, is being probed or was probed recently.
+// requested as well, unless the engine is excluded or has asked for a pause, is being probed
+// or was probed recently.
 func (f *Fleet) RecordRefusal(now time.Time, address string) {
 	f.mu.Lock()
 	t, ok := f.byAddress[address]
-	probe := ok && !t.excluded && !t.probing && now.Sub(t.nextProbe) > minProbeInterval
+	probe := ok && !t.excluded && !t.probing && t.pause.accepts(now) && now.Sub(t.nextProbe) > minProbeInterval
 	if ok {
 		t.refusedUntil = now.Add(refusalBackoff)
 		t.probeRequested = t.probeRequested || probe
--- a/internal/direct/saddlefleet/repair.go
+++ b/internal/direct/saddlefleet/repair.go
@@ -37,6 +37,7 @@
 	}
 	f.reserve(c.reserved, parts[index:index+1], -1)
 	f.reserve(c.reserved, found, 1)
+	recordSends(now, found)
 	c.reserved.parts = slices.Concat(parts[:index], found, parts[index+1:])
 	return newChain(c.reserved), true
 }
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -31,8 +31,9 @@
 	consecutiveFailures int       // number of consecutive failed probes or requests
 	nextProbe           time.Time // earliest time of the next probe
 	refusedUntil        time.Time // end of the backoff after a refused request
-	probeRequested      bool      // a probe was requested without excluding the target
-	suspectedByPeer     bool      // listed among another entry's suspects
+	pause               pause
+	probeRequested      bool // a probe was requested without excluding the target
+	suspectedByPeer     bool // listed among another entry's suspects
 	probing             bool
 	faults              decayingCount // recent faults
 	successes           decayingCount // recent drafts that ended as they should; engines only
--- a/internal/direct/saddlegateway/config.go
+++ b/internal/direct/saddlegateway/config.go
@@ -33,6 +33,8 @@
 	// of retries beyond it.
 	RetryShare   float64
 	RetryReserve float64
+	// MaxPause bounds the pause for which a target can ask.
+	MaxPause time.Duration
 }
 
 // State is the routing configuration in use.
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -32,7 +32,11 @@
 	reason := "no target is available"
 	for {
 		target, release, ok := j.cfg.Fleet.Pick(time.Now(), j.pool.Group, j.triedTargets)
-		if !ok || !j.reserveSend(ctx) {
+		if !ok {
+			j.failCall(ctx, fireflysaddle.CodeNoTarget, reason, j.targetsRetryAfter(time.Now()))
+			return
+		}
+		if !j.reserveSend(ctx) {
 			j.failCall(ctx, fireflysaddle.CodeNoTarget, reason, targetsFullRetryAfter)
 			return
 		}
@@ -51,6 +55,15 @@
 	}
 }
 
+// targetsRetryAfter returns the delay before a retry when no target of the group can be
+// chosen. If all of them asked for a pause, callers return after the first of these pauses.
+func (j *job) targetsRetryAfter(now time.Time) time.Duration {
+	if next, paused := j.cfg.Fleet.NextAccepting(now, j.pool.Group); paused {
+		return untilSpread(now, next)
+	}
+	return targetsFullRetryAfter
+}
+
 // tryPlain sends the call to one target. It reports whether the call has ended and, if
 // it has not, why the attempt failed.
 func (j *job) tryPlain(ctx context.Context, target saddlefleet.Target) (ended bool, failure string) {
@@ -62,13 +75,11 @@
 	ctx, cancel := context.WithTimeout(ctx, j.attemptTimeout(now))
 	defer cancel()
 	reply, err := j.cfg.Forwarder.Forward(ctx, f)
+	j.recordNotice(time.Now(), target, reply, err)
 	if err != nil {
 		return false, j.recordNoReply(target.Address, time.Since(now), err)
 	}
 	defer func() { _ = reply.Body.Close() }()
-	if reply.Leaving {
-		j.cfg.Fleet.RecordLeaving(target, j.call.ID)
-	}
 	if reply.NotRun {
 		return false, "target refused the request without running it"
 	}
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -78,7 +78,7 @@
 	if j.pool.Model == nil {
 		t, release, ok := j.cfg.Fleet.Pick(time.Now(), j.pool.Group, j.triedTargets)
 		if !ok {
-			return saddlefleet.Chain{}, nil, &Refusal{Code: fireflysaddle.CodeNoTarget, Message: "no target is available", RetryAfter: targetsFullRetryAfter}
+			return saddlefleet.Chain{}, nil, &Refusal{Code: fireflysaddle.CodeNoTarget, Message: "no target is available", RetryAfter: j.targetsRetryAfter(time.Now())}
 		}
 		j.triedTargets = append(j.triedTargets, t.ID)
 		return saddlefleet.Chain{Head: t}, release, nil
@@ -92,6 +92,9 @@
 	if ok {
 		return chain, release, nil
 	}
+	if refusal := j.refusePaused(time.Now()); refusal != nil {
+		return chain, nil, refusal
+	}
 	waiter := j.waitQueue.join()
 	defer waiter.leave()
 	for {
@@ -110,6 +113,16 @@
 	return chain, nil, &Refusal{Code: fireflysaddle.CodeNoTarget, Message: "the available engines do not cover all layers", RetryAfter: noChainRetryAfter}
 }
 
+// refusePaused returns a refusal if engines without which a layer is missing have asked for
+// pauses that outlast the time for which the call waits for a chain.
+func (j *job) refusePaused(now time.Time) *Refusal {
+	next, paused := j.cfg.Fleet.NextCovered(now, j.pool)
+	if !paused || (next.Before(j.deadline) && next.Sub(now) < capacityWait-j.sinceLastEvent()) {
+		return nil
+	}
+	return &Refusal{Code: fireflysaddle.CodeNoTarget, Message: "the engines that hold a layer asked for a pause", RetryAfter: untilSpread(now, next)}
+}
+
 // mayOutlastProcess reports whether the stream may take longer than the time left until
 // the process is killed.
 func (j *job) mayOutlastProcess(now time.Time) bool {
@@ -150,6 +163,7 @@
 		}
 	}()
 	reply, err := j.cfg.Forwarder.Forward(ctx, f)
+	j.recordNotice(time.Now(), chain.Head, reply, err)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = &fireflysaddle.TargetError{Target: chain.Head.ID, Err: cause}
@@ -157,9 +171,6 @@
 		return false, j.recordNoReply(chain.Head.Address, time.Since(now), err)
 	}
 	defer func() { _ = reply.Body.Close() }()
-	if reply.Leaving {
-		j.cfg.Fleet.RecordLeaving(chain.Head, j.call.ID)
-	}
 	if reply.NotRun {
 		return false, j.recordRefusal(reply)
 	}
