Release the target of a request that may not be sent again

A request that ended because the retry budget was spent left the target that had been chosen for its next attempt with one more request in flight, for as long as the process ran, so that later requests went to the targets that had fewer of them. Found while reading the path of refused requests; the target is released now.

TestRequestWithoutRetryLeavesNothingInFlight: after 100 requests that failed, 30 sound ones reach each of three targets ten times. On the code before all 30 went to one.

--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -37,6 +37,7 @@
 			return
 		}
 		if !j.reserveSend(ctx) {
+			release()
 			j.failCall(ctx, fireflysaddle.CodeNoTarget, reason, targetsFullRetryAfter)
 			return
 		}
--- a/internal/direct/saddlegateway/plain_test.go
+++ b/internal/direct/saddlegateway/plain_test.go
@@ -217,3 +217,29 @@
 	f.gateway.SetLimits(saddlegateway.Limits{KeyLease: 2 * time.Second})
 	is.True(f.serve(call("/status/")).refusal != nil)
 }
+
+// Guards against requests that end because the retry budget is spent counting as in flight
+// for ever at the targets chosen for their retries, so that all others go to one target.
+func TestRequestWithoutRetryLeavesNothingInFlight(t *testing.T) {
+	is := is.New(t)
+	failing := true
+	f := newFixture(t, func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+		if failing {
+			return internalError(fireflysaddle.Forward{})
+		}
+		return okReply("done"), nil
+	})
+	for range 100 {
+		f.serve(call("/status/"))
+	}
+	failing = false
+	sent := len(f.fakeTargets.forwarded())
+	requests := map[fireflysaddle.TargetID]int{}
+	for range 30 {
+		f.serve(call("/status/"))
+	}
+	for _, s := range f.fakeTargets.forwarded()[sent:] {
+		requests[s.Target]++
+	}
+	is.Equal(requests, map[fireflysaddle.TargetID]int{"desk-1": 10, "desk-2": 10, "desk-3": 10})
+}
