Placement replaces an engine that announces that it is leaving

The layers of an engine that said in its answers that it is leaving got a successor only when its registration said so too, which some engines never do before they are gone. The leader probes the engines that hold the first layer; an answer with the announcement now counts for that incarnation as its registration would.

TestLayersOfALeavingEngineAreAssignedToAnother waited for a second holder in vain on the code before.

--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -159,7 +159,7 @@
 	regs := map[fireflysaddle.TargetID]*saddlewire.Registration{}
 	holding := false
 	for id, reg := range view.Registrations {
-		if fireflysaddle.Group(reg.GetGroup()) != pool.Group || view.Leaving(reg) {
+		if fireflysaddle.Group(reg.GetGroup()) != pool.Group || p.leaving(view, reg) {
 			continue
 		}
 		e := saddleplan.Engine{
--- a/internal/place/saddleplacer/placer_test.go
+++ b/internal/place/saddleplacer/placer_test.go
@@ -33,6 +33,7 @@
 	orders          map[string][]fireflysaddle.PlaceOrder
 	refuse          func(address string, received int) error // result of an order; received counts the orders to the engine
 	stepTimeFactors map[string]float64
+	leaving         string // address of an engine that says in its reports that it is leaving
 	state           saddlecontrol.EngineState
 	term            atomic.Uint64
 }
@@ -87,7 +88,7 @@
 func (e *engines) Report(_ context.Context, address string) (fireflysaddle.EngineReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := fireflysaddle.EngineReport{Orders: 7, StepTimeFactor: max(1, e.stepTimeFactors[address]), KVUsed: 40}
+	r := fireflysaddle.EngineReport{Orders: 7, StepTimeFactor: max(1, e.stepTimeFactors[address]), KVUsed: 40, Leaving: address == e.leaving}
 	if h, ok := e.held[address]; ok {
 		r.Holdings = append(r.Holdings, h)
 	}
@@ -264,6 +265,24 @@
 	})
 }
 
+// Guards against the layers of an engine that says in its answers that it is leaving being
+// without a successor until its registration says so too.
+func TestLayersOfALeavingEngineAreAssignedToAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngines(3)
+		e.start(t)
+		await(t, "the model to be held", e.covered)
+		for id, reg := range e.View().Registrations {
+			if len(reg.GetLayers()) > 0 && reg.GetLayers()[0].GetFrom() == 0 {
+				e.mu.Lock()
+				e.leaving = id
+				e.mu.Unlock()
+			}
+		}
+		await(t, "another engine to hold the first layer", func() bool { return e.holdersOfFirstLayer() == 2 })
+	})
+}
+
 func (e *engines) holdersOfFirstLayer() int {
 	n := 0
 	for _, reg := range e.View().Registrations {
--- a/internal/place/saddleplacer/probes.go
+++ b/internal/place/saddleplacer/probes.go
@@ -41,6 +41,7 @@
 	occupied          map[string]occupancy // KV cache occupancy of engines that hold the first layer of the model
 	stepTimeProbedAt  map[string]time.Time // time of the last probe that was sent
 	occupancyProbedAt map[string]time.Time // time of the last probe that was sent
+	leaving           map[string]uint64    // incarnations of engines that announced that they are leaving
 	results           chan probeResult
 }
 
@@ -55,6 +56,7 @@
 // the probe was sent.
 type probeResult struct {
 	target          string
+	incarnation     uint64
 	centre          string
 	layers          int // number of layers held
 	holdsFirstLayer bool
@@ -67,6 +69,7 @@
 		occupied:          map[string]occupancy{},
 		stepTimeProbedAt:  map[string]time.Time{},
 		occupancyProbedAt: map[string]time.Time{},
+		leaving:           map[string]uint64{},
 		results:           make(chan probeResult, 256),
 	}
 }
@@ -76,6 +79,7 @@
 	clear(s.occupied)
 	clear(s.stepTimeProbedAt)
 	clear(s.occupancyProbedAt)
+	clear(s.leaving)
 }
 
 // startProbes probes the engines of a pool for which a probe is due:
@@ -93,7 +97,7 @@
 	}
 	suspected := suspectCounts(view)
 	for id, reg := range view.Registrations {
-		if fireflysaddle.Group(reg.GetGroup()) != pool.Group || len(reg.GetLayers()) == 0 || suspected[id] > 0 || view.Leaving(reg) {
+		if fireflysaddle.Group(reg.GetGroup()) != pool.Group || len(reg.GetLayers()) == 0 || suspected[id] > 0 || p.leaving(view, reg) {
 			continue
 		}
 		stepTimeDue := (slow[reg.GetCentre()] || p.probes.stepTimeFactors[id] > 0) && now.Sub(p.probes.stepTimeProbedAt[id]) >= stepTimeInterval
@@ -111,12 +115,12 @@
 func (p *Placer) probeEngine(ctx context.Context, wg *sync.WaitGroup, reg *saddlewire.Registration, holdsFirstLayer bool) {
 	countProbes.Add(1)
 	held := reg.GetLayers()[0]
-	r := probeResult{target: reg.GetId(), centre: reg.GetCentre(), layers: int(held.GetTo() - held.GetFrom()), holdsFirstLayer: holdsFirstLayer}
+	r := probeResult{target: reg.GetId(), incarnation: reg.GetIncarnation(), centre: reg.GetCentre(), layers: int(held.GetTo() - held.GetFrom()), holdsFirstLayer: holdsFirstLayer}
 	wg.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		var err error
-		if r.report, err = p.cfg.Orders.Report(callCtx, reg.GetAddress()); err != nil {
+		if r.report, err = p.cfg.Orders.Report(callCtx, reg.GetAddress()); err != nil && !r.report.Leaving {
 			p.cfg.Log.Debug().Err(err).Str("target", r.target).Msg("engine probe failed")
 			return
 		}
@@ -130,6 +134,10 @@
 // recordProbe stores the result of a probe, and reports the state of all engines to
 // OnEngineState if it has changed.
 func (p *Placer) recordProbe(ctx context.Context, now time.Time, r probeResult) {
+	if r.report.Leaving {
+		p.recordLeaving(r)
+		return
+	}
 	changed := p.recordStepTimeFactor(r)
 	if r.holdsFirstLayer && r.layers > 0 {
 		tokens := uint64(r.report.KVUsed / float64(r.layers))
@@ -151,6 +159,23 @@
 	p.cfg.OnEngineState(ctx, state)
 }
 
+// recordLeaving records that an engine announced that it is leaving. Other engines take over
+// its layers.
+func (p *Placer) recordLeaving(r probeResult) {
+	if incarnation, ok := p.probes.leaving[r.target]; ok && incarnation == r.incarnation {
+		return
+	}
+	p.probes.leaving[r.target] = r.incarnation
+	p.cfg.Log.Info().Str("target", r.target).Uint64("target_incarnation", r.incarnation).Msg("target announced that it is leaving")
+}
+
+// leaving reports whether an engine is leaving, by its registration or by its own answer to
+// a probe.
+func (p *Placer) leaving(view *saddleview.View, reg *saddlewire.Registration) bool {
+	incarnation, ok := p.probes.leaving[reg.GetId()]
+	return view.Leaving(reg) || (ok && incarnation == reg.GetIncarnation())
+}
+
 // occupiedByCentre returns the occupied tokens of each data centre. Reports older than
 // occupancyTTL are removed, because the engine may have stopped.
 func (s *probes) occupiedByCentre(now time.Time) map[string]uint64 {
