Do not block the fleet when a target pauses again

An entry stopped answering altogether: the second pause after an earlier one had ended removed the ended one from a counter map inside the iteration over that map, which holds its lock, with the lock of the fleet held.

The ended entries are removed after the iteration. TestPausesFollowOneAnother was blocked for its 20 s before.

--- a/internal/direct/saddlefleet/pause.go
+++ b/internal/direct/saddlefleet/pause.go
@@ -64,14 +64,7 @@
 	}
 	t.pause = pause{until: until}
 	countPauses.Add(1)
-	pausedUntil.Do(func(kv expvar.KeyValue) {
-		if ms, ok := kv.Value.(*expvar.Int); ok && ms.Value() < now.UnixMilli() {
-			pausedUntil.Delete(kv.Key)
-		}
-	})
-	ms := new(expvar.Int)
-	ms.Set(until.UnixMilli())
-	pausedUntil.Set(string(t.ID), ms)
+	publishPause(now, t.ID, until)
 	f.log.Info().Str("request", string(request)).Str("target", string(t.ID)).Str("address", t.Address).
 		Uint64("target_incarnation", t.incarnation).Dur("pause_ms", d).Msg("target asked for a pause")
 }
@@ -115,3 +108,19 @@
 	}
 	return time.Time{}, false
 }
+
+// publishPause adds a pause to the counters, and removes those that have ended.
+func publishPause(now time.Time, id fireflysaddle.TargetID, until time.Time) {
+	var ended []string
+	pausedUntil.Do(func(kv expvar.KeyValue) {
+		if ms, ok := kv.Value.(*expvar.Int); ok && ms.Value() < now.UnixMilli() {
+			ended = append(ended, kv.Key)
+		}
+	})
+	for _, key := range ended { // not within Do, which holds the lock of the map
+		pausedUntil.Delete(key)
+	}
+	ms := new(expvar.Int)
+	ms.Set(until.UnixMilli())
+	pausedUntil.Set(string(id), ms)
+}
--- a/internal/direct/saddlefleet/pause_test.go
+++ b/internal/direct/saddlefleet/pause_test.go
@@ -92,3 +92,23 @@
 	head, _, _ = f.chain(start.Add(pauseTime/2), 1)
 	is.Equal(head, "b0")
 }
+
+// Guards against the fleet blocking when a target pauses after an earlier pause has ended.
+func TestPausesFollowOneAnother(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(plainService("near", "a"), plainService("far", "b"))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for now := start; now.Before(start.Add(5 * pauseTime)); now = now.Add(pauseTime + time.Second) {
+			f.fleet.RecordPause(now, f.choose(t, now), pauseTime, "r1")
+			f.fleet.RecordPause(now, f.choose(t, now), pauseTime, "r2")
+			is.Equal(f.pick(t, now), "")
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the fleet is blocked")
+	}
+}
