--- a/internal/standin/saddlerelay/relay.go
+++ b/internal/standin/saddlerelay/relay.go
@@ -56,12 +56,12 @@
 // Address returns the address that the relay listens on.
 func (r *Relay) Address() string { return r.lis.Addr().String() }
 
-// CloseConns closes the open connections. It does not affect later connections.
+// CloseConns resets the open connections. It does not affect later connections.
 func (r *Relay) CloseConns() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p := range r.pairs {
-		p.close()
+		p.reset()
 	}
 }
 
@@ -79,7 +79,7 @@
 	}
 }
 
-// Block closes the open connections. Until Restore, it also closes each new
+// Block resets the open connections. Until Restore, it also closes each new
 // connection immediately.
 func (r *Relay) Block() {
 	r.mu.Lock()
@@ -172,13 +172,18 @@
 	r.mu.Unlock()
 }
 
-// copyOneWay forwards the data of one direction until either end closes.
+// copyOneWay forwards the data of one direction until either end closes. The other end sees
+// an orderly close only if that was one and no data was lost.
 func (r *Relay) copyOneWay(p *connPair, from, to net.Conn, dir direction) {
 	defer p.propagateClose(from)
 	buf := make([]byte, chunkBytes)
+	lost := false
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
+			if lost || !errors.Is(err, io.EOF) {
+				setReset(to)
+			}
 			return
 		}
 		r.mu.Lock()
@@ -186,6 +191,7 @@
 		r.mu.Unlock()
 		time.Sleep(delay)
 		if dropped {
+			lost = true
 			continue
 		}
 		select {
@@ -212,6 +218,20 @@
 	}
 }
 
+// reset closes both connections in such a way that their other ends see a reset.
+func (p *connPair) reset() {
+	setReset(p.client)
+	setReset(p.upstream)
+	p.close()
+}
+
+// setReset makes the close of a connection a reset.
+func setReset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 func (p *connPair) close() {
 	_ = p.client.Close()
 	_ = p.upstream.Close()
