--- a/internal/daemon/saddledaemon/reload_test.go
+++ b/internal/daemon/saddledaemon/reload_test.go
@@ -65,6 +65,7 @@
 		absent string
 	}{
 		"retry share":            {func(s *saddlesettings.Gateway) { s.RetryShare = 0.1 }, []string{"settings reloaded"}, "settings not reloaded"},
+		"longest pause":          {func(s *saddlesettings.Gateway) { s.MaxPause *= 2 }, []string{"settings reloaded"}, "settings not reloaded"},
 		"retry share and listen": {func(s *saddlesettings.Gateway) { s.RetryShare, s.Listen = 0.1, "127.0.0.1:1" }, []string{"settings not reloaded", "listen"}, "settings reloaded"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -174,10 +174,10 @@
 }
 
 // Pick selects a target of a group for a request. It skips the targets in tried and those
-// that have asked for a pause, and selects an unusable target only if there is no usable one. Among the usable targets it
-// avoids those with recent faults and prefers those in this entry's data centre, then
-// those with the fewest requests of this entry in flight. done must be called when the
-// request has ended.
+// that have asked for a pause, and selects an unusable target only if there is no usable
+// one. Among the usable targets it avoids those with recent faults and prefers those in
+// this entry's data centre, then those with the fewest requests of this entry in flight.
+// done must be called when the request has ended.
 func (f *Fleet) Pick(now time.Time, group fireflysaddle.Group, tried []fireflysaddle.TargetID) (chosen Target, done func(), ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"io"
-	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,7 +11,6 @@
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
-	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlesse"
 )
 
 const (
@@ -186,31 +183,6 @@
 	return j.relay(ctx, reply, watch)
 }
 
-// isEventStream reports whether an answer to a streaming request is a stream of events,
-// which is assumed of an answer without a content type.
-func isEventStream(h http.Header) bool {
-	contentType := h.Get("Content-Type")
-	if contentType == "" {
-		return true
-	}
-	media, _, err := mime.ParseMediaType(contentType)
-	return err == nil && media == "text/event-stream"
-}
-
-// relayBody sends an answer that is not a stream of events to the caller, unless an answer
-// to the caller has begun.
-func (j *job) relayBody(reply *fireflysaddle.Reply) (ended bool, failure string) {
-	if j.headerSent {
-		return false, "the rest of the stream has the content type " + reply.Header.Get("Content-Type")
-	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferedAnswerBytes))
-	if err != nil {
-		return false, "answer truncated: " + err.Error()
-	}
-	j.sendAnswer(reply, body)
-	return true, ""
-}
-
 // recordRefusal records that an engine of the chain refused the call without running it.
 // The call avoids that engine for avoidFullFor. It returns the reason.
 func (j *job) recordRefusal(reply *fireflysaddle.Reply) string {
@@ -237,99 +209,3 @@
 	j.sendAnswer(reply, body)
 	return true, ""
 }
-
-// errNoEvent reports a body without an event that ended with its connection. Its end is
-// no evidence that the engine had nothing to send.
-var errNoEvent = errors.New("the connection ended before the first event")
-
-// relay sends events to the caller as they arrive, except those that the caller has
-// already received.
-func (j *job) relay(ctx context.Context, reply *fireflysaddle.Reply, watch *watchdog) (ended bool, failure string) {
-	events := saddlesse.NewReader(reply.Body)
-	for received := 0; ; received++ {
-		e, err := events.Next()
-		if errors.Is(err, io.EOF) && received == 0 && reply.Framing == fireflysaddle.FramingClose {
-			err = errNoEvent
-		}
-		if err != nil && !errors.Is(err, io.EOF) {
-			return false, j.recordInterruption(ctx, err)
-		}
-		watch.recordEvent()
-		if len(e.Raw) > 0 && !j.alreadyDelivered(e.ID) {
-			if j.writeEvent(reply, e) != nil {
-				j.endDisconnected()
-				return true, ""
-			}
-		}
-		if err != nil {
-			return j.endStream(reply)
-		}
-	}
-}
-
-// recordInterruption records that a stream ended before its end was reached, as a fault of
-// the target unless the context ended. It returns the reason.
-func (j *job) recordInterruption(ctx context.Context, err error) string {
-	var partial *saddlesse.PartialEventError
-	if errors.As(err, &partial) {
-		j.partialBytes = partial.Bytes
-	}
-	if cause := context.Cause(ctx); cause != nil {
-		err = cause
-	} else {
-		j.cfg.Fleet.RecordFault(time.Now(), j.streamAddress, err.Error())
-	}
-	return "stream interrupted: " + err.Error()
-}
-
-func (j *job) endStream(reply *fireflysaddle.Reply) (ended bool, failure string) {
-	if !j.headerSent {
-		j.headerSent = true
-		if j.responder.Begin(reply) != nil {
-			j.endDisconnected()
-			return true, ""
-		}
-	}
-	j.cfg.Fleet.MarkWorking(time.Now(), j.streamAddress)
-	countAnswered.Add(1)
-	j.recordEnd("answered", "", "")
-	return true, ""
-}
-
-func (j *job) writeEvent(reply *fireflysaddle.Reply, e saddlesse.Event) error {
-	if !j.headerSent {
-		j.headerSent = true
-		j.firstByteAt = time.Now()
-		if err := j.responder.Begin(reply); err != nil {
-			return err
-		}
-	}
-	if err := j.responder.Write(e.Raw); err != nil {
-		return err
-	}
-	now := time.Now()
-	if j.eventsSent > 0 {
-		j.longestPause = max(j.longestPause, now.Sub(j.lastEventAt))
-	}
-	j.eventsSent++
-	j.lastEventAt = now
-	if e.ID != "" {
-		j.lastEventID = e.ID
-	}
-	return nil
-}
-
-// alreadyDelivered reports whether the caller has already received the event with an
-// identifier. The check is needed because a further attempt may repeat events. Events
-// without a numeric identifier never count as delivered.
-func (j *job) alreadyDelivered(id string) bool {
-	if id == "" || j.lastEventID == "" {
-		return false
-	}
-	n, err := strconv.ParseUint(id, 10, 64)
-	if err != nil {
-		return false
-	}
-	last, err := strconv.ParseUint(j.lastEventID, 10, 64)
-	return err == nil && n <= last
-}
