--- a/internal/direct/saddlegateway/stream_test.go
+++ b/internal/direct/saddlegateway/stream_test.go
@@ -226,3 +226,29 @@
 	}
 	is.True(len(f.fakeTargets.forwarded()) <= drafts+2)
 }
+
+// Guards against both attempts of a stream being lost at the same head, which breaks off
+// some streams while its probe is good and is the cheapest one.
+func TestRetryBeginsAtAnotherHead(t *testing.T) {
+	is := is.New(t)
+	for _, failure := range []answerFunc{truncateAfter(4), closeAfter(4, "id: 5\nda"), loseAnswer, internalError} {
+		f := newFixture(t, answerSequence(failure, answerRest))
+		f.serve(call("/draft/"))
+		sent := f.fakeTargets.forwarded()
+		is.Equal(sent[0].Address, "engine-a-0")
+		is.Equal(sent[1].Address, "engine-b-0")
+	}
+}
+
+// A head that has failed a stream is tried again if no other chain has capacity.
+func TestRetryBeginsAtTheOnlyHead(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, answerSequence(truncateAfter(4), answerRest))
+	f.builder.Update("control", &saddlewire.Update{Departures: []*saddlewire.Departure{{Target: "engine-b-0", Incarnation: 1}}})
+	f.fleet.Update(f.builder.Build())
+	began := time.Now()
+	got := f.serve(call("/draft/"))
+	is.Equal(got.body.String(), eventStream(0, lastEventID))
+	is.Equal(f.fakeTargets.forwarded()[1].Address, "engine-a-0")
+	is.True(time.Since(began) < time.Second) // it does not wait for another
+}
