Log why placement orders, which engines count as lost, and how much room is left

The logs of the incident could not tell its hypotheses apart: an order said nothing of who holds its layers already, nothing said that an engine counted as lost, and the room of a data centre had to be worked out by hand from all orders since the start. An order now has the number of holders, an engine that begins or ceases to count as lost gives a line with the entries that suspect it, and so does a change of a data centre's token capacity, with the layers that have least of it. No decision changes.

--- a/internal/place/saddleplacer/orders.go
+++ b/internal/place/saddleplacer/orders.go
@@ -15,8 +15,9 @@
 )
 
 // sendOrder orders an engine to hold layers, without waiting for the answer. The result
-// is sent to p.results.
-func (p *Placer) sendOrder(ctx context.Context, now time.Time, wg *sync.WaitGroup, model *saddlerouting.Model, reg *saddlewire.Registration, layers saddleplan.Range) {
+// is sent to p.results. holders is the number of engines that hold each of the layers
+// already, and is logged.
+func (p *Placer) sendOrder(ctx context.Context, now time.Time, wg *sync.WaitGroup, model *saddlerouting.Model, reg *saddlewire.Registration, layers saddleplan.Range, holders int) {
 	p.ordersInTerm++
 	fence := p.term*fenceTermFactor + p.ordersInTerm
 	loadTime := model.LoadTime * time.Duration(layers.Len()) / time.Duration(model.Layers)
@@ -24,7 +25,7 @@
 	p.orders[fireflysaddle.TargetID(reg.GetId())] = o
 	p.cfg.Log.Info().Str("target", reg.GetId()).Str("address", reg.GetAddress()).Int("from", layers.From).Int("to", layers.To).
 		Uint64("fence", fence).Uint64("target_incarnation", reg.GetIncarnation()).Str("centre", reg.GetCentre()).
-		Str("accelerator", reg.GetAccelerator()).Msg("engine ordered to hold layers")
+		Str("accelerator", reg.GetAccelerator()).Int("holders", holders).Msg("engine ordered to hold layers")
 	countOrders.Add(1)
 	wg.Go(func() {
 		err := p.placeWithRetry(ctx, reg.GetAddress(), fireflysaddle.PlaceOrder{From: layers.From, To: layers.To, Fence: fence})
--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -74,6 +74,8 @@
 	refusedUntil     map[fireflysaddle.TargetID]time.Time // end of the backoff of engines that refused an order
 	results          chan orderResult
 	probes           probes
+	lost             map[fireflysaddle.TargetID]uint64                        // incarnations of the engines that count as lost
+	capacities       map[fireflysaddle.Group]map[fireflysaddle.DataCentre]int // token capacities as last logged
 }
 
 // order is an order that was sent and is not yet reflected in the engine's heartbeats.
@@ -100,6 +102,8 @@
 		refusedUntil: map[fireflysaddle.TargetID]time.Time{},
 		results:      make(chan orderResult, 256),
 		probes:       newProbes(),
+		lost:         map[fireflysaddle.TargetID]uint64{},
+		capacities:   map[fireflysaddle.Group]map[fireflysaddle.DataCentre]int{},
 	}
 }
 
@@ -137,6 +141,8 @@
 		p.term, p.leadingSince, p.ordersInTerm = term, now, 0
 		clear(p.orders)
 		clear(p.refusedUntil)
+		clear(p.lost)
+		clear(p.capacities)
 		p.cfg.Log.Info().Uint64("term", term).Msg("placement started")
 	}
 	routing := p.cfg.Routing()
@@ -170,6 +176,7 @@
 			Lost:        suspected[id] >= minSuspectingEntries,
 			Slow:        p.probes.stepTimeFactors[id] >= replaceStepTimeFactor,
 		}
+		p.logLost(reg, e.Lost, suspected[id])
 		holding = holding || e.Held.Len() > 0
 		engines = append(engines, e)
 		regs[e.ID] = reg
@@ -185,8 +192,9 @@
 		if now.Before(p.refusedUntil[id]) {
 			continue
 		}
-		p.sendOrder(ctx, now, wg, pool.Model, regs[id], layers)
+		p.sendOrder(ctx, now, wg, pool.Model, regs[id], layers, saddleplan.Holders(engines, fireflysaddle.DataCentre(regs[id].GetCentre()), layers))
 	}
+	p.logCapacities(pool, engines)
 }
 
 // trackEngines records when the set of engines last changed.
--- a/internal/place/saddleplan/plan.go
+++ b/internal/place/saddleplan/plan.go
@@ -114,7 +114,7 @@
 // are assigned first, then layers of the bottleneck, then the second copy, then a third
 // holder of some layers.
 func planCentre(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
-	live := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Lost })
+	live := withoutLost(engines)
 	if !slices.ContainsFunc(live, func(e Engine) bool { return e.Held.Len() > 0 }) {
 		return assignAll(model, live)
 	}
@@ -134,6 +134,11 @@
 	return addThirdHolder(model, fast)
 }
 
+// withoutLost returns the engines that are not lost.
+func withoutLost(engines []Engine) []Engine {
+	return slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Lost })
+}
+
 // rangesHeldBy returns the ranges of layers that are held by exactly the given number of
 // engines.
 func rangesHeldBy(model *saddlerouting.Model, engines []Engine, holders int) []Range {
