--- a/internal/place/saddleplacer/placer_test.go
+++ b/internal/place/saddleplacer/placer_test.go
@@ -24,6 +24,8 @@
 // waitTimeout bounds the wait for a condition. It affects only tests that fail.
 const waitTimeout = 30 * time.Second
 
+var errUnreachable = errors.New("connection refused")
+
 // engines simulates the engines of one data centre and the view of a replica.
 type engines struct {
 	mu              sync.Mutex
@@ -34,6 +36,7 @@
 	refuse          func(address string, received int) error // result of an order; received counts the orders to the engine
 	stepTimeFactors map[string]float64
 	leaving         string // address of an engine that says in its reports that it is leaving
+	unreachable     string // address of an engine that does not answer
 	state           saddlecontrol.EngineState
 	term            atomic.Uint64
 }
@@ -88,6 +91,9 @@
 func (e *engines) Report(_ context.Context, address string) (fireflysaddle.EngineReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if address == e.unreachable {
+		return fireflysaddle.EngineReport{}, errUnreachable
+	}
 	r := fireflysaddle.EngineReport{Orders: 7, StepTimeFactor: max(1, e.stepTimeFactors[address]), KVUsed: 40, Leaving: address == e.leaving}
 	if h, ok := e.held[address]; ok {
 		r.Holdings = append(r.Holdings, h)
@@ -310,3 +316,65 @@
 		})
 	})
 }
+
+// holderOfFirstLayer returns an engine that holds the first layer.
+func (e *engines) holderOfFirstLayer() string {
+	for id, reg := range e.View().Registrations {
+		if len(reg.GetLayers()) > 0 && reg.GetLayers()[0].GetFrom() == 0 {
+			return id
+		}
+	}
+	return ""
+}
+
+// Pattern: the links of a data centre lose packets, and entries elsewhere cannot probe its
+// engines in time, while its own entries can.
+// Guards against empty engines being spent on layers of engines that serve their data centre.
+func TestEngineThatItsOwnDataCentreReachesIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(3)
+		e.start(t)
+		await(t, "the model to be held", e.covered)
+		suspects := []string{e.holderOfFirstLayer()}
+		e.update(&saddlewire.Update{Members: []*saddlewire.Member{
+			{Node: "near-1", Role: "entry", Centre: "a"}, {Node: "near-2", Role: "entry", Centre: "a"},
+			{Node: "far-1", Role: "entry", Centre: "b", Suspects: suspects}, {Node: "far-2", Role: "entry", Centre: "b", Suspects: suspects},
+		}})
+		time.Sleep(3 * time.Second)
+		is.Equal(e.holdersOfFirstLayer(), 1)
+		e.update(&saddlewire.Update{Members: []*saddlewire.Member{
+			{Node: "near-1", Role: "entry", Centre: "a", Suspects: suspects}, {Node: "near-2", Role: "entry", Centre: "a", Suspects: suspects},
+		}})
+		await(t, "another engine to hold the first layer", func() bool { return e.holdersOfFirstLayer() == 2 })
+	})
+}
+
+// Pattern: the control replicas are cut in two, and targets report to the side without the
+// leader.
+// Guards against empty engines being spent on layers of engines that run and serve.
+func TestEngineThatReportsElsewhereIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(3)
+		e.start(t)
+		await(t, "the model to be held", e.covered)
+		silent := e.holderOfFirstLayer()
+		e.update(&saddlewire.Update{Unregistered: []string{silent}})
+		time.Sleep(3 * time.Second)
+		is.Equal(e.orderedEngines(), 1)
+		is.Equal(e.holderOfFirstLayer(), silent) // it answered a probe and is registered again
+		e.mu.Lock()
+		e.unreachable = silent
+		e.mu.Unlock()
+		e.update(&saddlewire.Update{Unregistered: []string{silent}})
+		await(t, "another engine to hold the first layer", func() bool { return e.orderedEngines() == 2 })
+	})
+}
+
+// orderedEngines returns the number of engines that were sent an order.
+func (e *engines) orderedEngines() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.orders)
+}
--- a/internal/place/saddleplan/plan_test.go
+++ b/internal/place/saddleplan/plan_test.go
@@ -297,3 +297,75 @@
 	is.Equal(slices.Min(holders), 2)
 	is.Equal(slices.Max(holders), 3)
 }
+
+// settle applies plans until nothing more is ordered.
+func settle(t *testing.T, m *saddlerouting.Model, list []saddleplan.Engine) {
+	t.Helper()
+	for range 10 * len(list) {
+		plan := saddleplan.Plan(m, list)
+		if len(plan) == 0 {
+			return
+		}
+		apply(list, plan)
+	}
+	t.Fatal("orders have not ended")
+}
+
+// Pattern: engines return with their layers after others have taken these over, so layers
+// have two holders in a data centre that holds the model once.
+// Guards against empty engines being spent on third holders of such layers, while all other
+// layers have one holder and no engine is left to replace it.
+func TestEmptyEnginesStaySparesWhereLayersAreHeldOnce(t *testing.T) {
+	is := is.New(t)
+	m := smallCacheModel()
+	list := engines("trikala-c", map[fireflysaddle.Accelerator]int{"a100s": 1, "l4": 10, "t4": 4})
+	settle(t, m, list)
+	empty := emptyEngines(list)
+	first := slices.IndexFunc(list, func(e saddleplan.Engine) bool { return e.Held.From == 75 && e.Held.To == 80 })
+	list[first].Lost = true
+	settle(t, m, list)
+	is.Equal(emptyEngines(list), empty-1)
+	list[first].Lost = false
+	settle(t, m, list)
+	is.Equal(emptyEngines(list), empty-1)
+}
+
+func emptyEngines(list []saddleplan.Engine) int {
+	n := 0
+	for _, e := range list {
+		if e.Held.Len() == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Pattern: no empty engine is left when engines are lost, and others hold layers that have a
+// second holder.
+// Guards against a data centre that serves a dozen drafts at a time, or none, for the rest of
+// its life, because second holders keep their layers.
+func TestSecondHoldersTakeOverLayersWithLittleCapacity(t *testing.T) {
+	for name, restarted := range map[string]int{"engines return without layers": 3, "engines are lost for good": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := smallCacheModel()
+			list := engines("trikala-c", map[fireflysaddle.Accelerator]int{"a100s": 1, "l4": 10, "t4": 4})
+			settle(t, m, list)
+			second := []saddleplan.Range{{From: 0, To: 9}, {From: 9, To: 15}, {From: 66, To: 75}, {From: 48, To: 57}, {From: 39, To: 48}}
+			for i, e := range list {
+				switch {
+				case e.Held.Len() == 0:
+					list[i].Held, second = second[0], second[1:]
+				case e.Accelerator == "t4" && restarted > 0:
+					list[i].Held = saddleplan.Range{}
+					restarted--
+				case e.Accelerator == "t4":
+					list[i].Lost = true
+				}
+			}
+			is.Equal(len(second), 0)
+			settle(t, m, list)
+			is.True(saddleplan.Capacities(m, list)["trikala-c"].Tokens >= 80_000)
+		})
+	}
+}
