Keep empty engines as spares while layers have a single holder

Cause: an engine whose layers were taken over and that returns with them leaves two holders. addThirdHolder looked only for layers with two holders and gave them to empty engines until one was left, also where the model is held once and every other layer depends on those spares. Evidence: the logs show layers with up to five holders (2,500,000 tokens of room) in data centres whose other layers had one, and no empty engine when more were lost. Why this works: third holders are for data centres that hold the model twice; while any layer has a single holder nothing is spent on them.

--- a/internal/place/saddleplan/plan.go
+++ b/internal/place/saddleplan/plan.go
@@ -69,8 +69,8 @@
 //     the layers directly before and after.
 //   - Layers with a single holder are assigned to empty engines, if the engines can hold
 //     the model twice or if the holder has little token capacity.
-//   - Layers with two holders are assigned to empty engines, as long as reserveEngines of
-//     these remain.
+//   - Layers with two holders are assigned to empty engines while no layer has a single
+//     holder, as long as reserveEngines of the empty engines remain.
 //
 // No engine is ever ordered to release layers, because it would first have to wait for
 // all requests that use them.
--- a/internal/place/saddleplan/thirdholder.go
+++ b/internal/place/saddleplan/thirdholder.go
@@ -9,8 +9,12 @@
 // more than reserveEngines engines are empty. With a third holder, the loss of an engine
 // interrupts a third of the streams that pass its layers in place of half, and two engines
 // read the prompts of these streams again in place of one. It returns nil if no engine can
-// be spared or no layers have exactly two holders.
+// be spared, no layers have exactly two holders, or layers have a single holder, which the
+// empty engines are to replace if it is lost.
 func addThirdHolder(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
+	if len(rangesHeldBy(model, engines, 1)) > 0 {
+		return nil
+	}
 	var empty []Engine
 	for _, e := range engines {
 		if e.Held.Len() == 0 && maxLayers(model, e, preferredCapacity) > 0 {
