Let the entries of a data centre decide whether its engines are lost

Cause: two entries anywhere made an engine count as lost. While the links of one data centre lose packets, entries elsewhere miss the deadline of their probes, and its own entries do not. Why this works: chains stay in a data centre, and an engine that its own entries reach serves. Where fewer than two of them are heard, any two entries decide, as before.

Class of fault: the loss of a link is taken for the loss of the machine behind it.

--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -39,7 +39,8 @@
 	// term times fenceTermFactor, plus the number of the order within the term.
 	fenceTermFactor = 1 << 20
 	// minSuspectingEntries is the number of entries that must suspect an engine before
-	// it counts as lost.
+	// it counts as lost. Where the engine's data centre has as many entries, only these
+	// count: the others may merely have lost the link to it.
 	minSuspectingEntries = 2
 	// loadPollInterval is the time between two polls of an engine that loads layers. The
 	// polls begin after the expected loading time, and maxLoadPolls limits their number.
@@ -160,7 +161,7 @@
 
 // placeModel plans the layers of a pool's engines and sends the orders that result.
 func (p *Placer) placeModel(ctx context.Context, now time.Time, wg *sync.WaitGroup, pool *saddlerouting.Pool, view *saddleview.View) {
-	suspected := suspectCounts(view)
+	suspected := newSuspicions(view)
 	var engines []saddleplan.Engine
 	regs := map[fireflysaddle.TargetID]*saddlewire.Registration{}
 	holding := false
@@ -173,10 +174,10 @@
 			Centre:      fireflysaddle.DataCentre(reg.GetCentre()),
 			Accelerator: fireflysaddle.Accelerator(reg.GetAccelerator()),
 			Held:        p.heldLayers(now, reg),
-			Lost:        suspected[id] >= minSuspectingEntries,
+			Lost:        suspected.lost(reg),
 			Slow:        p.probes.stepTimeFactors[id] >= replaceStepTimeFactor,
 		}
-		p.logLost(reg, e.Lost, suspected[id])
+		p.logLost(reg, e.Lost, suspected.entries(id))
 		holding = holding || e.Held.Len() > 0
 		engines = append(engines, e)
 		regs[e.ID] = reg
@@ -227,14 +228,3 @@
 	delete(p.orders, id)
 	return reported
 }
-
-// suspectCounts returns the number of entries that suspect each target.
-func suspectCounts(view *saddleview.View) map[string]int {
-	out := map[string]int{}
-	for _, m := range view.Members {
-		for _, id := range m.GetSuspects() {
-			out[id]++
-		}
-	}
-	return out
-}
