Probe an engine whose reports ended before others take over its layers

Cause: a leader that is cut off from the replicas to which targets report no longer hears of them; after five seconds it took them for gone and ordered empty engines to hold their layers. Why this works: control asks such an engine itself. While it holds its layers it is registered again and nothing is ordered; if it does not answer, leaves or holds other layers, others take over as before, at most a second later. An engine that entries suspect is not asked.

Class of fault: silence towards one observer is taken for the end of the observed.

--- a/forwarder.go
+++ b/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -61,6 +62,12 @@
 	From, To int
 }
 
+// Holds reports whether one of the ranges that the engine holds includes the layers
+// [from, to).
+func (r EngineReport) Holds(from, to int) bool {
+	return slices.ContainsFunc(r.Holdings, func(h Holding) bool { return h.From <= from && h.To >= to })
+}
+
 // StalledRequest is a request that waits for another engine of its chain.
 type StalledRequest struct {
 	Request RequestID
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -246,8 +246,7 @@
 // registered.
 func (t *target) holdsRegisteredLayers(report fireflysaddle.EngineReport) bool {
 	for _, l := range t.reg.GetLayers() {
-		includes := func(h fireflysaddle.Holding) bool { return h.From <= int(l.GetFrom()) && h.To >= int(l.GetTo()) }
-		if !slices.ContainsFunc(report.Holdings, includes) {
+		if !report.Holds(int(l.GetFrom()), int(l.GetTo())) {
 			return false
 		}
 	}
--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -55,7 +55,7 @@
 	Routing func() *saddlerouting.Routing // returns nil if none is known
 	Term    func() uint64                 // term in which this replica leads and holds a lease, else 0
 	// OnLoaded receives the registration of an engine with the layers that it now
-	// holds, before its heartbeat reports them.
+	// holds, before its heartbeat reports them, or though its heartbeats have ended.
 	OnLoaded func(ctx context.Context, reg *saddlewire.Registration)
 	// OnEngineState receives the state of the engines. Each state replaces the previous one.
 	OnEngineState func(ctx context.Context, state saddlecontrol.EngineState)
@@ -75,6 +75,7 @@
 	refusedUntil     map[fireflysaddle.TargetID]time.Time // end of the backoff of engines that refused an order
 	results          chan orderResult
 	probes           probes
+	silent           silentEngines
 	lost             map[fireflysaddle.TargetID]uint64                        // incarnations of the engines that count as lost
 	capacities       map[fireflysaddle.Group]map[fireflysaddle.DataCentre]int // token capacities as last logged
 }
@@ -103,6 +104,7 @@
 		refusedUntil: map[fireflysaddle.TargetID]time.Time{},
 		results:      make(chan orderResult, 256),
 		probes:       newProbes(),
+		silent:       newSilentEngines(),
 		lost:         map[fireflysaddle.TargetID]uint64{},
 		capacities:   map[fireflysaddle.Group]map[fireflysaddle.DataCentre]int{},
 	}
@@ -123,6 +125,8 @@
 			p.recordOrderResult(time.Now(), o)
 		case r := <-p.probes.results:
 			p.recordProbe(ctx, time.Now(), r)
+		case r := <-p.silent.results:
+			p.recordSilentProbe(ctx, r)
 		case <-tick.C:
 			p.reconcile(ctx, time.Now(), &wg)
 		}
@@ -142,6 +146,7 @@
 		p.term, p.leadingSince, p.ordersInTerm = term, now, 0
 		clear(p.orders)
 		clear(p.refusedUntil)
+		p.silent.clear()
 		clear(p.lost)
 		clear(p.capacities)
 		p.cfg.Log.Info().Uint64("term", term).Msg("placement started")
@@ -151,6 +156,7 @@
 		return
 	}
 	view := p.cfg.View()
+	p.silent.update(view, func(reg *saddlewire.Registration) bool { return p.leaving(view, reg) })
 	for _, pool := range routing.Pools {
 		if pool.Model != nil {
 			p.placeModel(ctx, now, wg, pool, view)
@@ -169,20 +175,14 @@
 		if fireflysaddle.Group(reg.GetGroup()) != pool.Group || p.leaving(view, reg) {
 			continue
 		}
-		e := saddleplan.Engine{
-			ID:          fireflysaddle.TargetID(id),
-			Centre:      fireflysaddle.DataCentre(reg.GetCentre()),
-			Accelerator: fireflysaddle.Accelerator(reg.GetAccelerator()),
-			Held:        p.heldLayers(now, reg),
-			Lost:        suspected.lost(reg),
-			Slow:        p.probes.stepTimeFactors[id] >= replaceStepTimeFactor,
-		}
+		e := p.planEngine(now, reg, suspected.lost(reg))
 		p.logLost(reg, e.Lost, suspected.entries(id))
 		holding = holding || e.Held.Len() > 0
 		engines = append(engines, e)
 		regs[e.ID] = reg
 	}
 	p.trackEngines(now, regs)
+	engines = append(engines, p.silentEngines(ctx, now, wg, pool, view)...)
 	if now.Sub(p.leadingSince) < leaderWarmup && holding {
 		return
 	}
@@ -190,7 +190,7 @@
 		return
 	}
 	for id, layers := range saddleplan.Plan(pool.Model, engines) {
-		if now.Before(p.refusedUntil[id]) {
+		if _, registered := regs[id]; !registered || now.Before(p.refusedUntil[id]) {
 			continue
 		}
 		p.sendOrder(ctx, now, wg, pool.Model, regs[id], layers, saddleplan.Holders(engines, fireflysaddle.DataCentre(regs[id].GetCentre()), layers))
@@ -198,6 +198,18 @@
 	p.logCapacities(pool, engines)
 }
 
+// planEngine returns an engine as the plan takes it.
+func (p *Placer) planEngine(now time.Time, reg *saddlewire.Registration, lost bool) saddleplan.Engine {
+	return saddleplan.Engine{
+		ID:          fireflysaddle.TargetID(reg.GetId()),
+		Centre:      fireflysaddle.DataCentre(reg.GetCentre()),
+		Accelerator: fireflysaddle.Accelerator(reg.GetAccelerator()),
+		Held:        p.heldLayers(now, reg),
+		Lost:        lost,
+		Slow:        p.probes.stepTimeFactors[reg.GetId()] >= replaceStepTimeFactor,
+	}
+}
+
 // trackEngines records when the set of engines last changed.
 func (p *Placer) trackEngines(now time.Time, regs map[fireflysaddle.TargetID]*saddlewire.Registration) {
 	unchanged := len(regs) == len(p.engines)
--- a/internal/place/saddleplacer/placer_test.go
+++ b/internal/place/saddleplacer/placer_test.go
@@ -359,16 +359,17 @@
 		e := newEngines(3)
 		e.start(t)
 		await(t, "the model to be held", e.covered)
-		silent := e.holderOfFirstLayer()
+		time.Sleep(time.Second) // the placer has seen the layers
+		silent, ordered := e.holderOfFirstLayer(), e.orderedEngines()
 		e.update(&saddlewire.Update{Unregistered: []string{silent}})
 		time.Sleep(3 * time.Second)
-		is.Equal(e.orderedEngines(), 1)
+		is.Equal(e.orderedEngines(), ordered)
 		is.Equal(e.holderOfFirstLayer(), silent) // it answered a probe and is registered again
 		e.mu.Lock()
 		e.unreachable = silent
 		e.mu.Unlock()
 		e.update(&saddlewire.Update{Unregistered: []string{silent}})
-		await(t, "another engine to hold the first layer", func() bool { return e.orderedEngines() == 2 })
+		await(t, "another engine to hold the first layer", func() bool { return e.orderedEngines() == ordered+1 })
 	})
 }
 
