Do not take an engine that has just loaded layers for one that restarted

What callors saw: streams through such an engine were interrupted at all entries at once, and drafts waited for a chain. Cause: an engine registers layers as soon as it holds them, while its report shows the state of up to 200 ms before. An entry that probed it in between missed the layers, and took this for a restart; with two entries control assigned the layers to another engine. Why this works: a report tells nothing of layers that are newer than itself. Within the lag an answer without them only shows that the engine is up; after it a missing layer is a restart. TestEngineThatHasJustLoadedLayersIsNotSuspected failed before (1 suspect in place of 0).

Class of fault: two views of different age are compared as if they were of the same moment.

--- a/internal/daemon/saddledaemon/gatewayrouting.go
+++ b/internal/daemon/saddledaemon/gatewayrouting.go
@@ -17,7 +17,7 @@
 // updateView applies a new view of the fleet and requests a fetch when the view names a
 // newer routing configuration.
 func (g *gateway) updateView(v *saddleview.View) {
-	g.fleet.Update(v)
+	g.fleet.Update(time.Now(), v)
 	if v.RoutingVersion > g.currentRouting().GetVersion() {
 		select {
 		case g.fetchRequests <- struct{}{}:
--- a/internal/direct/saddlefleet/chain_test.go
+++ b/internal/direct/saddlefleet/chain_test.go
@@ -240,3 +240,28 @@
 	}
 	is.Equal(fmt.Sprint(f.fleet.CentreLoads()), "[]")
 }
+
+// Pattern: an engine has just loaded layers, and its registration says so before its report
+// does.
+// Guards against all entries taking such an engine for one that has restarted, and control
+// assigning its layers to others.
+func TestEngineThatHasJustLoadedLayersIsNotSuspected(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(engine("a0", "a", 0, 2))
+	longer := engine("a0", "a", 0, 3)
+	longer.Sequence = 2
+	loadedAt := start.Add(time.Minute)
+	f.updateAt(loadedAt, &saddlewire.Update{Registrations: []*saddlewire.Registration{longer}})
+	before := fireflysaddle.EngineReport{Holdings: []fireflysaddle.Holding{{From: 0, To: 2}}}
+	f.fleet.RequestProbe(loadedAt, "a0")
+	due := f.fleet.StartDueProbes(loadedAt)
+	is.Equal(len(due), 1)
+	f.fleet.RecordProbe(loadedAt.Add(100*time.Millisecond), due[0], before, nil)
+	is.Equal(len(f.fleet.Suspects()), 0)
+	later := loadedAt.Add(time.Second)
+	f.fleet.RequestProbe(later, "a0")
+	due = f.fleet.StartDueProbes(later)
+	is.Equal(len(due), 1)
+	f.fleet.RecordProbe(later, due[0], before, nil) // its report is not that old: it has restarted
+	is.Equal(f.fleet.Suspects(), []string{"a0"})
+}
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -51,11 +51,11 @@
 // Update replaces the registrations and the reported loads with those of a view. Parts
 // that have not changed since the previous view are not processed again, because views
 // arrive several times a second.
-func (f *Fleet) Update(v *saddleview.View) {
+func (f *Fleet) Update(now time.Time, v *saddleview.View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if v.RegistryVersion != f.registryVersion {
-		f.updateTargets(v)
+		f.updateTargets(now, v)
 	}
 	if v.MembersVersion != f.membersVersion {
 		f.countEntries(v)
@@ -79,10 +79,10 @@
 }
 
 // updateTargets replaces the targets with the registrations of a view.
-func (f *Fleet) updateTargets(v *saddleview.View) {
+func (f *Fleet) updateTargets(now time.Time, v *saddleview.View) {
 	targets := make(map[fireflysaddle.TargetID]*target, len(v.Registrations))
 	for id, reg := range v.Registrations {
-		t := f.targetFor(fireflysaddle.TargetID(id), reg)
+		t := f.targetFor(now, fireflysaddle.TargetID(id), reg)
 		t.leaving = v.Leaving(reg)
 		targets[t.ID] = t
 	}
@@ -121,7 +121,7 @@
 
 // targetFor returns the target of a registration. Its health and load are retained
 // unless it has restarted, which shows as a new incarnation.
-func (f *Fleet) targetFor(id fireflysaddle.TargetID, reg *saddlewire.Registration) *target {
+func (f *Fleet) targetFor(now time.Time, id fireflysaddle.TargetID, reg *saddlewire.Registration) *target {
 	t, ok := f.targets[id]
 	if !ok || t.incarnation != reg.GetIncarnation() {
 		t = &target{
@@ -131,10 +131,20 @@
 			},
 		}
 	}
+	if !sameLayers(t.reg, reg) {
+		t.layersChangedAt = now
+	}
 	t.reg = reg
 	return t
 }
 
+// sameLayers reports whether two registrations have the same layers.
+func sameLayers(a, b *saddlewire.Registration) bool {
+	return slices.EqualFunc(a.GetLayers(), b.GetLayers(), func(x, y *saddlewire.HeldLayers) bool {
+		return x.GetFrom() == y.GetFrom() && x.GetTo() == y.GetTo()
+	})
+}
+
 // countEntries counts the entries of a view.
 func (f *Fleet) countEntries(v *saddleview.View) {
 	f.entryCount = 0
--- a/internal/direct/saddlefleet/fleet_test.go
+++ b/internal/direct/saddlefleet/fleet_test.go
@@ -31,9 +31,11 @@
 	return f
 }
 
-func (f *fixture) update(u *saddlewire.Update) {
+func (f *fixture) update(u *saddlewire.Update) { f.updateAt(start, u) }
+
+func (f *fixture) updateAt(now time.Time, u *saddlewire.Update) {
 	f.builder.Update("control", u)
-	f.fleet.Update(f.builder.Build())
+	f.fleet.Update(now, f.builder.Build())
 }
 
 func plainService(id, centre string) *saddlewire.Registration {
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -194,7 +194,8 @@
 }
 
 // RecordProbe records the result of a probe. The probe counts as failed if the engine does
-// not hold the layers of its registration, because such an engine has restarted. The result
+// not hold the layers of its registration, because such an engine has restarted, unless the
+// report may be older than the registration with these layers. The result
 // of a probe of an earlier incarnation is ignored. An answer that announces that the engine
 // is leaving is recorded as such.
 func (f *Fleet) RecordProbe(now time.Time, probed Target, report fireflysaddle.EngineReport, err error) {
@@ -207,7 +208,7 @@
 		f.mu.Unlock()
 		return
 	}
-	if err == nil && !t.holdsRegisteredLayers(report) {
+	if err == nil && now.Sub(t.layersChangedAt) > reportLag && !t.holdsRegisteredLayers(report) {
 		err = errLayersMissing
 	}
 	wasExcluded, wasUnresponsive := t.excluded, t.unresponsive
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -19,8 +19,9 @@
 // target is the state of one incarnation of a target.
 type target struct {
 	Target
-	reg            *saddlewire.Registration
-	stepTimeFactor float64 // step time relative to other engines with its type of accelerator, at least 1
+	reg             *saddlewire.Registration
+	layersChangedAt time.Time // arrival of the registration with its present layers
+	stepTimeFactor  float64   // step time relative to other engines with its type of accelerator, at least 1
 
 	leaving             bool    // its registration says that it is leaving
 	inFlight            int     // number of this entry's requests in flight
@@ -48,6 +49,9 @@
 	// it, because it has a new registration.
 	minProbeInterval = 300 * time.Millisecond
 	maxProbeInterval = 1200 * time.Millisecond
+	// reportLag is the greatest age of the state in an engine's report. A registration may
+	// be newer.
+	reportLag = 300 * time.Millisecond
 	// probingEntries is the number of entries of a data centre that may each probe an engine
 	// that answers once in minProbeInterval. More entries probe it less often.
 	probingEntries = 7
--- a/internal/direct/saddlegateway/fixture_test.go
+++ b/internal/direct/saddlegateway/fixture_test.go
@@ -223,7 +223,7 @@
 		}
 	}
 	f.builder.Update("control", u)
-	f.fleet.Update(f.builder.Build())
+	f.fleet.Update(time.Now(), f.builder.Build())
 	f.setRouting(routing(t), 0)
 	return f
 }
--- a/internal/direct/saddlegateway/plain_test.go
+++ b/internal/direct/saddlegateway/plain_test.go
@@ -194,7 +194,7 @@
 				u.Members = append(u.Members, &saddlewire.Member{Node: fmt.Sprint("entry-", i+1), Role: "entry", Centre: "a"})
 			}
 			f.builder.Update("control", u)
-			f.fleet.Update(f.builder.Build())
+			f.fleet.Update(time.Now(), f.builder.Build())
 			wanted := 0
 			f.grantRetries = func(want, _ int) int {
 				wanted = max(wanted, want)
--- a/internal/direct/saddlegateway/reroute_test.go
+++ b/internal/direct/saddlegateway/reroute_test.go
@@ -24,7 +24,7 @@
 		Id: "engine-a-2x", Group: "drafts", Address: "engine-a-2x", Centre: "a", Accelerator: "big", Incarnation: 1,
 		Layers: []*saddlewire.HeldLayers{{From: 2, To: 4}},
 	}}})
-	f.fleet.Update(f.builder.Build())
+	f.fleet.Update(time.Now(), f.builder.Build())
 	f.fakeTargets.report = func(string) (fireflysaddle.EngineReport, error) {
 		return fireflysaddle.EngineReport{Stalled: []fireflysaddle.StalledRequest{{Request: "r1", Address: f.fakeTargets.forwarded()[0].Chain[1].Address}}}, nil
 	}
@@ -110,7 +110,7 @@
 		Id: "engine-a-2y", Group: "drafts", Address: "engine-a-2y", Centre: "a", Accelerator: "big", Incarnation: 1,
 		Layers: []*saddlewire.HeldLayers{{From: 2, To: 4}},
 	}}})
-	f.fleet.Update(f.builder.Build())
+	f.fleet.Update(time.Now(), f.builder.Build())
 	var tried []string
 	f.fakeTargets.reroute = func(_ fireflysaddle.RequestID, c []fireflysaddle.ChainPart) error {
 		tried = append(tried, c[1].Address)
@@ -146,7 +146,7 @@
 			Id: "engine-a-2x", Group: "drafts", Address: "engine-a-2x", Centre: "a", Accelerator: "big", Incarnation: 1,
 			Layers: []*saddlewire.HeldLayers{{From: 2, To: 4}},
 		}}})
-		f.fleet.Update(f.builder.Build())
+		f.fleet.Update(time.Now(), f.builder.Build())
 	})
 	defer spare.Stop()
 	got := f.serve(call("/once/"))
--- a/internal/direct/saddlegateway/stream_test.go
+++ b/internal/direct/saddlegateway/stream_test.go
@@ -140,7 +140,7 @@
 	f.serve(call("/draft/"))
 	is.Equal(f.fakeTargets.forwarded()[0].Address, "engine-a-0")
 	f.builder.Update("control", &saddlewire.Update{Departures: []*saddlewire.Departure{{Target: "engine-a-0", Incarnation: 1}}})
-	f.fleet.Update(f.builder.Build())
+	f.fleet.Update(time.Now(), f.builder.Build())
 	f.serve(call("/draft/"))
 	is.Equal(f.fakeTargets.forwarded()[1].Address, "engine-b-0")
 }
@@ -245,7 +245,7 @@
 	is := is.New(t)
 	f := newFixture(t, answerSequence(truncateAfter(4), answerRest))
 	f.builder.Update("control", &saddlewire.Update{Departures: []*saddlewire.Departure{{Target: "engine-b-0", Incarnation: 1}}})
-	f.fleet.Update(f.builder.Build())
+	f.fleet.Update(time.Now(), f.builder.Build())
 	began := time.Now()
 	got := f.serve(call("/draft/"))
 	is.Equal(got.body.String(), eventStream(0, lastEventID))
