Let engines that can be spared take over layers with little capacity

Cause: no engine was ever ordered to release layers. Once the empty engines were used up, layers of lost engines stayed with engines that had hardly any room for them, while others held layers that were held elsewhere as well. Why this works: an engine can be spared if the others hold each of its layers with room for 80,000 tokens. If no engine is empty, the fastest of those takes the layers with the least room, and layers without a holder go to them if empty engines are not enough. It is unregistered from the layers that it releases first, so that no request is sent through them. The bottleneck is now found by layer: that it was the only holder of an engine's last layer missed two weak holders.

Class of fault: a bounded reserve is spent and never given back.

--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -77,7 +77,7 @@
 		View:          g.subscriber.View,
 		Routing:       func() *saddlerouting.Routing { return g.routing.fetch(ctx, g.server.Load(), g.process.log) },
 		Term:          g.leaseTerm,
-		OnLoaded:      g.registerTarget,
+		OnLayers:      g.registerTarget,
 		OnEngineState: g.setEngineState,
 		Log:           g.process.log,
 	})
--- a/internal/place/saddleplacer/orders.go
+++ b/internal/place/saddleplacer/orders.go
@@ -28,6 +28,7 @@
 		Str("accelerator", reg.GetAccelerator()).Int("holders", holders).Msg("engine ordered to hold layers")
 	countOrders.Add(1)
 	wg.Go(func() {
+		p.registerReleased(ctx, reg, layers)
 		err := p.placeWithRetry(ctx, reg.GetAddress(), fireflysaddle.PlaceOrder{From: layers.From, To: layers.To, Fence: fence})
 		if err == nil {
 			defer p.awaitLoaded(ctx, loadTime, reg, layers)
@@ -40,7 +41,7 @@
 }
 
 // awaitLoaded polls an engine until it holds the layers that it was ordered to hold. It
-// then passes the layers to OnLoaded immediately, because the engine's next heartbeat may
+// then passes the layers to OnLayers immediately, because the engine's next heartbeat may
 // be a second away. It gives up after a failed poll or maxLoadPolls polls.
 func (p *Placer) awaitLoaded(ctx context.Context, loadTime time.Duration, reg *saddlewire.Registration, layers saddleplan.Range) {
 	if !sleep(ctx, loadTime) {
@@ -66,18 +67,38 @@
 	}
 }
 
-// reportLoaded passes the registration of an engine with its new layers to OnLoaded,
+// reportLoaded passes the registration of an engine with its new layers to OnLayers,
 // unless the engine has restarted since the order.
 func (p *Placer) reportLoaded(ctx context.Context, reg *saddlewire.Registration, layers saddleplan.Range) {
 	current := p.cfg.View().Registrations[reg.GetId()]
 	if current.GetIncarnation() != reg.GetIncarnation() {
 		return
 	}
-	loaded, _ := proto.Clone(current).(*saddlewire.Registration)
-	loaded.Layers = []*saddlewire.HeldLayers{{From: uint32(layers.From), To: uint32(layers.To)}}
-	loaded.Looked = current.GetLooked() + 1
 	p.cfg.Log.Info().Str("target", reg.GetId()).Int("from", layers.From).Int("to", layers.To).Msg("engine holds the ordered layers")
-	p.cfg.OnLoaded(ctx, loaded)
+	p.cfg.OnLayers(ctx, withLayers(current, layers))
+}
+
+// registerReleased passes the registration of an engine without the layers that an order
+// makes it release to OnLayers, so that no further requests are sent through these.
+func (p *Placer) registerReleased(ctx context.Context, reg *saddlewire.Registration, ordered saddleplan.Range) {
+	held := registeredLayers(reg)
+	if held.Len() == 0 || (ordered.From <= held.From && ordered.To >= held.To) {
+		return
+	}
+	kept := saddleplan.Range{From: max(held.From, ordered.From), To: min(held.To, ordered.To)}
+	p.cfg.Log.Info().Str("target", reg.GetId()).Int("from", held.From).Int("to", held.To).Msg("engine releases layers that others hold")
+	p.cfg.OnLayers(ctx, withLayers(reg, kept))
+}
+
+// withLayers returns a registration with other layers, none if the range is empty.
+func withLayers(reg *saddlewire.Registration, layers saddleplan.Range) *saddlewire.Registration {
+	out, _ := proto.Clone(reg).(*saddlewire.Registration)
+	out.Layers = nil
+	if layers.Len() > 0 {
+		out.Layers = []*saddlewire.HeldLayers{{From: uint32(layers.From), To: uint32(layers.To)}}
+	}
+	out.Looked = reg.GetLooked() + 1
+	return out
 }
 
 // sleep waits for d or until the context ends. It returns false if the context ended
--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -54,9 +54,9 @@
 	View    func() *saddleview.View
 	Routing func() *saddlerouting.Routing // returns nil if none is known
 	Term    func() uint64                 // term in which this replica leads and holds a lease, else 0
-	// OnLoaded receives the registration of an engine with the layers that it now
-	// holds, before its heartbeat reports them, or though its heartbeats have ended.
-	OnLoaded func(ctx context.Context, reg *saddlewire.Registration)
+	// OnLayers receives the registration of an engine with the layers that it holds from now
+	// on, before its heartbeat reports them, or though its heartbeats have ended.
+	OnLayers func(ctx context.Context, reg *saddlewire.Registration)
 	// OnEngineState receives the state of the engines. Each state replaces the previous one.
 	OnEngineState func(ctx context.Context, state saddlecontrol.EngineState)
 	Log           zerolog.Logger
@@ -207,6 +207,7 @@
 		Held:        p.heldLayers(now, reg),
 		Lost:        lost,
 		Slow:        p.probes.stepTimeFactors[reg.GetId()] >= replaceStepTimeFactor,
+		Pending:     p.pending(now, reg),
 	}
 }
 
@@ -229,14 +230,24 @@
 // heartbeats.
 func (p *Placer) heldLayers(now time.Time, reg *saddlewire.Registration) saddleplan.Range {
 	id := fireflysaddle.TargetID(reg.GetId())
-	var reported saddleplan.Range
-	if list := reg.GetLayers(); len(list) > 0 {
-		reported = saddleplan.Range{From: int(list[0].GetFrom()), To: int(list[0].GetTo())}
-	}
-	o, ok := p.orders[id]
-	if ok && o.incarnation == reg.GetIncarnation() && o.layers != reported && now.Before(o.expiresAt) {
-		return o.layers
+	if p.pending(now, reg) {
+		return p.orders[id].layers
 	}
 	delete(p.orders, id)
-	return reported
+	return registeredLayers(reg)
+}
+
+// pending reports whether an order to the engine is pending.
+func (p *Placer) pending(now time.Time, reg *saddlewire.Registration) bool {
+	o, ok := p.orders[fireflysaddle.TargetID(reg.GetId())]
+	return ok && o.incarnation == reg.GetIncarnation() && o.layers != registeredLayers(reg) && now.Before(o.expiresAt)
+}
+
+// registeredLayers returns the layers that an engine reports in its heartbeats.
+func registeredLayers(reg *saddlewire.Registration) saddleplan.Range {
+	list := reg.GetLayers()
+	if len(list) == 0 {
+		return saddleplan.Range{}
+	}
+	return saddleplan.Range{From: int(list[0].GetFrom()), To: int(list[0].GetTo())}
 }
--- a/internal/place/saddleplacer/silent.go
+++ b/internal/place/saddleplacer/silent.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleview"
@@ -124,9 +122,7 @@
 		return
 	}
 	e.Msg("engine whose reports ended still holds its layers; registered again")
-	again, _ := proto.Clone(r.reg).(*saddlewire.Registration)
-	again.Looked++
-	p.cfg.OnLoaded(ctx, again)
+	p.cfg.OnLayers(ctx, withLayers(r.reg, registeredLayers(r.reg)))
 }
 
 // holdsLayers reports whether a report includes all layers of a registration.
--- a/internal/place/saddleplan/bottleneck.go
+++ b/internal/place/saddleplan/bottleneck.go
@@ -7,48 +7,72 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
 
-// copyBottleneckLayers assigns layers of the bottleneck also to the fastest empty engine,
-// so that requests can run these layers on either engine. The bottleneck is the engine
-// with the smallest token capacity among those that are the only holder of their last
-// layer. copyBottleneckLayers returns nil if the token capacity of the bottleneck is at
-// least acceptableCapacity.
-//
-// The empty engine is assigned as many layers as it can hold with preferredCapacity. If it
-// cannot hold all layers of the bottleneck, it is assigned the last of them. Otherwise it
-// is assigned all of them and, if it can hold more, adjacent layers.
-func copyBottleneckLayers(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
-	var empty, bottleneck *Engine
-	for i, e := range engines {
-		switch {
-		case e.Held.Len() == 0:
-			if empty == nil {
-				empty = &engines[i]
+// relieveBottleneck assigns the layers of the bottleneck to one more engine, so that requests
+// can run these layers on either. The bottleneck is the range of layers with the least token
+// capacity below acceptableCapacity. The fastest empty engine is taken or, if none is empty,
+// the fastest of the engines that can be spared. It is assigned as many layers as it can hold
+// with preferredCapacity, from the first of the bottleneck on. relieveBottleneck returns nil
+// if there is no bottleneck or no such engine. Slow engines count as holders, but are assigned
+// nothing.
+func relieveBottleneck(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
+	bottleneck, ok := findBottleneck(model, engines)
+	if !ok {
+		return nil
+	}
+	fast := withoutSlow(engines)
+	for _, list := range [][]Engine{fast, withSpared(model, fast)} {
+		for _, e := range list {
+			if n := maxLayers(model, e, preferredCapacity); e.Held.Len() == 0 && n > 0 {
+				from := max(0, min(bottleneck.From, model.Layers-n))
+				return map[fireflysaddle.TargetID]Range{e.ID: {From: from, To: from + n}}
 			}
-		case onlyHolderOfLastLayer(engines, e) && (bottleneck == nil || tokenCapacity(model, e) < tokenCapacity(model, *bottleneck)):
-			bottleneck = &engines[i]
 		}
 	}
-	if bottleneck == nil || empty == nil || tokenCapacity(model, *bottleneck) >= acceptableCapacity {
-		return nil
+	return nil
+}
+
+// findBottleneck returns the range of layers with the least token capacity, if that is below
+// acceptableCapacity. Adjacent layers below acceptableCapacity belong to it.
+func findBottleneck(model *saddlerouting.Model, engines []Engine) (Range, bool) {
+	capacities := capacityByLayer(model, engines)
+	weakest := 0
+	for l, tokens := range capacities {
+		if tokens < capacities[weakest] {
+			weakest = l
+		}
 	}
-	n := maxLayers(model, *empty, preferredCapacity)
-	if n == 0 {
-		return nil
+	if capacities[weakest] >= acceptableCapacity {
+		return Range{}, false
+	}
+	r := Range{From: weakest, To: weakest + 1}
+	for r.From > 0 && capacities[r.From-1] < acceptableCapacity {
+		r.From--
 	}
-	from := bottleneck.Held.From
-	if n < bottleneck.Held.Len() {
-		from = bottleneck.Held.To - n // the last n layers, because onlyHolderOfLastLayer detects a copy by the last layer
+	for r.To < len(capacities) && capacities[r.To] < acceptableCapacity {
+		r.To++
 	}
-	from = max(0, min(from, model.Layers-n))
-	return map[fireflysaddle.TargetID]Range{empty.ID: {From: from, To: from + n}}
+	return r, true
 }
 
-// onlyHolderOfLastLayer reports whether no other engine holds the last layer that an
-// engine holds.
-func onlyHolderOfLastLayer(engines []Engine, e Engine) bool {
-	return !slices.ContainsFunc(engines, func(other Engine) bool {
-		return other.ID != e.ID && other.Held.From < e.Held.To && other.Held.To >= e.Held.To
-	})
+// withSpared returns the engines with those emptied that can be spared: without them, the
+// others hold each of their layers with acceptableCapacity. Engines with a pending order are
+// not spared. Slower engines are spared first.
+func withSpared(model *saddlerouting.Model, engines []Engine) []Engine {
+	out := slices.Clone(engines)
+	capacities := capacityByLayer(model, out)
+	for i := len(out) - 1; i >= 0; i-- {
+		e := &out[i]
+		own := tokenCapacity(model, *e)
+		held := capacities[max(0, e.Held.From):min(model.Layers, e.Held.To)]
+		if e.Pending || len(held) == 0 || slices.Min(held)-own < acceptableCapacity {
+			continue
+		}
+		for l := range held {
+			held[l] -= own
+		}
+		e.Held = Range{}
+	}
+	return out
 }
 
 // tokenCapacity returns the token capacity of an engine with the layers that it holds.
--- a/internal/place/saddleplan/plan.go
+++ b/internal/place/saddleplan/plan.go
@@ -17,6 +17,7 @@
 	Held        Range // layers that it holds or was ordered to hold; empty if none
 	Lost        bool  // presumed failed, so its layers do not count as held
 	Slow        bool  // works, but so slowly that others should take over its layers
+	Pending     bool  // was ordered to hold other layers than it does
 }
 
 // Range is the half-open range of layers [From, To).
@@ -39,7 +40,7 @@
 	//   - it takes over layers of an engine that is slow but still works;
 	//   - it holds a part of a second copy;
 	//   - other engines are left empty as spares.
-	// Layers of an engine with less are copied to an empty engine (copyBottleneckLayers).
+	// Layers with less are assigned to one more engine (relieveBottleneck).
 	acceptableCapacity = 80_000
 	// minCapacity is the minimum token capacity that an engine must retain when it is
 	// assigned layers that no engine would hold otherwise. It is enough for a dozen requests.
@@ -67,13 +68,15 @@
 // layers with too few holders:
 //   - Layers without a holder are assigned to empty engines and to the engines that hold
 //     the layers directly before and after.
+//   - Layers with little token capacity are assigned to one more engine.
 //   - Layers with a single holder are assigned to empty engines, if the engines can hold
-//     the model twice or if the holder has little token capacity.
+//     the model twice.
 //   - Layers with two holders are assigned to empty engines while no layer has a single
 //     holder, as long as reserveEngines of the empty engines remain.
 //
-// No engine is ever ordered to release layers, because it would first have to wait for
-// all requests that use them.
+// An engine is ordered to release layers only if the others hold each of them with
+// acceptableCapacity, and other layers have no holder or little capacity, for which there are
+// not enough empty engines. It must first wait for all requests that use the layers.
 func Plan(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
 	out := map[fireflysaddle.TargetID]Range{}
 	for _, list := range byCentre(model, engines) {
@@ -119,13 +122,16 @@
 		return assignAll(model, live)
 	}
 	if gaps := rangesHeldBy(model, live, 0); len(gaps) > 0 {
-		return fillGaps(model, live, gaps, minCapacity)
+		if out := fillGaps(model, live, gaps, minCapacity); out != nil {
+			return out
+		}
+		return fillGaps(model, onlyEmpty(withSpared(model, live)), gaps, minCapacity)
 	}
-	fast := slices.DeleteFunc(live, func(e Engine) bool { return e.Slow })
+	fast := withoutSlow(live)
 	if out := fillGaps(model, fast, rangesHeldBy(model, fast, 0), acceptableCapacity); out != nil {
 		return out
 	}
-	if out := copyBottleneckLayers(model, fast); out != nil {
+	if out := relieveBottleneck(model, live); out != nil {
 		return out
 	}
 	if out := extendSecondCopy(model, fast); out != nil {
@@ -139,6 +145,16 @@
 	return slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Lost })
 }
 
+// withoutSlow returns the engines that are not slow.
+func withoutSlow(engines []Engine) []Engine {
+	return slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Slow })
+}
+
+// onlyEmpty returns the engines that hold no layers.
+func onlyEmpty(engines []Engine) []Engine {
+	return slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Held.Len() > 0 })
+}
+
 // rangesHeldBy returns the ranges of layers that are held by exactly the given number of
 // engines.
 func rangesHeldBy(model *saddlerouting.Model, engines []Engine, holders int) []Range {
