Plan no second order for an engine that loads layers

What callers saw: layers without a holder for a second longer than they take to load. Cause: the neighbour of a gap was ordered to hold its layers too while it still carried out an earlier order. It refuses such an order as stale, and nothing else was planned meanwhile. Why this works: engines with a pending order are no neighbours; other engines fill the gap. TestLoadingEngineGetsNoSecondOrder failed before.

--- a/internal/place/saddleplan/gaps.go
+++ b/internal/place/saddleplan/gaps.go
@@ -63,12 +63,12 @@
 	return n
 }
 
-// neighbours returns an unassigned engine that holds the layer directly before a gap, or
+// neighbours returns an unassigned engine without a pending order that holds the layer directly before a gap, or
 // nil if there is none, and an unassigned engine that holds the layer directly after the
 // gap, or nil if there is none.
 func neighbours(engines []Engine, assigned map[fireflysaddle.TargetID]Range, gap Range) (before, after *Engine) {
 	for i, e := range engines {
-		if _, ok := assigned[e.ID]; ok || e.Held.Len() == 0 {
+		if _, ok := assigned[e.ID]; ok || e.Pending || e.Held.Len() == 0 {
 			continue
 		}
 		if e.Held.To == gap.From {
--- a/internal/place/saddleplan/plan_test.go
+++ b/internal/place/saddleplan/plan_test.go
@@ -310,6 +310,15 @@
 	is.True(!ordered || (r.From <= 60 && r.To >= 66))
 }
 
+// Guards against a second order to an engine that is loading layers, which it would refuse.
+func TestLoadingEngineGetsNoSecondOrder(t *testing.T) {
+	is := is.New(t)
+	list := takingOver()
+	list[3].Pending, list[5].Lost, list[6].Lost = true, true, true
+	_, ordered := saddleplan.Plan(smallCacheModel(), list)[list[3].ID]
+	is.True(!ordered)
+}
+
 // takingOver returns engines of which none is empty. The fourth and the sixth hold the same
 // layers, the seventh those before them.
 func takingOver() []saddleplan.Engine {
