A new leader plans at once with what it has learned as a follower

What callors saw: drafts waited or were refused for two seconds longer after the loss of a leader and an engine. Cause: a new leader waited two seconds before its first order, so that engines could report what they hold. A follower has known that all along. Why this works: what the wait is for is the age of the registrations, which is now measured from when the replica has had any. A replica that has just started still waits. An order of the former leader that is under way is refused or repeated: both leaders plan the same from the same view. TestFollowerThatBecomesLeaderReplacesAtOnce failed before (no order in 300 ms).

--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -31,10 +31,10 @@
 	// Such an engine is executing an earlier order, or its heartbeat that reports the
 	// result of that order has not arrived yet.
 	refusalBackoff = time.Second
-	// leaderWarmup applies if any engine is known to hold layers. A new leader then sends
-	// no orders for this long. Within that time the engines report the layers that they
-	// hold.
-	leaderWarmup = 2 * time.Second
+	// viewWarmup applies if any engine is known to hold layers. No orders are then sent until
+	// the replica has known targets for this long. Within that time the engines report the
+	// layers that they hold. A replica that has followed for longer does not wait.
+	viewWarmup = 2 * time.Second
 	// fenceTermFactor separates the fencing tokens of two terms. A fencing token is the
 	// term times fenceTermFactor, plus the number of the order within the term.
 	fenceTermFactor = 1 << 20
@@ -65,19 +65,19 @@
 // Placer plans the placement and sends the orders. Its state belongs to the goroutine
 // of Run.
 type Placer struct {
-	cfg              Config
-	term             uint64 // term that this replica leads, else 0
-	leadingSince     time.Time
-	orders           map[fireflysaddle.TargetID]order     // pending orders
-	engines          map[fireflysaddle.TargetID]uint64    // incarnations, as of the last reconcile
-	enginesChangedAt time.Time                            // last change of the set of engines
-	ordersInTerm     uint64                               // orders sent in this term, for the fencing tokens
-	refusedUntil     map[fireflysaddle.TargetID]time.Time // end of the backoff of engines that refused an order
-	results          chan orderResult
-	probes           probes
-	silent           silentEngines
-	lost             map[fireflysaddle.TargetID]uint64                        // incarnations of the engines that count as lost
-	capacities       map[fireflysaddle.Group]map[fireflysaddle.DataCentre]int // token capacities as last logged
+	cfg                Config
+	term               uint64                               // term that this replica leads, else 0
+	registrationsSince time.Time                            // since when targets have been known; zero: none are
+	orders             map[fireflysaddle.TargetID]order     // pending orders
+	engines            map[fireflysaddle.TargetID]uint64    // incarnations, as of the last reconcile
+	enginesChangedAt   time.Time                            // last change of the set of engines
+	ordersInTerm       uint64                               // orders sent in this term, for the fencing tokens
+	refusedUntil       map[fireflysaddle.TargetID]time.Time // end of the backoff of engines that refused an order
+	results            chan orderResult
+	probes             probes
+	silent             silentEngines
+	lost               map[fireflysaddle.TargetID]uint64                        // incarnations of the engines that count as lost
+	capacities         map[fireflysaddle.Group]map[fireflysaddle.DataCentre]int // token capacities as last logged
 }
 
 // order is an order that was sent and is not yet reflected in the engine's heartbeats.
@@ -136,6 +136,8 @@
 // reconcile starts the orders and probes that are due. It starts none unless this replica
 // leads.
 func (p *Placer) reconcile(ctx context.Context, now time.Time, wg *sync.WaitGroup) {
+	view := p.cfg.View()
+	p.trackRegistrations(now, view)
 	term := p.cfg.Term()
 	if term == 0 {
 		p.term = 0
@@ -143,7 +145,7 @@
 		return
 	}
 	if term != p.term {
-		p.term, p.leadingSince, p.ordersInTerm = term, now, 0
+		p.term, p.ordersInTerm = term, 0
 		clear(p.orders)
 		clear(p.refusedUntil)
 		p.silent.clear()
@@ -155,7 +157,6 @@
 	if routing == nil {
 		return
 	}
-	view := p.cfg.View()
 	p.silent.update(view, func(reg *saddlewire.Registration) bool { return p.leaving(view, reg) })
 	for _, pool := range routing.Pools {
 		if pool.Model != nil {
@@ -183,7 +184,7 @@
 	}
 	p.trackEngines(now, regs)
 	engines = append(engines, p.silentEngines(ctx, now, wg, pool, view)...)
-	if now.Sub(p.leadingSince) < leaderWarmup && holding {
+	if holding && now.Sub(p.registrationsSince) < viewWarmup {
 		return
 	}
 	if !holding && now.Sub(p.enginesChangedAt) < settleTime {
@@ -211,6 +212,16 @@
 	}
 }
 
+// trackRegistrations records since when the view has registrations.
+func (p *Placer) trackRegistrations(now time.Time, view *saddleview.View) {
+	switch {
+	case len(view.Registrations) == 0:
+		p.registrationsSince = time.Time{}
+	case p.registrationsSince.IsZero():
+		p.registrationsSince = now
+	}
+}
+
 // trackEngines records when the set of engines last changed.
 func (p *Placer) trackEngines(now time.Time, regs map[fireflysaddle.TargetID]*saddlewire.Registration) {
 	unchanged := len(regs) == len(p.engines)
--- a/internal/place/saddleplacer/placer_test.go
+++ b/internal/place/saddleplacer/placer_test.go
@@ -411,3 +411,40 @@
 	reg.Layers = []*saddlewire.HeldLayers{{From: uint32(held.From), To: uint32(held.To)}}
 	e.update(&saddlewire.Update{Registrations: []*saddlewire.Registration{reg}})
 }
+
+// Pattern: the leader is lost, and an engine right after it.
+// Guards against layers staying without a holder because the new leader does not use what it
+// has learned as a follower.
+func TestFollowerThatBecomesLeaderReplacesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(3)
+		e.hold("e0", fireflysaddle.Holding{From: 0, To: 2})
+		e.hold("e1", fireflysaddle.Holding{From: 2, To: 4})
+		e.term.Store(0)
+		e.start(t)
+		time.Sleep(5 * time.Second)
+		suspects := []string{"e0"}
+		e.update(&saddlewire.Update{Members: []*saddlewire.Member{
+			{Node: "entry-1", Role: "entry", Suspects: suspects}, {Node: "entry-2", Role: "entry", Suspects: suspects},
+		}})
+		e.term.Store(4)
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(e.orderedEngines(), 1)
+	})
+}
+
+// A replica that has just started may know engines by saved registrations that are no longer
+// true.
+func TestLeaderThatHasJustStartedWaitsForReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(3)
+		e.hold("e0", fireflysaddle.Holding{From: 0, To: 2})
+		e.start(t)
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(e.orderedEngines(), 0)
+		time.Sleep(2 * time.Second)
+		is.True(e.orderedEngines() > 0)
+	})
+}
