Log which shared parts of the prompt an interrupted attempt had

`attempt failed` now has the identifiers of the parts that other requests may share, and how many events the attempt had.

--- a/ids.go
+++ b/ids.go
@@ -48,3 +48,7 @@
 
 // Layer numbers the layers of a model from 0.
 type Layer uint32
+
+// PromptPart identifies a part of a prompt that several requests may share. It does not
+// reveal the text.
+type PromptPart string
--- a/internal/direct/saddlegateway/call.go
+++ b/internal/direct/saddlegateway/call.go
@@ -19,10 +19,11 @@
 	Key     string        // API key; empty: none
 	Timeout time.Duration // how long the caller waits; 0: not specified
 
-	PromptTokens     int    // tokens of the prompt
-	MaxOutputTokens  int    // upper bound on output tokens; 0: not specified
-	OutputTokensHint int    // the caller's estimate of the output tokens; 0: none
-	LastEventID      string // identifier of the last event that the caller received; empty: none
+	PromptParts      []fireflysaddle.PromptPart // parts of the prompt that other requests may share, in order
+	PromptTokens     int                        // tokens of the prompt
+	MaxOutputTokens  int                        // upper bound on output tokens; 0: not specified
+	OutputTokensHint int                        // the caller's estimate of the output tokens; 0: none
+	LastEventID      string                     // identifier of the last event that the caller received; empty: none
 }
 
 // estimatedTokens estimates the total of prompt and output tokens.
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -31,6 +31,7 @@
 	runs           int           // sends that may have run on a target
 	headerSent     bool          // Responder.Begin was called
 	eventsSent     int           // events sent to the caller
+	attemptEvents  int           // events of the most recent attempt at a stream
 	lastEventID    string        // identifier of the last event that the caller received
 	firstByteAt    time.Time     // time of the first event or byte
 	lastEventAt    time.Time     // time of the last event sent to the caller
@@ -114,6 +115,15 @@
 	return e.Int64("after_ms", time.Since(j.startTime).Milliseconds())
 }
 
+// partNames returns the parts of a prompt as they are logged.
+func partNames(parts []fireflysaddle.PromptPart) []string {
+	out := make([]string, len(parts))
+	for i, p := range parts {
+		out[i] = string(p)
+	}
+	return out
+}
+
 // logFraming adds how the most recent answer was framed, and what followed its last
 // complete event.
 func (j *job) logFraming(e *zerolog.Event) *zerolog.Event {
--- a/internal/direct/saddlegateway/relay.go
+++ b/internal/direct/saddlegateway/relay.go
@@ -55,6 +55,9 @@
 			return false, j.recordInterruption(ctx, err)
 		}
 		watch.recordEvent()
+		if err == nil {
+			j.attemptEvents++
+		}
 		if len(e.Raw) > 0 && !j.alreadyDelivered(e.ID) {
 			if j.writeEvent(reply, e) != nil {
 				j.endDisconnected()
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -61,7 +61,7 @@
 			return
 		}
 		j.logFraming(j.logEvent(zerolog.InfoLevel)).Strs("chain", j.chainAddresses).Str("reason", failure).Int("runs", j.runs).
-			Int("events", j.eventsSent).Str("last_event", j.lastEventID).Strs("avoid", j.avoidedAddresses(time.Now())).Msg("attempt failed")
+			Int("events", j.eventsSent).Int("attempt_events", j.attemptEvents).Strs("parts", partNames(j.call.PromptParts)).Str("last_event", j.lastEventID).Strs("avoid", j.avoidedAddresses(time.Now())).Msg("attempt failed")
 		if ctx.Err() != nil || (j.runs > 0 && (!j.route.Retryable() || j.runs >= j.route.MaxAttempts)) {
 			j.failCall(ctx, fireflysaddle.CodeTargetFailed, failure, noCapacityRetryAfter)
 			return
@@ -149,7 +149,7 @@
 	f.Address = chain.Head.Address
 	f.Chain = chain.Parts
 	f.LastEventID = j.lastEventID
-	j.chainAddresses, j.streamAddress = chain.Addresses(), chain.Head.Address
+	j.chainAddresses, j.streamAddress, j.attemptEvents = chain.Addresses(), chain.Head.Address, 0
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := j.startWatchdog(ctx, cancel, chain)
