Refuse requests with prompt parts that end engines

Cause: a request that ends the engine which begins to answer it was taken for one whose engine happened to be lost. It was sent to the next head, and further requests with the same part of the prompt came at all entries; nothing connected the crashes with what they have in common. Evidence: each engine that ended was the head of a chain, and ended 27 to 50 ms after a request without any event began to run there; engines ended again 0.1 to 0.5 s after they had been restarted and held layers. Why this works: a part that ends engines ends each of them, so a part is harmless if an engine has answered with it, and the cause if engines ended under it at three times and none has answered. Entries report the parts of requests that lost their engine before its third event; control puts the reports together; all entries then refuse requests with the part at once, as not run. Only such requests are refused: others share their caller, route and remaining parts, which answers show to be harmless. Parts that cannot be told apart are refused together only.

Class of fault: a failure is handled where it shows, and its cause goes on to the next place.

--- a/code.go
+++ b/code.go
@@ -29,4 +29,5 @@
 	CodeTooLarge         Code = "too_large"
 	CodeWrongTarget      Code = "wrong_target"
 	CodeAnswerNotKept    Code = "answer_not_kept"
+	CodeQuarantined      Code = "quarantined"
 )
--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlequarantine"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlereplica"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestate"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
@@ -205,6 +206,9 @@
 	countHeartbeats.Add(1)
 	c.loadGrants.RecordHeartbeat(now, m.GetNode(), m.GetNeedsLoad(), m.GetLoading())
 	c.registry.MarkHeard(now, m.GetLoad().GetHeard())
+	for _, change := range c.quarantines.Observe(now, m) {
+		c.logQuarantine(change, m.GetNode())
+	}
 	change := c.members.record(now, m)
 	if change == memberUnchanged {
 		return
@@ -216,3 +220,15 @@
 	}
 	c.wakeSubscribers()
 }
+
+// logQuarantine logs that a quarantine of prompt parts began or was lifted because of the
+// report of a node.
+func (c *core) logQuarantine(change saddlequarantine.Change, node string) {
+	e := c.cfg.Log.Warn().Strs("parts", change.Quarantine.GetParts()).Str("reported_by", node)
+	if change.Lifted {
+		e.Msg("quarantine of prompt parts lifted: an engine has answered with them")
+		return
+	}
+	e.Strs("engines", change.Engines).Time("until", time.UnixMilli(change.Quarantine.GetUntilMs())).
+		Msg("prompt parts quarantined: engines ended whenever they were to answer with them")
+}
--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -11,6 +11,7 @@
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclock"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlegrant"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlequarantine"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlequota"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleregistry"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlereplica"
@@ -39,6 +40,7 @@
 
 	retryQuota  *saddlequota.Table
 	registry    *saddleregistry.Table
+	quarantines *saddlequarantine.Detector
 	engineState EngineState
 
 	engineStateNumber uint64 // number of engine states received
@@ -95,6 +97,7 @@
 		loadGrants:   saddlegrant.New(cfg.MaxLoads, cfg.NodeLostTimeout),
 		retryQuota:   saddlequota.New(),
 		registry:     saddleregistry.New(cfg.UnregisterTimeout),
+		quarantines:  saddlequarantine.New(),
 		subscribers:  map[*subscriber]struct{}{},
 		pending:      map[uint64]pendingCommand{},
 		peers:        newPeerSet(saddlelink.NetworkOrTCP(cfg.Network), cfg.Node, cfg.ElectionTimeout),
--- a/internal/control/saddlecontrol/members.go
+++ b/internal/control/saddlecontrol/members.go
@@ -95,7 +95,9 @@
 func sameReports(a, b *saddlewire.Member) bool {
 	return slices.Equal(a.GetSuspects(), b.GetSuspects()) &&
 		slices.Equal(a.GetFailing(), b.GetFailing()) &&
-		slices.Equal(a.GetSlow(), b.GetSlow())
+		slices.Equal(a.GetSlow(), b.GetSlow()) &&
+		slices.EqualFunc(a.GetBlames(), b.GetBlames(), func(x, y *saddlewire.Blame) bool { return proto.Equal(x, y) }) &&
+		slices.Equal(a.GetHarmlessParts(), b.GetHarmlessParts())
 }
 
 // removeExpired removes the members without a heartbeat for the given time and returns
--- a/internal/control/saddlecontrol/subscriber.go
+++ b/internal/control/saddlecontrol/subscriber.go
@@ -98,6 +98,7 @@
 	u.Leads = c.replica.LeaseValid(now)
 	if c.sendsReports(now) {
 		c.members.reports.addTo(u, c.members.find(sub.node))
+		c.quarantines.AddTo(u)
 	}
 	if !u.GetLeads() {
 		sub.sentEngines = engineStateVersion{}
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -84,16 +84,17 @@
 	defer func() { _ = closePool() }()
 	g := &gateway{process: p, pool: pool, client: client, started: now, fetchRequests: make(chan struct{}, 1)}
 	g.settings.Store(&settings)
-	g.fleet = saddlefleet.New(settings.Node, fireflysaddle.DataCentre(settings.Centre), p.log, func(address string) {
-		g.gateway.HandleEngineDown(address)
+	g.fleet = saddlefleet.New(settings.Node, fireflysaddle.DataCentre(settings.Centre), p.log, func(address string, ended bool) {
+		g.gateway.HandleEngineDown(address, ended)
 		g.subscriber.SendHeartbeats()
 	})
 	g.gateway = saddlegateway.New(saddlegateway.Config{
-		Forwarder:    client,
-		Fleet:        g.fleet,
-		Limits:       gatewayLimits(settings),
-		GrantRetries: g.requestRetries,
-		Log:          p.log,
+		Forwarder:     client,
+		Fleet:         g.fleet,
+		Limits:        gatewayLimits(settings),
+		GrantRetries:  g.requestRetries,
+		BlamesChanged: func() { g.subscriber.SendHeartbeats() },
+		Log:           p.log,
 	})
 	g.subscriber = saddlesubscriber.New(saddlesubscriber.Config{
 		Controls:              settings.Attend.Addresses(),
@@ -177,7 +178,7 @@
 
 func (g *gateway) member() *saddlewire.Member {
 	view := g.subscriber.View()
-	return &saddlewire.Member{
+	m := &saddlewire.Member{
 		Node:        g.settings.Load().Node,
 		Role:        string(fireflysaddle.RoleEntry),
 		Incarnation: uint64(g.process.incarnation),
@@ -191,6 +192,8 @@
 		Suspects:    g.fleet.Suspects(),
 		Failing:     g.fleet.Failing(time.Now()),
 	}
+	g.gateway.AddBlames(time.Now(), m)
+	return m
 }
 
 // shutdownTimeout returns the time limit, after the lame-duck period, for the requests in
--- a/internal/daemon/saddledaemon/gatewayrouting.go
+++ b/internal/daemon/saddledaemon/gatewayrouting.go
@@ -18,6 +18,7 @@
 // newer routing configuration.
 func (g *gateway) updateView(v *saddleview.View) {
 	g.fleet.Update(time.Now(), v)
+	g.gateway.UpdateQuarantines(time.Now(), v)
 	if v.RoutingVersion > g.currentRouting().GetVersion() {
 		select {
 		case g.fetchRequests <- struct{}{}:
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -36,12 +36,13 @@
 	membersVersion  uint64                                                         // of the view that the entries were taken from
 	linkBudget      linkBudget
 	probeRequests   chan struct{} // receives a value when an engine is to be probed immediately; capacity 1
-	onDown          func(address string)
+	onDown          func(address string, ended bool)
 }
 
 // New returns a fleet without targets. onDown is called when an engine fails a
-// probe for the first time since it last answered one.
-func New(node string, centre fireflysaddle.DataCentre, log zerolog.Logger, onDown func(address string)) *Fleet {
+// probe for the first time since it last answered one. ended tells whether the probe shows
+// that this start of the engine has ended; else it may merely be out of reach.
+func New(node string, centre fireflysaddle.DataCentre, log zerolog.Logger, onDown func(address string, ended bool)) *Fleet {
 	return &Fleet{
 		node: node, centre: centre, log: log, entryCount: 1, onDown: onDown, probeRequests: make(chan struct{}, 1),
 		ownTokens: map[fireflysaddle.DataCentre]float64{}, leavers: map[fireflysaddle.TargetID]uint64{},
--- a/internal/direct/saddlefleet/fleet_test.go
+++ b/internal/direct/saddlefleet/fleet_test.go
@@ -26,7 +26,7 @@
 
 func newFixture(registrations ...*saddlewire.Registration) *fixture {
 	f := &fixture{builder: saddleview.NewBuilder()}
-	f.fleet = saddlefleet.New("entry-1", "a", zerolog.Nop(), func(address string) { f.down = append(f.down, address) })
+	f.fleet = saddlefleet.New("entry-1", "a", zerolog.Nop(), func(address string, _ bool) { f.down = append(f.down, address) })
 	f.update(&saddlewire.Update{Snapshot: true, Registrations: registrations})
 	return f
 }
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -227,7 +228,7 @@
 		countExclusions.Add(1)
 		f.log.Warn().Err(err).Str("target", string(t.ID)).Str("address", t.Address).
 			Uint64("target_incarnation", t.incarnation).Bool("passed_over_before", wasExcluded).Msg("engine failed its probe")
-		f.onDown(t.Address)
+		f.onDown(t.Address, errors.Is(err, errLayersMissing) || errors.Is(err, syscall.ECONNREFUSED))
 	case err == nil && wasExcluded:
 		f.log.Info().Str("target", string(t.ID)).Str("address", t.Address).Msg("engine readmitted after a successful probe")
 	}
--- a/internal/direct/saddlefleet/scale_test.go
+++ b/internal/direct/saddlefleet/scale_test.go
@@ -66,7 +66,7 @@
 		}
 	}
 	f := &fixture{builder: saddleview.NewBuilder()}
-	f.fleet = saddlefleet.New("entry-a0", "a", zerolog.Nop(), func(string) {})
+	f.fleet = saddlefleet.New("entry-a0", "a", zerolog.Nop(), func(string, bool) {})
 	f.update(u)
 	return f
 }
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -1,6 +1,7 @@
 package saddlefleet
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -16,6 +17,11 @@
 	incarnation uint64
 }
 
+// Lifetime identifies this start of the target.
+func (t Target) Lifetime() string {
+	return string(t.ID) + "/" + strconv.FormatUint(t.incarnation, 10)
+}
+
 // target is the state of one incarnation of a target.
 type target struct {
 	Target
--- a/internal/direct/saddlegateway/config.go
+++ b/internal/direct/saddlegateway/config.go
@@ -20,7 +20,10 @@
 	// returns the number granted; limit bounds what all entries are granted together.
 	// If GrantRetries is nil, no further retries are available.
 	GrantRetries func(ctx context.Context, group fireflysaddle.Group, want, limit int) int
-	Log          zerolog.Logger
+	// BlamesChanged is called when control is to learn of prompt parts that are suspected
+	// or have proved harmless; it must not block. nil: nothing is called.
+	BlamesChanged func()
+	Log           zerolog.Logger
 }
 
 // Limits are the settings that SetLimits can replace.
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddleblame"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
 
@@ -42,11 +43,12 @@
 	waitQueue     waitQueue
 	slowCentres   slowCentreDetector
 	usualPause    pauseEstimator
+	blames        *saddleblame.Tracker
 }
 
 // New returns a gateway without a configuration.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, stateChanged: make(chan struct{}), retryBudgets: map[fireflysaddle.Group]*retryBudget{}, engineReports: map[string]*cachedReport{}}
+	g := &Gateway{cfg: cfg, stateChanged: make(chan struct{}), retryBudgets: map[fireflysaddle.Group]*retryBudget{}, engineReports: map[string]*cachedReport{}, blames: saddleblame.New()}
 	g.state.Store(&State{})
 	g.SetLimits(cfg.Limits)
 	return g
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -31,6 +31,7 @@
 	runs           int           // sends that may have run on a target
 	headerSent     bool          // Responder.Begin was called
 	eventsSent     int           // events sent to the caller
+	streamLifetime string        // start of the target at that address
 	attemptEvents  int           // events of the most recent attempt at a stream
 	lastEventID    string        // identifier of the last event that the caller received
 	firstByteAt    time.Time     // time of the first event or byte
--- a/internal/direct/saddlegateway/relay.go
+++ b/internal/direct/saddlegateway/relay.go
@@ -56,7 +56,7 @@
 		}
 		watch.recordEvent()
 		if err == nil {
-			j.attemptEvents++
+			j.recordAttemptEvent()
 		}
 		if len(e.Raw) > 0 && !j.alreadyDelivered(e.ID) {
 			if j.writeEvent(reply, e) != nil {
@@ -81,6 +81,7 @@
 		err = cause
 	} else {
 		j.cfg.Fleet.RecordFault(time.Now(), j.streamAddress, err.Error())
+		j.recordUnanswered()
 	}
 	return "stream interrupted: " + err.Error()
 }
@@ -94,6 +95,7 @@
 		}
 	}
 	j.cfg.Fleet.MarkWorking(time.Now(), j.streamAddress)
+	j.recordHarmless()
 	countAnswered.Add(1)
 	j.recordEnd("answered", "", "")
 	return true, ""
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -45,11 +45,20 @@
 		return
 	}
 	for {
+		if refusal := j.quarantineRefusal(time.Now()); refusal != nil {
+			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
+			return
+		}
 		chain, release, refusal := j.pickChain(ctx)
 		if refusal != nil {
 			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
 			return
 		}
+		if refusal := j.quarantineRefusal(time.Now()); refusal != nil { // it may have waited for a chain
+			release()
+			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
+			return
+		}
 		if !j.reserveSend(ctx) {
 			release()
 			j.failCall(ctx, fireflysaddle.CodeTargetFailed, "no retry is left", noCapacityRetryAfter)
@@ -149,7 +158,7 @@
 	f.Address = chain.Head.Address
 	f.Chain = chain.Parts
 	f.LastEventID = j.lastEventID
-	j.chainAddresses, j.streamAddress, j.attemptEvents = chain.Addresses(), chain.Head.Address, 0
+	j.chainAddresses, j.streamAddress, j.streamLifetime, j.attemptEvents = chain.Addresses(), chain.Head.Address, chain.Head.Lifetime(), 0
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := j.startWatchdog(ctx, cancel, chain)
@@ -165,7 +174,12 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = &fireflysaddle.TargetError{Target: chain.Head.ID, Err: cause}
 		}
-		return false, j.recordNoReply(chain.Head.Address, time.Since(now), err)
+		runs := j.runs
+		failure = j.recordNoReply(chain.Head.Address, time.Since(now), err)
+		if j.runs > runs && ctx.Err() == nil {
+			j.recordUnanswered()
+		}
+		return false, failure
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun {
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -30,9 +30,11 @@
 	membersStale       bool
 	registryStale      bool // registrations and departures
 
-	peerDrafts      map[string]uint64  // tokens of the other entries' drafts in the latest update with reports, by data centre
-	suspects        map[string]uint32  // number of other entries that suspect a target, in the same update
-	failing         map[string]uint32  // number of other entries of the data centre that list an engine as failing, in the same update
+	peerDrafts      map[string]uint64 // tokens of the other entries' drafts in the latest update with reports, by data centre
+	suspects        map[string]uint32 // number of other entries that suspect a target, in the same update
+	failing         map[string]uint32 // number of other entries of the data centre that list an engine as failing, in the same update
+	blamedParts     []string          // parts that any entry blames, in the same update
+	quarantines     []*saddlewire.Quarantine
 	stepTimeFactors map[string]float64 // factors that the leader sent last, by target
 	occupiedTokens  map[string]uint64  // tokens that the leader sent last, by data centre
 }
@@ -106,6 +108,9 @@
 		b.suspects = countsByTarget(u.GetSuspects())
 		b.failing = countsByTarget(u.GetFailing())
 	}
+	if u.GetLeads() || len(u.GetBlamedParts())+len(u.GetQuarantines()) > 0 {
+		b.blamedParts, b.quarantines = u.GetBlamedParts(), u.GetQuarantines()
+	}
 	if !u.GetLeads() || u.GetEnginesUnchanged() {
 		return
 	}
@@ -198,6 +203,7 @@
 	}
 	b.mergeRouting(v)
 	v.PeerDrafts, v.Suspects, v.Failing = b.peerDrafts, b.suspects, b.failing
+	v.BlamedParts, v.Quarantines = b.blamedParts, b.quarantines
 	v.StepTimeFactors = b.stepTimeFactors
 	v.OccupiedTokens = b.occupiedTokens
 	b.registryStale = false
