Begin the retry of a stream at another head

Cause: a fault is recorded for the head, but a head stays the cheapest until a quarter of its drafts fail, so the retry began where the first attempt had failed. Why this works: a stream avoids the heads that failed it as long as another chain has capacity. Where none has, it begins there again at once. Aborts because of another engine do not count against the head.

--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -39,6 +39,7 @@
 	longestPause   time.Duration // longest pause between events
 	triedTargets   []fireflysaddle.TargetID
 	avoidUntil     map[string]time.Time // engine addresses to avoid, and until when
+	failedHeads    []string             // addresses of engines that failed this stream as heads
 	chainAddresses []string             // engine addresses of the most recent chain; empty for plain services
 	streamAddress  string               // address that the most recent attempt at a stream was sent to
 	framing        string               // framing of the most recent answer that ran; empty: none
--- a/internal/direct/saddlegateway/relay.go
+++ b/internal/direct/saddlegateway/relay.go
@@ -81,6 +81,7 @@
 		err = cause
 	} else {
 		j.cfg.Fleet.RecordFault(time.Now(), j.streamAddress, err.Error())
+		j.failedHeads = append(j.failedHeads, j.streamAddress)
 		j.recordUnanswered()
 	}
 	return "stream interrupted: " + err.Error()
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -92,8 +93,15 @@
 	return j.awaitChain(ctx)
 }
 
-// awaitChain selects a chain as soon as one has capacity.
+// awaitChain selects a chain as soon as one has capacity. An engine that failed the stream
+// as head is selected again only if no other chain has capacity.
 func (j *job) awaitChain(ctx context.Context) (saddlefleet.Chain, func(), *Refusal) {
+	if len(j.failedHeads) > 0 {
+		avoid := slices.Concat(j.avoidedAddresses(time.Now()), j.failedHeads)
+		if chain, release, _, ok := j.cfg.Fleet.PickChain(time.Now(), j.pool, j.call.estimatedTokens(), avoid); ok {
+			return chain, release, nil
+		}
+	}
 	chain, release, full, ok := j.cfg.Fleet.PickChain(time.Now(), j.pool, j.call.estimatedTokens(), j.avoidedAddresses(time.Now()))
 	if ok {
 		return chain, release, nil
@@ -177,6 +185,7 @@
 		runs := j.runs
 		failure = j.recordNoReply(chain.Head.Address, time.Since(now), err)
 		if j.runs > runs && ctx.Err() == nil {
+			j.failedHeads = append(j.failedHeads, j.streamAddress)
 			j.recordUnanswered()
 		}
 		return false, failure
@@ -214,6 +223,7 @@
 		j.cfg.Fleet.RecordFault(time.Now(), j.streamAddress, "answered "+strconv.Itoa(reply.Status))
 	}
 	if j.headerSent || j.shouldRetryStatus(reply.Status) {
+		j.failedHeads = append(j.failedHeads, j.streamAddress)
 		return false, "target answered " + strconv.Itoa(reply.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferedAnswerBytes))
