--- a/internal/control/saddlequarantine/detector.go
+++ b/internal/control/saddlequarantine/detector.go
@@ -19,8 +19,8 @@
 	crashInterval = 300 * time.Millisecond
 	// quarantineTime is how long requests are refused.
 	quarantineTime = 10 * time.Minute
-	// blameTTL is how long the end of an engine counts.
-	blameTTL = time.Minute
+	// blameTTL is how long the end of an engine counts. Requests with a part may be rare.
+	blameTTL = 10 * time.Minute
 	// maxParts bounds the parts that are tracked. Further parts are ignored until blames
 	// have expired.
 	maxParts = 4096
