--- a/internal/control/saddlequarantine/detector_test.go
+++ b/internal/control/saddlequarantine/detector_test.go
@@ -115,3 +115,13 @@
 	}
 	is.Equal(len(quarantined(d)), 0)
 }
+
+// Pattern: requests with the part come every four minutes.
+func TestRareRequestsAreFound(t *testing.T) {
+	is := is.New(t)
+	d := saddlequarantine.New()
+	for i := range 3 {
+		d.Observe(start.Add(time.Duration(i)*4*time.Minute), blame(fmt.Sprint("engine-", i), "fatal"))
+	}
+	is.Equal(quarantined(d), [][]string{{"fatal"}})
+}
