Only a request sent after a part was blamed shows that the part is harmless

A part may begin to end engines at some moment. A request with it that was sent before, at another engine, could reach its third event just after the first crash, and clear the part at all entries for twenty seconds (by reading; not seen). An answer now counts only if its attempt was sent after the entry knew of the blame. TestAnsweredPartIsReportedAsHarmless covers it.

--- a/internal/direct/saddleblame/tracker.go
+++ b/internal/direct/saddleblame/tracker.go
@@ -26,10 +26,10 @@
 // Tracker is safe for concurrent use.
 type Tracker struct {
 	mu          sync.Mutex
-	interrupted map[string][]interruption // by engine address
-	endedAt     map[string]time.Time      // by engine address
-	blames      map[string]*blame         // by engine
-	watched     map[fireflysaddle.PromptPart]struct{}
+	interrupted map[string][]interruption              // by engine address
+	endedAt     map[string]time.Time                   // by engine address
+	blames      map[string]*blame                      // by engine
+	watched     map[fireflysaddle.PromptPart]time.Time // blamed parts, and since when they are known to be
 	harmless    map[fireflysaddle.PromptPart]time.Time
 	quarantines []*saddlewire.Quarantine
 }
@@ -52,7 +52,7 @@
 		interrupted: map[string][]interruption{},
 		endedAt:     map[string]time.Time{},
 		blames:      map[string]*blame{},
-		watched:     map[fireflysaddle.PromptPart]struct{}{},
+		watched:     map[fireflysaddle.PromptPart]time.Time{},
 		harmless:    map[fireflysaddle.PromptPart]time.Time{},
 	}
 }
@@ -107,20 +107,28 @@
 	for _, p := range i.parts {
 		if len(b.parts) < maxPartsPerEngine {
 			b.parts[p] = struct{}{}
-			t.watched[p] = struct{}{}
+			t.watch(now, p)
 			delete(t.harmless, p)
 		}
 	}
 }
 
-// Answered records that an engine has answered a request, or the first events of it. It
-// reports whether that clears a part that was blamed.
-func (t *Tracker) Answered(now time.Time, parts []fireflysaddle.PromptPart) bool {
+func (t *Tracker) watch(now time.Time, p fireflysaddle.PromptPart) {
+	if _, ok := t.watched[p]; !ok {
+		t.watched[p] = now
+	}
+}
+
+// Answered records that an engine has answered a request that was sent at a time, or the
+// first events of it. It reports whether that clears a part that was blamed. A request that
+// was sent before the part was blamed clears nothing, because the part may have begun to end
+// engines after it.
+func (t *Tracker) Answered(now, sentAt time.Time, parts []fireflysaddle.PromptPart) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	cleared := false
 	for _, p := range parts {
-		if _, ok := t.watched[p]; !ok {
+		if since, ok := t.watched[p]; !ok || !sentAt.After(since) {
 			continue
 		}
 		delete(t.watched, p)
@@ -139,13 +147,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	clear(t.watched)
+	before := t.watched
+	t.watched = make(map[fireflysaddle.PromptPart]time.Time, len(v.BlamedParts))
 	for _, p := range v.BlamedParts {
-		t.watched[fireflysaddle.PromptPart(p)] = struct{}{}
+		t.watch(now, fireflysaddle.PromptPart(p))
 	}
 	for _, b := range t.blames {
 		for p := range b.parts {
-			t.watched[p] = struct{}{}
+			t.watch(now, p)
+		}
+	}
+	for p := range t.watched {
+		if since, ok := before[p]; ok {
+			t.watched[p] = since
 		}
 	}
 	var begun []*saddlewire.Quarantine
--- a/internal/direct/saddleblame/tracker_test.go
+++ b/internal/direct/saddleblame/tracker_test.go
@@ -58,12 +58,15 @@
 func TestAnsweredPartIsReportedAsHarmless(t *testing.T) {
 	is := is.New(t)
 	tracker := saddleblame.New()
-	tracker.Answered(start, parts("first")) // not blamed at that time
+	tracker.Answered(start, start, parts("first")) // not blamed at that time
 	tracker.EngineEnded(start, "address")
 	tracker.Interrupted(start, "address", "engine-1", parts("first", "fatal"))
 	tracker.Update(start, &saddleview.View{BlamedParts: []string{"elsewhere"}})
 	is.Equal(len(report(tracker, start).GetHarmlessParts()), 0)
-	tracker.Answered(start.Add(time.Second), parts("first", "elsewhere", "unknown"))
+	tracker.Answered(start.Add(time.Second), start, parts("first")) // sent before it was blamed
+	is.Equal(len(report(tracker, start).GetHarmlessParts()), 0)
+	tracker.Update(start.Add(time.Second), &saddleview.View{BlamedParts: []string{"elsewhere", "first"}})
+	tracker.Answered(start.Add(time.Second), start.Add(500*time.Millisecond), parts("first", "elsewhere", "unknown"))
 	m := report(tracker, start.Add(time.Second))
 	is.Equal(m.GetHarmlessParts(), []string{"elsewhere", "first"})
 	is.Equal(m.GetBlames()[0].GetParts(), []string{"fatal"})
--- a/internal/direct/saddlegateway/attemptindex.go
+++ b/internal/direct/saddlegateway/attemptindex.go
@@ -87,7 +87,7 @@
 }
 
 // HandleEngineDown reroutes or aborts the silent attempts whose chains pass through an
-// engine that was found to be down.
+// engine that was found to be down. ended tells whether the engine has certainly ended.
 func (g *Gateway) HandleEngineDown(address string, ended bool) {
 	if ended && g.blames.EngineEnded(time.Now(), address) {
 		g.cfg.Log.Warn().Str("address", address).Msg("engine ended; the parts of the requests that it was to answer are suspected")
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -32,6 +32,7 @@
 	headerSent     bool          // Responder.Begin was called
 	eventsSent     int           // events sent to the caller
 	streamLifetime string        // start of the target at that address
+	attemptSentAt  time.Time     // time at which the most recent attempt at a stream was sent
 	attemptEvents  int           // events of the most recent attempt at a stream
 	lastEventID    string        // identifier of the last event that the caller received
 	firstByteAt    time.Time     // time of the first event or byte
--- a/internal/direct/saddlegateway/quarantine.go
+++ b/internal/direct/saddlegateway/quarantine.go
@@ -57,9 +57,10 @@
 	}
 }
 
-// recordHarmless records that an engine has answered with the parts of the call's prompt.
+// recordHarmless records that an engine has answered the most recent attempt, and thus with
+// the parts of the call's prompt.
 func (j *job) recordHarmless() {
-	if j.blames.Answered(time.Now(), j.call.PromptParts) {
+	if j.blames.Answered(time.Now(), j.attemptSentAt, j.call.PromptParts) {
 		j.notifyBlames()
 	}
 }
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -167,6 +167,7 @@
 	f.Chain = chain.Parts
 	f.LastEventID = j.lastEventID
 	j.chainAddresses, j.streamAddress, j.streamLifetime, j.attemptEvents = chain.Addresses(), chain.Head.Address, chain.Head.Lifetime(), 0
+	j.attemptSentAt = now
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := j.startWatchdog(ctx, cancel, chain)
