--- a/internal/direct/saddleblame/tracker.go
+++ b/internal/direct/saddleblame/tracker.go
@@ -23,7 +23,8 @@
 	maxPartsPerEngine = 128
 )
 
-// Tracker is safe for concurrent use.
+// Tracker connects interrupted requests with the ends of their engines, and holds the
+// quarantines that control has decided. It is safe for concurrent use.
 type Tracker struct {
 	mu          sync.Mutex
 	interrupted map[string][]interruption              // by engine address
