Log the limits that targets state in their answers

The adapter decodes the header, and each entry logs when a target states a limit, changes it or stops stating it. Nothing acts on it yet.

--- a/ids.go
+++ b/ids.go
@@ -52,3 +52,6 @@
 // PromptPart identifies a part of a prompt that several requests may share. It does not
 // reveal the text.
 type PromptPart string
+
+// RequestRate is a number of requests per second.
+type RequestRate float64
--- a/internal/direct/saddlefleet/counters.go
+++ b/internal/direct/saddlefleet/counters.go
@@ -8,5 +8,6 @@
 	countLeaving    = expvar.NewInt("target_leaving_total")
 	countPauses     = expvar.NewInt("target_pauses_total")
 	pausedUntil     = expvar.NewMap("target_paused_until_ms")
+	countLimits     = expvar.NewInt("target_limits_total")
 	countFailing    = expvar.NewInt("engine_failing_total")
 )
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -39,6 +39,7 @@
 	nextProbe           time.Time // earliest time of the next probe
 	refusedUntil        time.Time // end of the backoff after a refused request
 	pause               pause
+	limit               limit
 	probeRequested      bool // a probe was requested without excluding the target
 	suspectedByPeer     bool // listed among another entry's suspects
 	probing             bool
--- a/internal/direct/saddlegateway/notice.go
+++ b/internal/direct/saddlegateway/notice.go
@@ -15,8 +15,8 @@
 const pauseSpread = time.Second
 
 // recordNotice records what a target said about itself in its answer or, with an error, in
-// an answer that cannot be used.
-func (j *job) recordNotice(now time.Time, target saddlefleet.Target, reply *fireflysaddle.Reply, err error) {
+// an answer that cannot be used. sentAt is the time at which the request was sent.
+func (j *job) recordNotice(now, sentAt time.Time, target saddlefleet.Target, reply *fireflysaddle.Reply, err error) {
 	var n fireflysaddle.Notice
 	var failed *fireflysaddle.TargetError
 	faultyEngine := ""
@@ -29,6 +29,12 @@
 	if n.Leaving {
 		j.cfg.Fleet.RecordLeaving(target, j.call.ID)
 	}
+	if n.InvalidLimit != "" {
+		j.logEvent(zerolog.WarnLevel).Str("target", string(target.ID)).Str("value", n.InvalidLimit).Msg("limit of a target not understood")
+	}
+	if n.Limited || (reply != nil && n.InvalidLimit == "") {
+		j.cfg.Fleet.RecordLimit(now, sentAt, target, n, j.call.ID)
+	}
 	if n.InvalidPause != "" {
 		j.logEvent(zerolog.WarnLevel).Str("target", string(target.ID)).Str("value", n.InvalidPause).Msg("pause of a target not understood")
 	}
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(ctx, j.attemptTimeout(now))
 	defer cancel()
 	reply, err := j.cfg.Forwarder.Forward(ctx, f)
-	j.recordNotice(time.Now(), target, reply, err)
+	j.recordNotice(time.Now(), now, target, reply, err)
 	if err != nil {
 		return false, j.recordNoReply(target.Address, time.Since(now), err)
 	}
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -178,7 +178,7 @@
 		}
 	}()
 	reply, err := j.cfg.Forwarder.Forward(ctx, f)
-	j.recordNotice(time.Now(), chain.Head, reply, err)
+	j.recordNotice(time.Now(), now, chain.Head, reply, err)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = &fireflysaddle.TargetError{Target: chain.Head.ID, Err: cause}
