Let counts of recent events decay while events come often

Cause: decayingCount halved its value for each whole half-life since its last event, and each event restarted that time, so events less than two seconds apart were never forgotten. Found by reading while the shares of limits were designed, which need such a count.

What callers saw: an engine that had answered drafts for long and began to fail half of them stayed the preferred head, because its old successes outweighed the new faults.

Change: the value decays continuously. The two thresholds that were set for steps keep their times: a fault counts for two half-lives, and two faults count as repeated within two half-lives.

TestBusyEngineThatBeginsToFailIsAvoided failed before.

--- a/internal/direct/saddlefleet/decayingcount.go
+++ b/internal/direct/saddlefleet/decayingcount.go
@@ -1,6 +1,9 @@
 package saddlefleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// countHalfLife is the half-life of a decaying count.
@@ -9,7 +12,7 @@
 	negligibleCount = 0.1
 )
 
-// decayingCount counts recent events. Its value is halved each countHalfLife.
+// decayingCount counts recent events. Its value decays with countHalfLife.
 type decayingCount struct {
 	value   float64
 	updated time.Time
@@ -24,12 +27,9 @@
 
 // at returns the value after its decay until now.
 func (c *decayingCount) at(now time.Time) float64 {
-	for v, age := c.value, now.Sub(c.updated); ; v, age = v/2, age-countHalfLife {
-		if v < negligibleCount {
-			return 0
-		}
-		if age < countHalfLife {
-			return v
-		}
+	v := c.value * math.Exp2(-max(0, now.Sub(c.updated).Seconds())/countHalfLife.Seconds())
+	if v < negligibleCount {
+		return 0
 	}
+	return v
 }
--- a/internal/direct/saddlefleet/failing_test.go
+++ b/internal/direct/saddlefleet/failing_test.go
@@ -50,6 +50,28 @@
 	is.Equal(heads["a0"], 10) // the faults have ended
 }
 
+// Pattern: an engine that has answered a hundred drafts a second for a minute begins to fail
+// half of them.
+// Guards against counts of recent events that do not decay while events come often, so that
+// old successes outweigh new faults.
+func TestBusyEngineThatBeginsToFailIsAvoided(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(engine("a0", "a", 0, 2), engine("a2", "a", 2, 4), engine("b0", "b", 0, 2), engine("b2", "b", 2, 4))
+	now := start
+	for range 6000 {
+		now = now.Add(10 * time.Millisecond)
+		f.fleet.MarkWorking(now, "a0")
+	}
+	for range 300 { // three seconds
+		now = now.Add(10 * time.Millisecond)
+		f.fleet.MarkWorking(now, "a0")
+		f.fleet.RecordFault(now, "a0", "answered 500")
+	}
+	head, _, _ := f.chain(now, 1)
+	is.Equal(head, "b0")
+	is.Equal(len(f.fleet.Failing(now)), 1)
+}
+
 // Pattern: every engine fails some drafts. None may be left out, since drafts that are not
 // sent cannot succeed.
 func TestAllEnginesFailingAreStillUsed(t *testing.T) {
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -239,10 +239,10 @@
 	return a.inFlight < b.inFlight
 }
 
-// deprioritiseFaults is the fault count from which other targets are preferred. A
-// target that loses some of its answers mostly works, but each lost answer uses up
-// one of the request's attempts.
-const deprioritiseFaults = 0.4
+// deprioritiseFaults is the fault count from which other targets are preferred: a single
+// fault counts for two half-lives. A target that loses some of its answers mostly works, but
+// each lost answer uses up one of the request's attempts.
+const deprioritiseFaults = 0.25
 
 // localPreference is the number of additional requests in flight up to which a
 // target of this data centre is preferred to a remote one. A remote request costs
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -119,8 +119,8 @@
 	}
 }
 
-// repeatedFaults is the value of the fault count after two faults in quick succession.
-const repeatedFaults = 1.5
+// repeatedFaults is the value of the fault count after two faults within two half-lives.
+const repeatedFaults = 1.25
 
 // MarkWorking records that targets completed a request. It readmits excluded plain
 // services and clears their faults; engines are readmitted by probes only, and the completed
