Log the fingerprint of requests whose attempts failed

The logs of second1 cannot tell whether the requests that were interrupted when targets ended were the same one, sent again, or different ones. The line "attempt failed" has a fingerprint now, which identical requests share at all entries and which does not reveal them.

--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -45,6 +45,8 @@
 	streamAddress  string               // address that the most recent attempt at a stream was sent to
 	framing        string               // framing of the most recent answer that ran; empty: none
 	partialBytes   int                  // bytes of that answer after its last complete event
+
+	cachedFingerprint string // see fingerprint; empty: not computed yet
 }
 
 // avoidEngine excludes an engine from further chains of this call for the duration d.
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -49,7 +49,7 @@
 			return
 		}
 		reason = failure
-		j.logFraming(j.logEvent(zerolog.InfoLevel)).Str("target", string(target.ID)).Str("reason", failure).Int("runs", j.runs).Msg("attempt failed")
+		j.logFraming(j.logEvent(zerolog.InfoLevel)).Str("target", string(target.ID)).Str("reason", failure).Int("runs", j.runs).Str("fingerprint", j.fingerprint()).Msg("attempt failed")
 		if ctx.Err() != nil || (j.runs > 0 && (!j.route.Retryable() || j.runs >= j.route.MaxAttempts)) {
 			j.failCall(ctx, fireflysaddle.CodeTargetFailed, reason, targetsFullRetryAfter)
 			return
