--- a/ids.go
+++ b/ids.go
@@ -49,6 +49,10 @@
 // Layer numbers the layers of a model from 0.
 type Layer uint32
 
+// Trait identifies something that requests have in common and that may end the targets that
+// run them, such as a PromptPart.
+type Trait string
+
 // PromptPart identifies a part of a prompt that several requests may share. It does not
 // reveal the text.
 type PromptPart string
--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -221,14 +221,14 @@
 	c.wakeSubscribers()
 }
 
-// logQuarantine logs that a quarantine of prompt parts began or was lifted because of the
-// report of a node.
+// logQuarantine logs that a quarantine of requests began or was lifted because of the report
+// of a node.
 func (c *core) logQuarantine(change saddlequarantine.Change, node string) {
-	e := c.cfg.Log.Warn().Strs("parts", change.Quarantine.GetParts()).Str("reported_by", node)
+	e := c.cfg.Log.Warn().Strs("traits", change.Quarantine.GetTraits()).Str("reported_by", node)
 	if change.Lifted {
-		e.Msg("quarantine of prompt parts lifted: an engine has answered with them")
+		e.Msg("quarantine of requests lifted: a target has answered one with these traits")
 		return
 	}
-	e.Strs("engines", change.Engines).Time("until", time.UnixMilli(change.Quarantine.GetUntilMs())).
-		Msg("prompt parts quarantined: engines ended whenever they were to answer with them")
+	e.Strs("targets", change.Targets).Time("until", time.UnixMilli(change.Quarantine.GetUntilMs())).
+		Msg("requests quarantined: targets ended whenever they were to answer one with these traits")
 }
--- a/internal/control/saddlecontrol/members.go
+++ b/internal/control/saddlecontrol/members.go
@@ -97,7 +97,7 @@
 		slices.Equal(a.GetFailing(), b.GetFailing()) &&
 		slices.Equal(a.GetSlow(), b.GetSlow()) &&
 		slices.EqualFunc(a.GetBlames(), b.GetBlames(), func(x, y *saddlewire.Blame) bool { return proto.Equal(x, y) }) &&
-		slices.Equal(a.GetHarmlessParts(), b.GetHarmlessParts())
+		slices.Equal(a.GetHarmless(), b.GetHarmless())
 }
 
 // removeExpired removes the members without a heartbeat for the given time and returns
--- a/internal/control/saddlequarantine/detector.go
+++ b/internal/control/saddlequarantine/detector.go
@@ -11,63 +11,63 @@
 )
 
 const (
-	// minCrashes is the number of times at which engines must have ended under a part
+	// minCrashes is the number of times at which targets must have ended under a trait
 	// before requests with it are refused.
 	minCrashes = 3
-	// crashInterval is the time within which engines that end count once: an outage ends
+	// crashInterval is the time within which targets that end count once: an outage ends
 	// many at the same time, and entries report it within one heartbeat interval.
 	crashInterval = 300 * time.Millisecond
 	// quarantineTime is how long requests are refused.
 	quarantineTime = 10 * time.Minute
-	// blameTTL is how long the end of an engine counts. Requests with a part may be rare.
+	// blameTTL is how long the end of a target counts. Requests with a trait may be rare.
 	blameTTL = 10 * time.Minute
-	// maxParts bounds the parts that are tracked. Further parts are ignored until blames
+	// maxTraits bounds the traits that are tracked. Further traits are ignored until blames
 	// have expired.
-	maxParts = 4096
+	maxTraits = 4096
 )
 
-// Detector follows the prompt parts that entries blame for the end of engines. A part that
-// ends engines ends each one that begins to answer with it. So a part is harmless if an engine
-// has answered with it, and a part is the cause if engines have ended under it again and again
+// Detector follows the traits that entries blame for the end of targets. A trait that
+// ends targets ends each one that begins to answer with it. So a trait is harmless if a target
+// has answered with it, and a trait is the cause if targets have ended under it again and again
 // and none has answered. It is not safe for concurrent use.
 type Detector struct {
-	parts       map[string]*part
+	traits      map[string]*trait
 	quarantines map[string]*saddlewire.Quarantine // by key
 	lifted      map[string]time.Time              // keys of quarantines that were lifted, and when
 }
 
-// part is what is known of a prompt part. The keys of its maps are engines.
-type part struct {
-	ended      map[string]time.Time // ended under the part; time of the first report
-	discounted map[string]time.Time // the same, before an engine answered with the part
+// trait is what is known of a trait. The keys of its maps are targets.
+type trait struct {
+	ended      map[string]time.Time // ended under the trait; time of the first report
+	discounted map[string]time.Time // the same, before a target answered with the trait
 }
 
 // New returns a detector without reports.
 func New() *Detector {
-	return &Detector{parts: map[string]*part{}, quarantines: map[string]*saddlewire.Quarantine{}, lifted: map[string]time.Time{}}
+	return &Detector{traits: map[string]*trait{}, quarantines: map[string]*saddlewire.Quarantine{}, lifted: map[string]time.Time{}}
 }
 
 // Change is a quarantine that began or was lifted.
 type Change struct {
 	Quarantine *saddlewire.Quarantine
-	Engines    []string // engines that ended under its parts
+	Targets    []string // targets that ended under its traits
 	Lifted     bool
 }
 
 // Observe takes in the report of a member and returns the quarantines that begin or are
 // lifted because of it.
 func (d *Detector) Observe(now time.Time, m *saddlewire.Member) []Change {
-	if len(m.GetBlames())+len(m.GetHarmlessParts())+len(m.GetQuarantines()) == 0 {
+	if len(m.GetBlames())+len(m.GetHarmless())+len(m.GetQuarantines()) == 0 {
 		return nil
 	}
 	d.expire(now)
 	for _, b := range m.GetBlames() {
-		for _, name := range b.GetParts() {
-			d.blame(now, name, b.GetEngine())
+		for _, name := range b.GetTraits() {
+			d.blame(now, name, b.GetTarget())
 		}
 	}
 	var out []Change
-	for _, name := range m.GetHarmlessParts() {
+	for _, name := range m.GetHarmless() {
 		out = append(out, d.clear(now, name)...)
 	}
 	for _, q := range m.GetQuarantines() {
@@ -78,56 +78,56 @@
 
 func (d *Detector) expire(now time.Time) {
 	expired := func(_ string, at time.Time) bool { return now.Sub(at) > blameTTL }
-	for name, p := range d.parts {
+	for name, p := range d.traits {
 		maps.DeleteFunc(p.ended, expired)
 		maps.DeleteFunc(p.discounted, expired)
 		if len(p.ended)+len(p.discounted) == 0 {
-			delete(d.parts, name)
+			delete(d.traits, name)
 		}
 	}
 	maps.DeleteFunc(d.lifted, expired)
 	maps.DeleteFunc(d.quarantines, func(_ string, q *saddlewire.Quarantine) bool { return q.GetUntilMs() <= now.UnixMilli() })
 }
 
-func (d *Detector) blame(now time.Time, name, engine string) {
-	p, ok := d.parts[name]
+func (d *Detector) blame(now time.Time, name, target string) {
+	p, ok := d.traits[name]
 	if !ok {
-		if len(d.parts) >= maxParts {
+		if len(d.traits) >= maxTraits {
 			return
 		}
-		p = &part{ended: map[string]time.Time{}, discounted: map[string]time.Time{}}
-		d.parts[name] = p
+		p = &trait{ended: map[string]time.Time{}, discounted: map[string]time.Time{}}
+		d.traits[name] = p
 	}
-	if _, ok := p.discounted[engine]; ok {
+	if _, ok := p.discounted[target]; ok {
 		return
 	}
-	if _, ok := p.ended[engine]; !ok {
-		p.ended[engine] = now
+	if _, ok := p.ended[target]; !ok {
+		p.ended[target] = now
 	}
 }
 
-// clear records that an engine has answered with a part, and lifts the quarantines of this
-// part alone. A quarantine of several parts then needs the others only.
+// clear records that a target has answered with a trait, and lifts the quarantines of this
+// trait alone. A quarantine of several traits then needs the others only.
 func (d *Detector) clear(now time.Time, name string) []Change {
-	if p, ok := d.parts[name]; ok {
-		for engine := range p.ended {
-			p.discounted[engine] = now
+	if p, ok := d.traits[name]; ok {
+		for target := range p.ended {
+			p.discounted[target] = now
 		}
 		clear(p.ended)
 	}
 	var out []Change
 	for k, q := range d.quarantines {
-		if !slices.Contains(q.GetParts(), name) {
+		if !slices.Contains(q.GetTraits(), name) {
 			continue
 		}
 		delete(d.quarantines, k)
 		d.lifted[k] = now
-		rest := slices.DeleteFunc(slices.Clone(q.GetParts()), func(s string) bool { return s == name })
+		rest := slices.DeleteFunc(slices.Clone(q.GetTraits()), func(s string) bool { return s == name })
 		if len(rest) == 0 {
 			out = append(out, Change{Quarantine: q, Lifted: true})
 			continue
 		}
-		d.quarantines[key(rest)] = &saddlewire.Quarantine{Parts: rest, UntilMs: q.GetUntilMs()}
+		d.quarantines[key(rest)] = &saddlewire.Quarantine{Traits: rest, UntilMs: q.GetUntilMs()}
 	}
 	return out
 }
@@ -135,40 +135,40 @@
 // adopt takes over a quarantine that is in force at a member, which may have outlasted the
 // replicas that decided it.
 func (d *Detector) adopt(now time.Time, q *saddlewire.Quarantine) {
-	k := key(q.GetParts())
+	k := key(q.GetTraits())
 	_, lifted := d.lifted[k]
-	if lifted || q.GetUntilMs() <= now.UnixMilli() || d.covers(q.GetParts()) {
+	if lifted || q.GetUntilMs() <= now.UnixMilli() || d.covers(q.GetTraits()) {
 		return
 	}
 	d.quarantines[k] = q
 }
 
-// begin puts parts in quarantine under which engines have ended often enough. Of parts
-// under which some of the same engines ended, only those with the most count. Parts under
-// which the very same engines ended cannot be told apart, and are put in quarantine together.
+// begin puts traits in quarantine under which targets have ended often enough. Of traits
+// under which some of the same targets ended, only those with the most count. Traits under
+// which the very same targets ended cannot be told apart, and are put in quarantine together.
 func (d *Detector) begin(now time.Time) []Change {
-	byEngines := map[string][]string{}
-	for name, p := range d.parts {
+	byTargets := map[string][]string{}
+	for name, p := range d.traits {
 		if crashes(p.ended) >= minCrashes && !d.explained(p) {
-			engines := key(slices.Collect(maps.Keys(p.ended)))
-			byEngines[engines] = append(byEngines[engines], name)
+			targets := key(slices.Collect(maps.Keys(p.ended)))
+			byTargets[targets] = append(byTargets[targets], name)
 		}
 	}
 	var out []Change
-	for engines, names := range byEngines {
+	for targets, names := range byTargets {
 		slices.Sort(names)
 		if d.covers(names) {
 			continue
 		}
-		maps.DeleteFunc(d.quarantines, func(_ string, q *saddlewire.Quarantine) bool { return includes(q.GetParts(), names) })
-		q := &saddlewire.Quarantine{Parts: names, UntilMs: now.Add(quarantineTime).UnixMilli()}
+		maps.DeleteFunc(d.quarantines, func(_ string, q *saddlewire.Quarantine) bool { return includes(q.GetTraits(), names) })
+		q := &saddlewire.Quarantine{Traits: names, UntilMs: now.Add(quarantineTime).UnixMilli()}
 		d.quarantines[key(names)] = q
-		out = append(out, Change{Quarantine: q, Engines: strings.Split(engines, separator)})
+		out = append(out, Change{Quarantine: q, Targets: strings.Split(targets, separator)})
 	}
 	return out
 }
 
-// crashes counts the times at which engines ended.
+// crashes counts the times at which targets ended.
 func crashes(ended map[string]time.Time) int {
 	n := 0
 	var counted time.Time
@@ -181,10 +181,10 @@
 	return n
 }
 
-// explained reports whether all engines that ended under a part, and others, ended under
-// another part.
-func (d *Detector) explained(p *part) bool {
-	for _, other := range d.parts {
+// explained reports whether all targets that ended under a trait, and others, ended under
+// another trait.
+func (d *Detector) explained(p *trait) bool {
+	for _, other := range d.traits {
 		if len(other.ended) > len(p.ended) && subset(p.ended, other.ended) {
 			return true
 		}
@@ -201,10 +201,10 @@
 	return true
 }
 
-// covers reports whether a quarantine refuses all requests with some parts.
-func (d *Detector) covers(parts []string) bool {
+// covers reports whether a quarantine refuses all requests with some traits.
+func (d *Detector) covers(traits []string) bool {
 	for _, q := range d.quarantines {
-		if includes(parts, q.GetParts()) {
+		if includes(traits, q.GetTraits()) {
 			return true
 		}
 	}
@@ -216,7 +216,7 @@
 	return !slices.ContainsFunc(some, func(s string) bool { return !slices.Contains(all, s) })
 }
 
-// separator does not occur in the names of parts and engines.
+// separator does not occur in the names of traits and targets.
 const separator = "\x00"
 
 // key identifies a set of names.
@@ -224,17 +224,17 @@
 	return strings.Join(slices.Sorted(slices.Values(names)), separator)
 }
 
-// AddTo adds the quarantines, and the parts of which entries are to report whether engines
+// AddTo adds the quarantines, and the traits of which entries are to report whether targets
 // answer with them, to an update for an entry.
 func (d *Detector) AddTo(u *saddlewire.Update) {
-	for name, p := range d.parts {
+	for name, p := range d.traits {
 		if len(p.ended) > 0 {
-			u.BlamedParts = append(u.BlamedParts, name)
+			u.Blamed = append(u.Blamed, name)
 		}
 	}
-	slices.Sort(u.GetBlamedParts())
+	slices.Sort(u.GetBlamed())
 	for _, q := range d.quarantines {
 		u.Quarantines = append(u.Quarantines, q)
 	}
-	slices.SortFunc(u.GetQuarantines(), func(a, b *saddlewire.Quarantine) int { return cmp.Compare(key(a.GetParts()), key(b.GetParts())) })
+	slices.SortFunc(u.GetQuarantines(), func(a, b *saddlewire.Quarantine) int { return cmp.Compare(key(a.GetTraits()), key(b.GetTraits())) })
 }
--- a/internal/control/saddlequarantine/doc.go
+++ b/internal/control/saddlequarantine/doc.go
@@ -1,3 +1,3 @@
-// Package saddlequarantine finds the prompt parts that end engines, from what the entries
+// Package saddlequarantine finds the traits that end targets, from what the entries
 // report, and decides which requests are refused because of them. It has no side effects.
 package saddlequarantine
--- a/internal/direct/saddleblame/doc.go
+++ b/internal/direct/saddleblame/doc.go
@@ -1,3 +1,3 @@
-// Package saddleblame records which prompt parts an entry blames for the end of engines, and
+// Package saddleblame records which traits an entry blames for the end of targets, and
 // which requests it refuses because of them.
 package saddleblame
--- a/internal/direct/saddleblame/tracker.go
+++ b/internal/direct/saddleblame/tracker.go
@@ -13,61 +13,61 @@
 
 const (
 	// confirmTime is the time between the interruption of a request and the evidence that its
-	// engine has ended, in either order, within which the request may be the cause.
+	// target has ended, in either order, within which the request may be the cause.
 	confirmTime = 2 * time.Second
-	// reportTime is how long a blame, or a part that proved harmless, is reported to control.
+	// reportTime is how long a blame, or a trait that proved harmless, is reported to control.
 	// It is shorter than the time for which control remembers blames.
 	reportTime = 20 * time.Second
-	// maxEngines and maxPartsPerEngine bound what is reported.
-	maxEngines        = 64
-	maxPartsPerEngine = 128
+	// maxTargets and maxTraitsPerTarget bound what is reported.
+	maxTargets         = 64
+	maxTraitsPerTarget = 128
 )
 
-// Tracker connects interrupted requests with the ends of their engines, and holds the
+// Tracker connects interrupted requests with the ends of their targets, and holds the
 // quarantines that control has decided. It is safe for concurrent use.
 type Tracker struct {
 	mu          sync.Mutex
-	interrupted map[string][]interruption              // by engine address
-	endedAt     map[string]time.Time                   // by engine address
-	blames      map[string]*blame                      // by engine
-	watched     map[fireflysaddle.PromptPart]time.Time // blamed parts, and since when they are known to be
-	harmless    map[fireflysaddle.PromptPart]time.Time
+	interrupted map[string][]interruption         // by target address
+	endedAt     map[string]time.Time              // by target address
+	blames      map[string]*blame                 // by target
+	watched     map[fireflysaddle.Trait]time.Time // blamed traits, and since when they are known to be
+	harmless    map[fireflysaddle.Trait]time.Time
 	quarantines []*saddlewire.Quarantine
 }
 
-// interruption is a request that was interrupted before its engine had answered.
+// interruption is a request that was interrupted before its target had answered.
 type interruption struct {
-	engine string
-	parts  []fireflysaddle.PromptPart
+	target string
+	traits []fireflysaddle.Trait
 	at     time.Time
 }
 
 type blame struct {
-	parts map[fireflysaddle.PromptPart]struct{}
-	at    time.Time
+	traits map[fireflysaddle.Trait]struct{}
+	at     time.Time
 }
 
-// New returns a tracker that blames no part.
+// New returns a tracker that blames no trait.
 func New() *Tracker {
 	return &Tracker{
 		interrupted: map[string][]interruption{},
 		endedAt:     map[string]time.Time{},
 		blames:      map[string]*blame{},
-		watched:     map[fireflysaddle.PromptPart]time.Time{},
-		harmless:    map[fireflysaddle.PromptPart]time.Time{},
+		watched:     map[fireflysaddle.Trait]time.Time{},
+		harmless:    map[fireflysaddle.Trait]time.Time{},
 	}
 }
 
-// Interrupted records that the connection of a request ended before the engine had answered.
-// engine identifies the engine's start. It reports whether parts are blamed because the engine
+// Interrupted records that the connection of a request ended before the target had answered.
+// target identifies the target's start. It reports whether traits are blamed because the target
 // is known to have ended.
-func (t *Tracker) Interrupted(now time.Time, address, engine string, parts []fireflysaddle.PromptPart) bool {
-	if len(parts) == 0 {
+func (t *Tracker) Interrupted(now time.Time, address, target string, traits []fireflysaddle.Trait) bool {
+	if len(traits) == 0 {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	i := interruption{engine: engine, parts: parts, at: now}
+	i := interruption{target: target, traits: traits, at: now}
 	if ended, ok := t.endedAt[address]; ok && now.Sub(ended) < confirmTime {
 		t.blame(now, i)
 		return true
@@ -76,9 +76,9 @@
 	return false
 }
 
-// EngineEnded records evidence that the engine at an address has ended. It reports whether
-// parts are blamed for it.
-func (t *Tracker) EngineEnded(now time.Time, address string) bool {
+// TargetEnded records evidence that the target at an address has ended. It reports whether
+// traits are blamed for it.
+func (t *Tracker) TargetEnded(now time.Time, address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
@@ -94,67 +94,67 @@
 	return blamed
 }
 
-// blame blames the parts of an interrupted request. What an engine answered before does not
+// blame blames the traits of an interrupted request. What a target answered before does not
 // count for them.
 func (t *Tracker) blame(now time.Time, i interruption) {
-	b, ok := t.blames[i.engine]
+	b, ok := t.blames[i.target]
 	if !ok {
-		if len(t.blames) >= maxEngines {
+		if len(t.blames) >= maxTargets {
 			return
 		}
-		b = &blame{parts: map[fireflysaddle.PromptPart]struct{}{}, at: now}
-		t.blames[i.engine] = b
+		b = &blame{traits: map[fireflysaddle.Trait]struct{}{}, at: now}
+		t.blames[i.target] = b
 	}
-	for _, p := range i.parts {
-		if len(b.parts) < maxPartsPerEngine {
-			b.parts[p] = struct{}{}
+	for _, p := range i.traits {
+		if len(b.traits) < maxTraitsPerTarget {
+			b.traits[p] = struct{}{}
 			t.watch(now, p)
 			delete(t.harmless, p)
 		}
 	}
 }
 
-func (t *Tracker) watch(now time.Time, p fireflysaddle.PromptPart) {
+func (t *Tracker) watch(now time.Time, p fireflysaddle.Trait) {
 	if _, ok := t.watched[p]; !ok {
 		t.watched[p] = now
 	}
 }
 
-// Answered records that an engine has answered a request that was sent at a time, or the
-// first events of it. It reports whether that clears a part that was blamed. A request that
-// was sent before the part was blamed clears nothing, because the part may have begun to end
-// engines after it.
-func (t *Tracker) Answered(now, sentAt time.Time, parts []fireflysaddle.PromptPart) bool {
+// Answered records that a target has answered a request that was sent at a time, or the
+// first events of it. It reports whether that clears a trait that was blamed. A request that
+// was sent before the trait was blamed clears nothing, because the trait may have begun to end
+// targets after it.
+func (t *Tracker) Answered(now, sentAt time.Time, traits []fireflysaddle.Trait) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	cleared := false
-	for _, p := range parts {
+	for _, p := range traits {
 		if since, ok := t.watched[p]; !ok || !sentAt.After(since) {
 			continue
 		}
 		delete(t.watched, p)
 		t.harmless[p] = now
 		for _, b := range t.blames {
-			delete(b.parts, p)
+			delete(b.traits, p)
 		}
 		cleared = true
 	}
 	return cleared
 }
 
-// Update takes over the parts that any entry blames, and the quarantines in force. It returns
+// Update takes over the traits that any entry blames, and the quarantines in force. It returns
 // the quarantines that are new.
 func (t *Tracker) Update(now time.Time, v *saddleview.View) []*saddlewire.Quarantine {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
 	before := t.watched
-	t.watched = make(map[fireflysaddle.PromptPart]time.Time, len(v.BlamedParts))
-	for _, p := range v.BlamedParts {
-		t.watch(now, fireflysaddle.PromptPart(p))
+	t.watched = make(map[fireflysaddle.Trait]time.Time, len(v.Blamed))
+	for _, p := range v.Blamed {
+		t.watch(now, fireflysaddle.Trait(p))
 	}
 	for _, b := range t.blames {
-		for p := range b.parts {
+		for p := range b.traits {
 			t.watch(now, p)
 		}
 	}
@@ -165,7 +165,7 @@
 	}
 	var begun []*saddlewire.Quarantine
 	for _, q := range v.Quarantines {
-		if !slices.ContainsFunc(t.quarantines, func(known *saddlewire.Quarantine) bool { return slices.Equal(known.GetParts(), q.GetParts()) }) {
+		if !slices.ContainsFunc(t.quarantines, func(known *saddlewire.Quarantine) bool { return slices.Equal(known.GetTraits(), q.GetTraits()) }) {
 			begun = append(begun, q)
 		}
 	}
@@ -173,14 +173,14 @@
 	return begun
 }
 
-// Refused returns until when requests with some parts are refused, if they are.
-func (t *Tracker) Refused(now time.Time, parts []fireflysaddle.PromptPart) (until time.Time, refused bool) {
+// Refused returns until when requests with some traits are refused, if they are.
+func (t *Tracker) Refused(now time.Time, traits []fireflysaddle.Trait) (until time.Time, refused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, q := range t.quarantines {
 		end := time.UnixMilli(q.GetUntilMs())
-		missing := func(p string) bool { return !slices.Contains(parts, fireflysaddle.PromptPart(p)) }
-		if now.Before(end) && len(q.GetParts()) > 0 && !slices.ContainsFunc(q.GetParts(), missing) {
+		missing := func(p string) bool { return !slices.Contains(traits, fireflysaddle.Trait(p)) }
+		if now.Before(end) && len(q.GetTraits()) > 0 && !slices.ContainsFunc(q.GetTraits(), missing) {
 			return end, true
 		}
 	}
@@ -192,18 +192,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	for _, engine := range slices.Sorted(maps.Keys(t.blames)) {
-		if parts := sorted(t.blames[engine].parts); len(parts) > 0 {
-			m.Blames = append(m.Blames, &saddlewire.Blame{Engine: engine, Parts: parts})
+	for _, target := range slices.Sorted(maps.Keys(t.blames)) {
+		if traits := sorted(t.blames[target].traits); len(traits) > 0 {
+			m.Blames = append(m.Blames, &saddlewire.Blame{Target: target, Traits: traits})
 		}
 	}
-	m.HarmlessParts = sorted(t.harmless)
+	m.Harmless = sorted(t.harmless)
 	m.Quarantines = t.quarantines
 }
 
-func sorted[V any](parts map[fireflysaddle.PromptPart]V) []string {
+func sorted[V any](traits map[fireflysaddle.Trait]V) []string {
 	var out []string
-	for p := range parts {
+	for p := range traits {
 		out = append(out, string(p))
 	}
 	slices.Sort(out)
@@ -220,5 +220,5 @@
 	}
 	maps.DeleteFunc(t.endedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= confirmTime })
 	maps.DeleteFunc(t.blames, func(_ string, b *blame) bool { return now.Sub(b.at) >= reportTime })
-	maps.DeleteFunc(t.harmless, func(_ fireflysaddle.PromptPart, at time.Time) bool { return now.Sub(at) >= reportTime })
+	maps.DeleteFunc(t.harmless, func(_ fireflysaddle.Trait, at time.Time) bool { return now.Sub(at) >= reportTime })
 }
--- a/internal/direct/saddleblame/tracker_test.go
+++ b/internal/direct/saddleblame/tracker_test.go
@@ -14,7 +14,7 @@
 
 var start = time.Unix(1_800_000_000, 0)
 
-func parts(names ...fireflysaddle.PromptPart) []fireflysaddle.PromptPart { return names }
+func traits(names ...fireflysaddle.Trait) []fireflysaddle.Trait { return names }
 
 func report(t *saddleblame.Tracker, now time.Time) *saddlewire.Member {
 	m := &saddlewire.Member{}
@@ -22,73 +22,73 @@
 	return m
 }
 
-// The connection of a request and the probe of its engine fail in either order.
+// The connection of a request and the probe of its target fail in either order.
 func TestPartsOfInterruptedRequestsAreBlamedOnceTheEngineHasEnded(t *testing.T) {
 	for name, endedFirst := range map[string]bool{"probe fails first": true, "connection fails first": false} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			tracker := saddleblame.New()
 			if endedFirst {
-				tracker.EngineEnded(start, "address")
+				tracker.TargetEnded(start, "address")
 			}
-			tracker.Interrupted(start, "address", "engine-1", parts("first", "fatal"))
+			tracker.Interrupted(start, "address", "target-1", traits("first", "fatal"))
 			if !endedFirst {
 				is.Equal(len(report(tracker, start).GetBlames()), 0)
-				tracker.EngineEnded(start.Add(time.Second), "address")
+				tracker.TargetEnded(start.Add(time.Second), "address")
 			}
 			m := report(tracker, start.Add(time.Second))
 			is.Equal(len(m.GetBlames()), 1)
-			is.Equal(m.GetBlames()[0].GetEngine(), "engine-1")
-			is.Equal(m.GetBlames()[0].GetParts(), []string{"fatal", "first"})
+			is.Equal(m.GetBlames()[0].GetTarget(), "target-1")
+			is.Equal(m.GetBlames()[0].GetTraits(), []string{"fatal", "first"})
 			is.Equal(len(report(tracker, start.Add(time.Minute)).GetBlames()), 0)
 		})
 	}
 }
 
-// Guards against blaming the parts of requests whose engine merely reset a connection.
+// Guards against blaming the traits of requests whose target merely reset a connection.
 func TestNothingIsBlamedWhileTheEngineAnswers(t *testing.T) {
 	is := is.New(t)
 	tracker := saddleblame.New()
-	tracker.Interrupted(start, "address", "engine-1", parts("first"))
-	tracker.EngineEnded(start.Add(time.Minute), "address")
+	tracker.Interrupted(start, "address", "target-1", traits("first"))
+	tracker.TargetEnded(start.Add(time.Minute), "address")
 	is.Equal(len(report(tracker, start.Add(time.Minute)).GetBlames()), 0)
 }
 
-// A part that any entry blames proves harmless when an engine answers with it.
+// A trait that any entry blames proves harmless when a target answers with it.
 func TestAnsweredPartIsReportedAsHarmless(t *testing.T) {
 	is := is.New(t)
 	tracker := saddleblame.New()
-	tracker.Answered(start, start, parts("first")) // not blamed at that time
-	tracker.EngineEnded(start, "address")
-	tracker.Interrupted(start, "address", "engine-1", parts("first", "fatal"))
-	tracker.Update(start, &saddleview.View{BlamedParts: []string{"elsewhere"}})
-	is.Equal(len(report(tracker, start).GetHarmlessParts()), 0)
-	tracker.Answered(start.Add(time.Second), start, parts("first")) // sent before it was blamed
-	is.Equal(len(report(tracker, start).GetHarmlessParts()), 0)
-	tracker.Update(start.Add(time.Second), &saddleview.View{BlamedParts: []string{"elsewhere", "first"}})
-	tracker.Answered(start.Add(time.Second), start.Add(500*time.Millisecond), parts("first", "elsewhere", "unknown"))
+	tracker.Answered(start, start, traits("first")) // not blamed at that time
+	tracker.TargetEnded(start, "address")
+	tracker.Interrupted(start, "address", "target-1", traits("first", "fatal"))
+	tracker.Update(start, &saddleview.View{Blamed: []string{"elsewhere"}})
+	is.Equal(len(report(tracker, start).GetHarmless()), 0)
+	tracker.Answered(start.Add(time.Second), start, traits("first")) // sent before it was blamed
+	is.Equal(len(report(tracker, start).GetHarmless()), 0)
+	tracker.Update(start.Add(time.Second), &saddleview.View{Blamed: []string{"elsewhere", "first"}})
+	tracker.Answered(start.Add(time.Second), start.Add(500*time.Millisecond), traits("first", "elsewhere", "unknown"))
 	m := report(tracker, start.Add(time.Second))
-	is.Equal(m.GetHarmlessParts(), []string{"elsewhere", "first"})
-	is.Equal(m.GetBlames()[0].GetParts(), []string{"fatal"})
+	is.Equal(m.GetHarmless(), []string{"elsewhere", "first"})
+	is.Equal(m.GetBlames()[0].GetTraits(), []string{"fatal"})
 }
 
 func TestRequestsWithAllPartsOfAQuarantineAreRefused(t *testing.T) {
 	is := is.New(t)
 	tracker := saddleblame.New()
-	v := &saddleview.View{Quarantines: []*saddlewire.Quarantine{{Parts: []string{"fatal", "first"}, UntilMs: start.Add(time.Minute).UnixMilli()}}}
+	v := &saddleview.View{Quarantines: []*saddlewire.Quarantine{{Traits: []string{"fatal", "first"}, UntilMs: start.Add(time.Minute).UnixMilli()}}}
 	is.Equal(len(tracker.Update(start, v)), 1)
 	is.Equal(len(tracker.Update(start, v)), 0)
 	for name, c := range map[string]struct {
-		parts   []fireflysaddle.PromptPart
+		traits  []fireflysaddle.Trait
 		at      time.Time
 		refused bool
 	}{
-		"all parts":           {parts("first", "fatal", "other"), start, true},
-		"one of the parts":    {parts("first", "other"), start, false},
-		"no part":             {nil, start, false},
-		"after the end of it": {parts("first", "fatal"), start.Add(time.Hour), false},
+		"all traits":          {traits("first", "fatal", "other"), start, true},
+		"one of the traits":   {traits("first", "other"), start, false},
+		"no trait":            {nil, start, false},
+		"after the end of it": {traits("first", "fatal"), start.Add(time.Hour), false},
 	} {
-		until, refused := tracker.Refused(c.at, c.parts)
+		until, refused := tracker.Refused(c.at, c.traits)
 		if refused != c.refused || (refused && !until.Equal(start.Add(time.Minute))) {
 			t.Errorf("%s: refused %v until %v", name, refused, until)
 		}
--- a/internal/direct/saddlegateway/config.go
+++ b/internal/direct/saddlegateway/config.go
@@ -20,8 +20,8 @@
 	// returns the number granted; limit bounds what all entries are granted together.
 	// If GrantRetries is nil, no further retries are available.
 	GrantRetries func(ctx context.Context, group fireflysaddle.Group, want, limit int) int
-	// BlamesChanged is called when control is to learn of prompt parts that are suspected
-	// or have proved harmless; it must not block. nil: nothing is called.
+	// BlamesChanged is called when control is to learn of traits of requests that are
+	// suspected or have proved harmless; it must not block. nil: nothing is called.
 	BlamesChanged func()
 	Log           zerolog.Logger
 }
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -120,11 +120,11 @@
 	return e.Int64("after_ms", time.Since(j.startTime).Milliseconds())
 }
 
-// partNames returns the parts of a prompt as they are logged.
-func partNames(parts []fireflysaddle.PromptPart) []string {
-	out := make([]string, len(parts))
-	for i, p := range parts {
-		out[i] = string(p)
+// traitNames returns traits as they are logged.
+func traitNames(traits []fireflysaddle.Trait) []string {
+	out := make([]string, len(traits))
+	for i, t := range traits {
+		out[i] = string(t)
 	}
 	return out
 }
--- a/internal/direct/saddlegateway/quarantine.go
+++ b/internal/direct/saddlegateway/quarantine.go
@@ -10,29 +10,38 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-// harmlessEvents is the number of events after which the parts of a prompt have not ended
-// the engine that answers.
+// harmlessEvents is the number of events after which the traits of a request have not ended
+// the target that answers.
 const harmlessEvents = 3
 
-// AddBlames adds to a heartbeat the prompt parts that are suspected to end engines, and the
-// quarantines in force.
+// AddBlames adds to a heartbeat the traits of requests that are suspected to end targets, and
+// the quarantines in force.
 func (g *Gateway) AddBlames(now time.Time, m *saddlewire.Member) { g.blames.AddTo(now, m) }
 
-// UpdateQuarantines takes over the quarantines of prompt parts.
+// UpdateQuarantines takes over the quarantines of requests.
 func (g *Gateway) UpdateQuarantines(now time.Time, v *saddleview.View) {
 	for _, q := range g.blames.Update(now, v) {
-		g.cfg.Log.Warn().Strs("parts", q.GetParts()).Time("until", time.UnixMilli(q.GetUntilMs())).Msg("requests with prompt parts that end engines are refused")
+		g.cfg.Log.Warn().Strs("traits", q.GetTraits()).Time("until", time.UnixMilli(q.GetUntilMs())).Msg("requests with traits that end targets are refused")
 	}
 }
 
-// quarantineRefusal returns a refusal if the parts of the call's prompt are in quarantine.
+// traits returns what the call may have in common with others.
+func (j *job) traits() []fireflysaddle.Trait {
+	out := make([]fireflysaddle.Trait, len(j.call.PromptParts))
+	for i, p := range j.call.PromptParts {
+		out[i] = fireflysaddle.Trait(p)
+	}
+	return out
+}
+
+// quarantineRefusal returns a refusal if the traits of the call are in quarantine.
 func (j *job) quarantineRefusal(now time.Time) *Refusal {
-	until, refused := j.blames.Refused(now, j.call.PromptParts)
+	until, refused := j.blames.Refused(now, j.traits())
 	if !refused {
 		return nil
 	}
 	countQuarantined.Add(1)
-	return &Refusal{Code: fireflysaddle.CodeQuarantined, Message: "engines end when they answer requests with these prompt parts", RetryAfter: until.Sub(now)}
+	return &Refusal{Code: fireflysaddle.CodeQuarantined, Message: "targets end when they answer requests like this one", RetryAfter: until.Sub(now)}
 }
 
 // recordUnanswered records that the connection of an attempt at a stream ended, and has the
@@ -42,9 +51,9 @@
 	if j.attemptEvents >= harmlessEvents {
 		return
 	}
-	if j.blames.Interrupted(time.Now(), j.streamAddress, j.streamLifetime, j.call.PromptParts) {
-		j.logEvent(zerolog.InfoLevel).Str("address", j.streamAddress).Strs("parts", partNames(j.call.PromptParts)).
-			Msg("request interrupted by the end of its engine; its parts are suspected")
+	if j.blames.Interrupted(time.Now(), j.streamAddress, j.streamLifetime, j.traits()) {
+		j.logEvent(zerolog.InfoLevel).Str("address", j.streamAddress).Strs("traits", traitNames(j.traits())).
+			Msg("request interrupted by the end of its target; its traits are suspected")
 		j.notifyBlames()
 	}
 }
@@ -57,10 +66,10 @@
 	}
 }
 
-// recordHarmless records that an engine has answered the most recent attempt, and thus with
-// the parts of the call's prompt.
+// recordHarmless records that a target has answered the most recent attempt, and thus with the
+// traits of the call.
 func (j *job) recordHarmless() {
-	if j.blames.Answered(time.Now(), j.attemptSentAt, j.call.PromptParts) {
+	if j.blames.Answered(time.Now(), j.attemptSentAt, j.traits()) {
 		j.notifyBlames()
 	}
 }
--- a/internal/direct/saddlegateway/quarantine_test.go
+++ b/internal/direct/saddlegateway/quarantine_test.go
@@ -115,7 +115,7 @@
 	is := is.New(t)
 	var f *fixture
 	f = newFixture(t, func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
-		u := &saddlewire.Update{Leads: true, Quarantines: []*saddlewire.Quarantine{{Parts: []string{"fatal"}, UntilMs: time.Now().Add(time.Hour).UnixMilli()}}}
+		u := &saddlewire.Update{Leads: true, Quarantines: []*saddlewire.Quarantine{{Traits: []string{"fatal"}, UntilMs: time.Now().Add(time.Hour).UnixMilli()}}}
 		f.builder.Update("control", u)
 		f.gateway.UpdateQuarantines(time.Now(), f.builder.Build())
 		return truncatedReply(""), nil
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -68,7 +68,7 @@
 			return
 		}
 		j.logFraming(j.logEvent(zerolog.InfoLevel)).Strs("chain", j.chainAddresses).Str("reason", failure).Int("runs", j.runs).
-			Str("fingerprint", j.fingerprint()).Int("events", j.eventsSent).Int("attempt_events", j.attemptEvents).Strs("parts", partNames(j.call.PromptParts)).Str("last_event", j.lastEventID).Strs("avoid", j.avoidedAddresses(time.Now())).Msg("attempt failed")
+			Str("fingerprint", j.fingerprint()).Int("events", j.eventsSent).Int("attempt_events", j.attemptEvents).Strs("traits", traitNames(j.traits())).Str("last_event", j.lastEventID).Strs("avoid", j.avoidedAddresses(time.Now())).Msg("attempt failed")
 		if ctx.Err() != nil || (j.runs > 0 && (!j.route.Retryable() || j.runs >= j.route.MaxAttempts)) {
 			j.failCall(ctx, fireflysaddle.CodeTargetFailed, failure, noCapacityRetryAfter)
 			return
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -34,7 +34,7 @@
 	suspects        map[string]uint32 // number of other entries that suspect a target, in the same update
 	failing         map[string]uint32 // number of other entries of the data centre that list an engine as failing, in the same update
 	limits          []*saddlewire.LimitShare
-	blamedParts     []string // parts that any entry blames, in the same update
+	blamed          []string // parts that any entry blames, in the same update
 	quarantines     []*saddlewire.Quarantine
 	stepTimeFactors map[string]float64 // factors that the leader sent last, by target
 	occupiedTokens  map[string]uint64  // tokens that the leader sent last, by data centre
@@ -112,8 +112,8 @@
 	if u.GetLeads() || len(u.GetLimits()) > 0 {
 		b.limits = u.GetLimits()
 	}
-	if u.GetLeads() || len(u.GetBlamedParts())+len(u.GetQuarantines()) > 0 {
-		b.blamedParts, b.quarantines = u.GetBlamedParts(), u.GetQuarantines()
+	if u.GetLeads() || len(u.GetBlamed())+len(u.GetQuarantines()) > 0 {
+		b.blamed, b.quarantines = u.GetBlamed(), u.GetQuarantines()
 	}
 	if !u.GetLeads() || u.GetEnginesUnchanged() {
 		return
@@ -208,7 +208,7 @@
 	b.mergeRouting(v)
 	v.PeerDrafts, v.Suspects, v.Failing = b.peerDrafts, b.suspects, b.failing
 	v.Limits = b.limits
-	v.BlamedParts, v.Quarantines = b.blamedParts, b.quarantines
+	v.Blamed, v.Quarantines = b.blamed, b.quarantines
 	v.StepTimeFactors = b.stepTimeFactors
 	v.OccupiedTokens = b.occupiedTokens
 	b.registryStale = false
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -31,8 +31,8 @@
 	Suspects        map[string]uint32                   // number of other entries that suspect a target, by target
 	Failing         map[string]uint32                   // number of other entries of this data centre that list an engine as failing, by target
 	Limits          []*saddlewire.LimitShare            // limits that targets stated to any entry, with this entry's shares
-	BlamedParts     []string                            // prompt parts that any entry blames for the end of engines
-	Quarantines     []*saddlewire.Quarantine            // prompt parts with which requests are refused
+	Blamed          []string                            // traits of requests that any entry blames for the end of targets
+	Quarantines     []*saddlewire.Quarantine            // traits with which requests are refused
 	Departed        map[string]uint64                   // latest incarnation that accepts no new work, by target
 	RegistryVersion uint64                              // changes whenever Registrations and Departed are merged again
 }
