Refuse requests that end the targets that run them

Cause: to an entry a target that ends is a target's fault. It sends the request to the next one, and the caller's repeats at other entries do the same. Quarantines knew of engines and of parts of prompts only; of a request without a prompt nothing was reported.

Change: identical requests have a trait of their own, the fingerprint of workspace, method, host, path, query and body. An entry that loses a plain target's answer dials the target; if that refuses, the request is blamed, and control puts identical requests in quarantine under which three targets ended, however quickly: an outage cannot end three targets under one request unless it was at each of them. Requests that were beside the fatal one at fewer targets are not refused; parts of its prompt are neither.

Why it works: the third crash is known to all entries within two heartbeats, before the targets are back; after that no repeat is sent, and no retry.

Two tests of fatal parts now send other bodies with other prompts, as callers do.

--- a/forwarder.go
+++ b/forwarder.go
@@ -18,6 +18,8 @@
 	Forward(ctx context.Context, f Forward) (*Reply, error)
 	// Report asks an engine for its state. The field Leaving is valid also with an error.
 	Report(ctx context.Context, address string) (EngineReport, error)
+	// Dial reports whether a target accepts connections; an error is a *NotSentError.
+	Dial(ctx context.Context, address string) error
 	// Reroute orders the head of a chain, which is at the address head, to continue a
 	// request along another chain with the same head. Engines that are part of both
 	// chains retain their KV cache of the request; the others prefill all tokens so far.
--- a/ids.go
+++ b/ids.go
@@ -1,5 +1,7 @@
 package fireflysaddle
 
+import "strings"
+
 // RequestID identifies a caller's request across all its attempts.
 type RequestID string
 
@@ -50,9 +52,19 @@
 type Layer uint32
 
 // Trait identifies something that requests have in common and that may end the targets that
-// run them, such as a PromptPart.
+// run them: a PromptPart, or everything.
 type Trait string
 
+// identicalPrefix begins the traits of IdenticalRequests. It does not occur in the identifiers
+// of prompt parts.
+const identicalPrefix = "request:"
+
+// IdenticalRequests returns the trait that only requests with a fingerprint have.
+func IdenticalRequests(fingerprint string) Trait { return Trait(identicalPrefix + fingerprint) }
+
+// Identical reports whether only identical requests have the trait.
+func (t Trait) Identical() bool { return strings.HasPrefix(string(t), identicalPrefix) }
+
 // PromptPart identifies a part of a prompt that several requests may share. It does not
 // reveal the text.
 type PromptPart string
--- a/internal/control/saddlequarantine/detector.go
+++ b/internal/control/saddlequarantine/detector.go
@@ -7,12 +7,13 @@
 	"strings"
 	"time"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
 const (
 	// minCrashes is the number of times at which targets must have ended under a trait
-	// before requests with it are refused.
+	// before requests with it are refused. Of identical requests it is the number of targets.
 	minCrashes = 3
 	// crashInterval is the time within which targets that end count once: an outage ends
 	// many at the same time, and entries report it within one heartbeat interval.
@@ -146,16 +147,26 @@
 // begin puts traits in quarantine under which targets have ended often enough. Of traits
 // under which some of the same targets ended, only those with the most count. Traits under
 // which the very same targets ended cannot be told apart, and are put in quarantine together.
+// Only identical requests have nothing else in common that could be put with them, so each of
+// their traits is put in quarantine by itself.
 func (d *Detector) begin(now time.Time) []Change {
 	byTargets := map[string][]string{}
+	var suspects [][]string
 	for name, p := range d.traits {
-		if crashes(p.ended) >= minCrashes && !d.explained(p) {
+		switch {
+		case d.explained(name, p):
+		case identical(name) && len(p.ended) >= minCrashes:
+			suspects = append(suspects, []string{name})
+		case !identical(name) && crashes(p.ended) >= minCrashes:
 			targets := key(slices.Collect(maps.Keys(p.ended)))
 			byTargets[targets] = append(byTargets[targets], name)
 		}
 	}
+	for _, names := range byTargets {
+		suspects = append(suspects, names)
+	}
 	var out []Change
-	for targets, names := range byTargets {
+	for _, names := range suspects {
 		slices.Sort(names)
 		if d.covers(names) {
 			continue
@@ -163,7 +174,7 @@
 		maps.DeleteFunc(d.quarantines, func(_ string, q *saddlewire.Quarantine) bool { return includes(q.GetTraits(), names) })
 		q := &saddlewire.Quarantine{Traits: names, UntilMs: now.Add(quarantineTime).UnixMilli()}
 		d.quarantines[key(names)] = q
-		out = append(out, Change{Quarantine: q, Targets: strings.Split(targets, separator)})
+		out = append(out, Change{Quarantine: q, Targets: slices.Sorted(maps.Keys(d.traits[names[0]].ended))})
 	}
 	return out
 }
@@ -181,17 +192,26 @@
 	return n
 }
 
-// explained reports whether all targets that ended under a trait, and others, ended under
-// another trait.
-func (d *Detector) explained(p *trait) bool {
-	for _, other := range d.traits {
-		if len(other.ended) > len(p.ended) && subset(p.ended, other.ended) {
+// explained reports whether another trait is the cause rather than this one, as all targets that
+// ended under this one, and others, ended under the other. Identical requests explain more: if
+// the same targets ended under them, what they share with other requests need not be the cause.
+// They are explained by one another only, since a part of them that ends targets is put in
+// quarantine itself.
+func (d *Detector) explained(name string, p *trait) bool {
+	for otherName, other := range d.traits {
+		if otherName == name || !subset(p.ended, other.ended) || (identical(name) && !identical(otherName)) {
+			continue
+		}
+		if len(other.ended) > len(p.ended) || (identical(otherName) && !identical(name)) {
 			return true
 		}
 	}
 	return false
 }
 
+// identical reports whether only identical requests have a trait.
+func identical(name string) bool { return fireflysaddle.Trait(name).Identical() }
+
 func subset(a, b map[string]time.Time) bool {
 	for k := range a {
 		if _, ok := b[k]; !ok {
--- /dev/null
+++ b/internal/control/saddlequarantine/identical_test.go
@@ -0,0 +1,55 @@
+package saddlequarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlequarantine"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+func identical(fingerprint string) string {
+	return string(fireflysaddle.IdenticalRequests(fingerprint))
+}
+
+// Pattern: a request and its retries end all targets of a service within a fifth of a second.
+// Guards against repeats of it ending them again once they are back.
+func TestRequestThatEndsTargetsInQuickSuccessionIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	d := saddlequarantine.New()
+	for i := range 3 {
+		is.Equal(len(quarantined(d)), 0)
+		d.Observe(start.Add(time.Duration(i)*70*time.Millisecond), blame(fmt.Sprint("target-", i), identical("f"), identical(fmt.Sprint("victim-", i))))
+	}
+	is.Equal(quarantined(d), [][]string{{identical("f")}})
+}
+
+// Requests that were at the same targets as a fatal one are refused with it, each by itself,
+// until one more crash tells them apart or one of them is answered.
+func TestFatalRequestIsToldApartFromOneBesideIt(t *testing.T) {
+	is := is.New(t)
+	d := saddlequarantine.New()
+	for i := range 3 {
+		d.Observe(start, blame(fmt.Sprint("target-", i), identical("fatal"), identical("beside"), identical("also")))
+	}
+	is.Equal(quarantined(d), [][]string{{identical("also")}, {identical("beside")}, {identical("fatal")}})
+	d.Observe(start.Add(time.Second), &saddlewire.Member{Node: "entry-2", Harmless: []string{identical("also")}})
+	is.Equal(quarantined(d), [][]string{{identical("beside")}, {identical("fatal")}})
+}
+
+// Parts of a prompt that a fatal request shares with others are not refused with it, unless
+// other requests with the part end targets too.
+func TestPartsOfAFatalRequestAreNotRefused(t *testing.T) {
+	is := is.New(t)
+	d := saddlequarantine.New()
+	for i := range 4 {
+		d.Observe(start.Add(time.Duration(i)*time.Second), blame(fmt.Sprint("target-", i), "shared", identical("fatal")))
+	}
+	is.Equal(quarantined(d), [][]string{{identical("fatal")}})
+	d.Observe(start.Add(5*time.Second), blame("target-9", "shared", identical("other")))
+	is.Equal(quarantined(d), [][]string{{identical("fatal")}, {"shared"}})
+}
--- a/internal/direct/saddleblame/tracker.go
+++ b/internal/direct/saddleblame/tracker.go
@@ -58,17 +58,17 @@
 	}
 }
 
-// Interrupted records that the connection of a request ended before the target had answered.
-// target identifies the target's start. It reports whether traits are blamed because the target
-// is known to have ended.
-func (t *Tracker) Interrupted(now time.Time, address, target string, traits []fireflysaddle.Trait) bool {
+// Interrupted records that the connection of a request that was sent at a time ended before the
+// target had answered. target identifies the target's start. It reports whether traits are
+// blamed because the target is known to have ended since.
+func (t *Tracker) Interrupted(now, sentAt time.Time, address, target string, traits []fireflysaddle.Trait) bool {
 	if len(traits) == 0 {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	i := interruption{target: target, traits: traits, at: now}
-	if ended, ok := t.endedAt[address]; ok && now.Sub(ended) < confirmTime {
+	if ended, ok := t.endedAt[address]; ok && !ended.Before(sentAt) && now.Sub(ended) < confirmTime {
 		t.blame(now, i)
 		return true
 	}
@@ -173,6 +173,14 @@
 	return begun
 }
 
+// Idle reports whether no trait is blamed or in quarantine, so that the traits of requests make
+// no difference.
+func (t *Tracker) Idle() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.quarantines)+len(t.watched) == 0
+}
+
 // Refused returns until when requests with some traits are refused, if they are.
 func (t *Tracker) Refused(now time.Time, traits []fireflysaddle.Trait) (until time.Time, refused bool) {
 	t.mu.Lock()
--- a/internal/direct/saddleblame/tracker_test.go
+++ b/internal/direct/saddleblame/tracker_test.go
@@ -31,7 +31,7 @@
 			if endedFirst {
 				tracker.TargetEnded(start, "address")
 			}
-			tracker.Interrupted(start, "address", "target-1", traits("first", "fatal"))
+			tracker.Interrupted(start, start, "address", "target-1", traits("first", "fatal"))
 			if !endedFirst {
 				is.Equal(len(report(tracker, start).GetBlames()), 0)
 				tracker.TargetEnded(start.Add(time.Second), "address")
@@ -49,7 +49,7 @@
 func TestNothingIsBlamedWhileTheEngineAnswers(t *testing.T) {
 	is := is.New(t)
 	tracker := saddleblame.New()
-	tracker.Interrupted(start, "address", "target-1", traits("first"))
+	tracker.Interrupted(start, start, "address", "target-1", traits("first"))
 	tracker.TargetEnded(start.Add(time.Minute), "address")
 	is.Equal(len(report(tracker, start.Add(time.Minute)).GetBlames()), 0)
 }
@@ -60,7 +60,7 @@
 	tracker := saddleblame.New()
 	tracker.Answered(start, start, traits("first")) // not blamed at that time
 	tracker.TargetEnded(start, "address")
-	tracker.Interrupted(start, "address", "target-1", traits("first", "fatal"))
+	tracker.Interrupted(start, start, "address", "target-1", traits("first", "fatal"))
 	tracker.Update(start, &saddleview.View{Blamed: []string{"elsewhere"}})
 	is.Equal(len(report(tracker, start).GetHarmless()), 0)
 	tracker.Answered(start.Add(time.Second), start, traits("first")) // sent before it was blamed
--- a/internal/direct/saddlegateway/attemptindex.go
+++ b/internal/direct/saddlegateway/attemptindex.go
@@ -89,8 +89,8 @@
 // HandleEngineDown reroutes or aborts the silent attempts whose chains pass through an
 // engine that was found to be down. ended tells whether the engine has certainly ended.
 func (g *Gateway) HandleEngineDown(address string, ended bool) {
-	if ended && g.blames.TargetEnded(time.Now(), address) {
-		g.cfg.Log.Warn().Str("address", address).Msg("target ended; the traits of the requests that it was to answer are suspected")
+	if ended {
+		g.recordEnded(time.Now(), address)
 	}
 	for _, w := range g.attemptIndex.passingThrough(address) {
 		if w.silence() > g.stallSilence() {
--- a/internal/direct/saddlegateway/fixture_test.go
+++ b/internal/direct/saddlegateway/fixture_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,6 +37,9 @@
 	// the head does not know the request.
 	reroute func(request fireflysaddle.RequestID, chain []fireflysaddle.ChainPart) error
 
+	// ended reports whether a target accepts no connections. If it is nil, all do.
+	ended func(address string) bool
+
 	mu   sync.Mutex
 	sent []fireflysaddle.Forward
 	runs int // sends that a target started to run
@@ -68,6 +72,13 @@
 	return reply, err
 }
 
+func (s *fakeTargets) Dial(_ context.Context, address string) error {
+	if s.ended != nil && s.ended(address) {
+		return &fireflysaddle.NotSentError{Address: address, Err: syscall.ECONNREFUSED}
+	}
+	return nil
+}
+
 func (s *fakeTargets) Report(_ context.Context, address string) (fireflysaddle.EngineReport, error) {
 	if s.report == nil {
 		return fireflysaddle.EngineReport{}, nil
@@ -247,7 +258,7 @@
 	t.Helper()
 	r := &saddlerouting.Routing{
 		Version: 3,
-		Tenants: []*saddlerouting.Tenant{{Name: "small", Keys: []string{"key"}}},
+		Tenants: []*saddlerouting.Tenant{{Name: "small", Keys: []string{"key"}}, {Name: "large", Keys: []string{"key-2"}}},
 		Pools: map[fireflysaddle.Group]*saddlerouting.Pool{
 			"desk": {Group: "desk"},
 			"drafts": {Group: "drafts", Model: &saddlerouting.Model{
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -35,7 +35,7 @@
 	limits     atomic.Pointer[Limits]
 	shutdownAt atomic.Int64 // Unix nanoseconds at which the process will be killed; 0: no shutdown requested
 
-	mu            sync.Mutex    // guards stateChanged, retryBudgets and engineReports
+	mu            sync.Mutex    // guards stateChanged, retryBudgets, engineReports and endChecks
 	stateChanged  chan struct{} // closed and replaced when the state is set
 	retryBudgets  map[fireflysaddle.Group]*retryBudget
 	engineReports map[string]*cachedReport
@@ -44,11 +44,12 @@
 	slowCentres   slowCentreDetector
 	usualPause    pauseEstimator
 	blames        *saddleblame.Tracker
+	endChecks     map[string]time.Time // latest checks whether targets have ended, by address
 }
 
 // New returns a gateway without a configuration.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, stateChanged: make(chan struct{}), retryBudgets: map[fireflysaddle.Group]*retryBudget{}, engineReports: map[string]*cachedReport{}, blames: saddleblame.New()}
+	g := &Gateway{cfg: cfg, stateChanged: make(chan struct{}), retryBudgets: map[fireflysaddle.Group]*retryBudget{}, engineReports: map[string]*cachedReport{}, blames: saddleblame.New(), endChecks: map[string]time.Time{}}
 	g.state.Store(&State{})
 	g.SetLimits(cfg.Limits)
 	return g
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -26,25 +26,25 @@
 	startTime     time.Time
 	deadline      time.Time
 
-	retryPrepaid   atomic.Bool   // the next retry has already been deducted from the budget
-	sends          int           // sends so far
-	runs           int           // sends that may have run on a target
-	headerSent     bool          // Responder.Begin was called
-	eventsSent     int           // events sent to the caller
-	streamLifetime string        // start of the target at that address
-	attemptSentAt  time.Time     // time at which the most recent attempt at a stream was sent
-	attemptEvents  int           // events of the most recent attempt at a stream
-	lastEventID    string        // identifier of the last event that the caller received
-	firstByteAt    time.Time     // time of the first event or byte
-	lastEventAt    time.Time     // time of the last event sent to the caller
-	longestPause   time.Duration // longest pause between events
-	triedTargets   []fireflysaddle.TargetID
-	avoidUntil     map[string]time.Time // engine addresses to avoid, and until when
-	failedHeads    []string             // addresses of engines that failed this stream as heads
-	chainAddresses []string             // engine addresses of the most recent chain; empty for plain services
-	streamAddress  string               // address that the most recent attempt at a stream was sent to
-	framing        string               // framing of the most recent answer that ran; empty: none
-	partialBytes   int                  // bytes of that answer after its last complete event
+	retryPrepaid    atomic.Bool   // the next retry has already been deducted from the budget
+	sends           int           // sends so far
+	runs            int           // sends that may have run on a target
+	headerSent      bool          // Responder.Begin was called
+	eventsSent      int           // events sent to the caller
+	attemptAddress  string        // address that the most recent attempt was sent to
+	attemptLifetime string        // start of the target at that address
+	attemptSentAt   time.Time     // time at which the most recent attempt was sent
+	attemptEvents   int           // events of the most recent attempt at a stream
+	lastEventID     string        // identifier of the last event that the caller received
+	firstByteAt     time.Time     // time of the first event or byte
+	lastEventAt     time.Time     // time of the last event sent to the caller
+	longestPause    time.Duration // longest pause between events
+	triedTargets    []fireflysaddle.TargetID
+	avoidUntil      map[string]time.Time // engine addresses to avoid, and until when
+	failedHeads     []string             // addresses of engines that failed this stream as heads
+	chainAddresses  []string             // engine addresses of the most recent chain; empty for plain services
+	framing         string               // framing of the most recent answer that ran; empty: none
+	partialBytes    int                  // bytes of that answer after its last complete event
 
 	cachedFingerprint string // see fingerprint; empty: not computed yet
 }
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,6 +33,10 @@
 	reason := "no target is available"
 	j.cfg.Fleet.RecordDemand(time.Now(), j.pool.Group)
 	for {
+		if refusal := j.quarantineRefusal(time.Now()); refusal != nil {
+			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
+			return
+		}
 		target, release, ok := j.cfg.Fleet.Pick(time.Now(), j.pool.Group, j.triedTargets)
 		if !ok {
 			j.failCall(ctx, fireflysaddle.CodeNoTarget, reason, j.targetsRetryAfter(time.Now()))
@@ -75,12 +80,18 @@
 	f.Target = target.ID
 	f.Address = target.Address
 	f.FreshConn = !j.route.Retryable()
+	j.attemptAddress, j.attemptLifetime, j.attemptSentAt = target.Address, target.Lifetime(), now
 	ctx, cancel := context.WithTimeout(ctx, j.attemptTimeout(now))
 	defer cancel()
 	reply, err := j.cfg.Forwarder.Forward(ctx, f)
 	j.recordNotice(time.Now(), now, target, reply, err)
 	if err != nil {
-		return false, j.recordNoReply(target.Address, time.Since(now), err)
+		runs := j.runs
+		failure = j.recordNoReply(target.Address, time.Since(now), err)
+		if j.runs > runs && ctx.Err() == nil {
+			j.recordUnanswered()
+		}
+		return false, failure
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun {
@@ -92,9 +103,13 @@
 	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferedAnswerBytes))
 	if err != nil {
 		j.cfg.Fleet.RecordFault(time.Now(), target.Address, "answer truncated")
+		if ctx.Err() == nil {
+			j.recordUnanswered()
+		}
 		return false, "answer truncated: " + err.Error()
 	}
 	j.cfg.Fleet.MarkWorking(time.Now(), target.Address)
+	j.recordHarmless()
 	if j.shouldRetryStatus(reply.Status) {
 		return false, "target answered " + http.StatusText(reply.Status)
 	}
@@ -111,6 +126,9 @@
 		j.runs++
 	}
 	now := time.Now()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		j.recordEnded(now, address)
+	}
 	switch {
 	case errors.Is(err, context.Canceled):
 	case errors.Is(err, context.DeadlineExceeded) && elapsed < j.route.FirstByteObjective:
--- a/internal/direct/saddlegateway/quarantine_test.go
+++ b/internal/direct/saddlegateway/quarantine_test.go
@@ -29,6 +29,7 @@
 	c := call("/draft/")
 	c.PromptParts = parts
 	c.Header = http.Header{"Parts": {fmt.Sprint(parts)}}
+	c.Body = []byte(fmt.Sprint("prompt of ", parts)) // other prompts have other bodies
 	return c
 }
 
--- a/internal/direct/saddlegateway/relay.go
+++ b/internal/direct/saddlegateway/relay.go
@@ -80,8 +80,8 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	} else {
-		j.cfg.Fleet.RecordFault(time.Now(), j.streamAddress, err.Error())
-		j.failedHeads = append(j.failedHeads, j.streamAddress)
+		j.cfg.Fleet.RecordFault(time.Now(), j.attemptAddress, err.Error())
+		j.failedHeads = append(j.failedHeads, j.attemptAddress)
 		j.recordUnanswered()
 	}
 	return "stream interrupted: " + err.Error()
@@ -95,7 +95,7 @@
 			return true, ""
 		}
 	}
-	j.cfg.Fleet.MarkWorking(time.Now(), j.streamAddress)
+	j.cfg.Fleet.MarkWorking(time.Now(), j.attemptAddress)
 	j.recordHarmless()
 	countAnswered.Add(1)
 	j.recordEnd("answered", "", "")
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -110,7 +110,7 @@
 	f.Address = chain.Head.Address
 	f.Chain = chain.Parts
 	f.LastEventID = j.lastEventID
-	j.chainAddresses, j.streamAddress, j.streamLifetime, j.attemptEvents = chain.Addresses(), chain.Head.Address, chain.Head.Lifetime(), 0
+	j.chainAddresses, j.attemptAddress, j.attemptLifetime, j.attemptEvents = chain.Addresses(), chain.Head.Address, chain.Head.Lifetime(), 0
 	j.attemptSentAt = now
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -130,7 +130,7 @@
 		runs := j.runs
 		failure = j.recordNoReply(chain.Head.Address, time.Since(now), err)
 		if j.runs > runs && ctx.Err() == nil {
-			j.failedHeads = append(j.failedHeads, j.streamAddress)
+			j.failedHeads = append(j.failedHeads, j.attemptAddress)
 			j.recordUnanswered()
 		}
 		return false, failure
@@ -165,10 +165,10 @@
 // to the caller has begun or the call is to be retried.
 func (j *job) handleErrorStatus(reply *fireflysaddle.Reply) (ended bool, failure string) {
 	if reply.Status >= http.StatusInternalServerError {
-		j.cfg.Fleet.RecordFault(time.Now(), j.streamAddress, "answered "+strconv.Itoa(reply.Status))
+		j.cfg.Fleet.RecordFault(time.Now(), j.attemptAddress, "answered "+strconv.Itoa(reply.Status))
 	}
 	if j.headerSent || j.shouldRetryStatus(reply.Status) {
-		j.failedHeads = append(j.failedHeads, j.streamAddress)
+		j.failedHeads = append(j.failedHeads, j.attemptAddress)
 		return false, "target answered " + strconv.Itoa(reply.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferedAnswerBytes))
--- a/internal/direct/saddlehttpclient/client.go
+++ b/internal/direct/saddlehttpclient/client.go
@@ -116,6 +116,18 @@
 	return newConn(raw), nil
 }
 
+// Dial opens a connection to a target and closes it. An error is a
+// *fireflysaddle.NotSentError.
+func (c *Client) Dial(ctx context.Context, address string) error {
+	countDials.Add(1)
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return &fireflysaddle.NotSentError{Address: address, Err: err}
+	}
+	_ = raw.Close()
+	return nil
+}
+
 // send writes a request. If the body is larger than maxBufferedBody, the request is written
 // in the background while the caller reads the answer, because a target may answer before
 // it has read the whole body. The channel written yields the write's error, nil on success.
