Drop heartbeats that arrive after a later one of the same node

The table of members took each heartbeat of the same incarnation as the latest, so one of the old stream, handled late by a busy replica, put an older state back until the next heartbeat. A new leader with an older table was looked at too: four runs with the leader frozen right after the wait showed no node behind.

Change: heartbeats already carry the time of the sender's clock. It is read before the state now, and a replica drops a heartbeat that was sent before the latest one of the incarnation, with a counter.

--- a/internal/control/saddlecontrol/attend.go
+++ b/internal/control/saddlecontrol/attend.go
@@ -84,7 +84,7 @@
 		return eris.New("heartbeat without a node name")
 	}
 	s.cfg.Timeline.Observe(time.Now(), heartbeat.GetStamp())
-	return s.post(ctx, heartbeatEvent{member: member})
+	return s.post(ctx, heartbeatEvent{member: member, sentNs: heartbeat.GetSentNs()})
 }
 
 func (s *Server) sendUpdates(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, sub *subscriber) error {
--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -201,15 +201,19 @@
 }
 
 // recordHeartbeat updates the load grants and the member table, and wakes the subscribers
-// that are to hear of a change of the member.
-func (c *core) recordHeartbeat(now time.Time, m *saddlewire.Member) {
+// that are to hear of a change of the member. An outdated heartbeat changes nothing.
+func (c *core) recordHeartbeat(now time.Time, m *saddlewire.Member, sentNs int64) {
 	countHeartbeats.Add(1)
+	if c.members.outdated(m, sentNs) {
+		countOutdatedHeartbeats.Add(1)
+		return
+	}
 	c.loadGrants.RecordHeartbeat(now, m.GetNode(), m.GetNeedsLoad(), m.GetLoading())
 	c.registry.MarkHeard(now, m.GetLoad().GetHeard())
 	for _, change := range c.quarantines.Observe(now, m) {
 		c.logQuarantine(change, m.GetNode())
 	}
-	change := c.members.record(now, m)
+	change := c.members.record(now, m, sentNs)
 	if change == memberUnchanged {
 		return
 	}
--- a/internal/control/saddlecontrol/event.go
+++ b/internal/control/saddlecontrol/event.go
@@ -51,9 +51,10 @@
 // heartbeatEvent delivers a node's heartbeat.
 type heartbeatEvent struct {
 	member *saddlewire.Member
+	sentNs int64 // time of the sender's clock
 }
 
-func (e heartbeatEvent) handle(now time.Time, c *core) { c.recordHeartbeat(now, e.member) }
+func (e heartbeatEvent) handle(now time.Time, c *core) { c.recordHeartbeat(now, e.member, e.sentNs) }
 
 // subscribeEvent adds a subscriber; unsubscribeEvent removes it.
 type subscribeEvent struct {
--- a/internal/control/saddlecontrol/members.go
+++ b/internal/control/saddlecontrol/members.go
@@ -26,6 +26,7 @@
 type memberRecord struct {
 	member        *saddlewire.Member
 	lastHeartbeat time.Time
+	sentNs        int64  // time of its clock at which the member sent that heartbeat
 	version       uint64 // table version at the last change that must be sent to subscribers
 	reportVersion uint64 // table version at the last change of what the member reports of targets
 }
@@ -51,14 +52,21 @@
 	return &memberTable{members: map[string]*memberRecord{}, tombstones: map[string]tombstone{}, reports: newEntryReports()}
 }
 
-// record stores a heartbeat and returns what it changed. A heartbeat of an earlier
-// incarnation is dropped.
-func (t *memberTable) record(now time.Time, m *saddlewire.Member) memberChange {
+// outdated reports whether a heartbeat is of an earlier incarnation, or was sent before the
+// latest one. A node that dials anew has two streams for a while, whose heartbeats may arrive in
+// another order.
+func (t *memberTable) outdated(m *saddlewire.Member, sentNs int64) bool {
 	old, ok := t.members[m.GetNode()]
-	if ok && m.GetIncarnation() < old.member.GetIncarnation() {
-		return memberUnchanged
+	if !ok || m.GetIncarnation() > old.member.GetIncarnation() {
+		return false
 	}
-	rec := &memberRecord{member: m, lastHeartbeat: now}
+	return m.GetIncarnation() < old.member.GetIncarnation() || sentNs < old.sentNs
+}
+
+// record stores a heartbeat that is not outdated and returns what it changed.
+func (t *memberTable) record(now time.Time, m *saddlewire.Member, sentNs int64) memberChange {
+	old, ok := t.members[m.GetNode()]
+	rec := &memberRecord{member: m, lastHeartbeat: now, sentNs: sentNs}
 	if ok {
 		t.reports.remove(old.member)
 		rec.version, rec.reportVersion = old.version, old.reportVersion
--- a/internal/node/saddlesubscriber/subscriber.go
+++ b/internal/node/saddlesubscriber/subscriber.go
@@ -234,11 +234,12 @@
 	defer tick.Stop()
 	var sender saddleheartbeat.Sender
 	for {
+		sentAt := s.Now() // before the member is read: a heartbeat with a later time then has no older state
 		m := s.cfg.Member()
 		m.SinceNs = s.revisionSince.Load()
 		b := sender.Next(m)
 		b.Stamp = s.cfg.Timeline.Stamp(time.Now())
-		b.SentNs = s.Now().UnixNano()
+		b.SentNs = sentAt.UnixNano()
 		if err := stream.Send(b); err != nil {
 			return
 		}
