--- a/internal/direct/saddlegateway/awaitchain.go
+++ b/internal/direct/saddlegateway/awaitchain.go
@@ -84,11 +84,11 @@
 
 // refuseLimited returns a refusal if all engines that can begin the call limit their requests,
 // and more requests wait for them than this entry may send within the time for which the call
-// can wait.
+// can wait. A retry is not refused, because its caller may have part of the answer.
 func (j *job) refuseLimited(now time.Time) *Refusal {
 	rate, next, limited := j.cfg.Fleet.LimitedRate(now, j.pool)
 	j.waitQueue.setOldestFirst(limited)
-	if !limited {
+	if !limited || j.sends > 0 {
 		return nil
 	}
 	waiting := j.waitQueue.length() + 1
