Serve interrupted drafts before those that wait for a limit

Found by the test while retries were exempted from refusals: with all heads limited, a retry joined the queue behind drafts that had not begun, and ten interrupted drafts were broken off after 1.2 s without an event. Retries have their turn first now; without limits the newest request has its turn first as before, which a retry is when it joins.

TestInterruptedDraftsGoOnBeforeOthersBegin failed before (10 broken off).

--- a/internal/direct/saddlegateway/awaitchain.go
+++ b/internal/direct/saddlegateway/awaitchain.go
@@ -38,7 +38,7 @@
 	if refusal := j.refuseLimited(time.Now()); refusal != nil {
 		return saddlefleet.Chain{}, nil, refusal
 	}
-	waiter := j.waitQueue.join()
+	waiter := j.waitQueue.join(j.sends > 0)
 	defer waiter.leave()
 	for {
 		if wait := capacityWait - j.sinceLastEvent(); wait <= 0 || ctx.Err() != nil || !waiter.awaitTurn(ctx, wait) {
--- a/internal/direct/saddlegateway/limits_test.go
+++ b/internal/direct/saddlegateway/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,6 +57,35 @@
 	})
 }
 
+// Pattern: the same load, and one draft in ten is interrupted after it has begun.
+// Guards against interrupted drafts that wait behind drafts that have not begun.
+func TestInterruptedDraftsGoOnBeforeOthersBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, func(n int, _ fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+			r := okReply(eventStream(0, lastEventID))
+			if n%10 == 0 {
+				r = truncatedReply(eventStream(0, 4))
+			}
+			r.Limited, r.Limit = true, 5
+			return r, nil
+		})
+		var aborted atomic.Int64
+		var wg sync.WaitGroup
+		for range 1000 { // 20 seconds
+			wg.Go(func() {
+				if f.serve(call("/draft/")).aborted {
+					aborted.Add(1)
+				}
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		wg.Wait()
+		is.True(len(f.log.lines("attempt failed")) >= 15)
+		is.Equal(aborted.Load(), int64(0))
+	})
+}
+
 // Pattern: every target of a plain service limits its requests. Those beyond the limits are
 // refused at once, and their callers return when more are accepted.
 func TestRequestsBeyondTheLimitsOfAServiceAreRefusedAtOnce(t *testing.T) {
--- a/internal/direct/saddlegateway/waitqueue.go
+++ b/internal/direct/saddlegateway/waitqueue.go
@@ -14,7 +14,7 @@
 // waitQueue holds the requests that wait for a chain. It is served last in, first out:
 // the newest request can still be answered on time, whereas those that have waited long
 // will be late in any case. While engines limit their requests, the queue admits only as many
-// as will be served, and is served first in, first out.
+// as will be served, and is served first in, first out, with retries before the others.
 type waitQueue struct {
 	mu          sync.Mutex
 	waiters     []*waiter // in order of arrival
@@ -44,10 +44,11 @@
 // waiter is one queued request.
 type waiter struct {
 	queue *waitQueue
+	retry bool
 }
 
-func (q *waitQueue) join() *waiter {
-	w := &waiter{queue: q}
+func (q *waitQueue) join(retry bool) *waiter {
+	w := &waiter{queue: q, retry: retry}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.waiters = append(q.waiters, w)
@@ -64,11 +65,11 @@
 func (w *waiter) isNext() bool {
 	w.queue.mu.Lock()
 	defer w.queue.mu.Unlock()
-	next := len(w.queue.waiters) - 1
-	if w.queue.oldestFirst {
-		next = 0
+	if !w.queue.oldestFirst {
+		return w.queue.waiters[len(w.queue.waiters)-1] == w
 	}
-	return w.queue.waiters[next] == w
+	next := slices.IndexFunc(w.queue.waiters, func(other *waiter) bool { return other.retry })
+	return w.queue.waiters[max(0, next)] == w
 }
 
 // awaitTurn blocks until the request may check for a chain with capacity. It waits for
