--- a/internal/direct/saddlegateway/fatalrequest_test.go
+++ b/internal/direct/saddlegateway/fatalrequest_test.go
@@ -52,7 +52,7 @@
 		return nil, &fireflysaddle.NotSentError{Address: f.Address}
 	}
 	if string(f.Body) != "fatal" || f.Workspace != "small" {
-		return okReply("done"), nil
+		return okReply("data: done\n\n"), nil
 	}
 	d.reached++
 	d.ended[f.Address] = true
@@ -87,7 +87,7 @@
 // targets again when they are back.
 // Guards against an entry that sends a repeat on because others have seen the crashes.
 func TestRepeatsOfARequestThatEndsTargetsAreRefusedByAllEntries(t *testing.T) {
-	for _, path := range []string{"/file/", "/status/"} {
+	for _, path := range []string{"/file/", "/status/", "/feed/"} {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -108,7 +108,7 @@
 					is.Equal(got.refusal.Outcome, saddlegateway.OutcomeNotRun)
 					is.Equal(got.refusal.Code, fireflysaddle.CodeQuarantined)
 					for _, other := range []*saddlegateway.Call{identicalCall(path, "sound", "key"), identicalCall(path, "fatal", "key-2")} {
-						is.Equal(f.serve(other).body.String(), "done")
+						is.Equal(f.serve(other).body.String(), "data: done\n\n")
 					}
 				}
 			})
