Look for explanations of suspects only; names of traits and limits

What was left of the word part is called trait, and the limits of a target are no longer called entries.

--- a/ids.go
+++ b/ids.go
@@ -52,7 +52,7 @@
 type Layer uint32
 
 // Trait identifies something that requests have in common and that may end the targets that
-// run them: a PromptPart, or everything.
+// run them: a PromptPart, or the whole request.
 type Trait string
 
 // identicalPrefix begins the traits of IdenticalRequests. It does not occur in the identifiers
--- a/internal/control/saddlelimit/table.go
+++ b/internal/control/saddlelimit/table.go
@@ -37,7 +37,7 @@
 type target struct {
 	demand  uint64         // sum of the entries' demands
 	reports int            // number of entries that report it
-	entries map[uint64]int // number of entries to which the target stated a limit, by limit
+	limits  map[uint64]int // number of entries to which the target stated a limit, by limit
 }
 
 // New returns a table without entries.
@@ -52,13 +52,13 @@
 	for _, l := range m.GetLoad().GetLimits() {
 		s, ok := t.targets[keyOf(l)]
 		if !ok {
-			s = &target{entries: map[uint64]int{}}
+			s = &target{limits: map[uint64]int{}}
 			t.targets[keyOf(l)] = s
 		}
 		s.demand += l.GetDemand()
 		s.reports++
 		if l.GetLimit() > 0 {
-			s.entries[l.GetLimit()]++
+			s.limits[l.GetLimit()]++
 		}
 	}
 }
@@ -73,8 +73,8 @@
 		s := t.targets[keyOf(l)]
 		s.demand -= l.GetDemand()
 		s.reports--
-		if s.entries[l.GetLimit()]--; s.entries[l.GetLimit()] <= 0 {
-			delete(s.entries, l.GetLimit())
+		if s.limits[l.GetLimit()]--; s.limits[l.GetLimit()] <= 0 {
+			delete(s.limits, l.GetLimit())
 		}
 		if s.reports == 0 {
 			delete(t.targets, keyOf(l))
@@ -87,10 +87,10 @@
 func (t *Table) AddTo(u *saddlewire.Update, entry *saddlewire.Member) {
 	for _, key := range slices.SortedFunc(maps.Keys(t.targets), targetKey.compare) {
 		s := t.targets[key]
-		if len(s.entries) == 0 {
+		if len(s.limits) == 0 {
 			continue
 		}
-		limit := slices.Min(slices.Collect(maps.Keys(s.entries)))
+		limit := slices.Min(slices.Collect(maps.Keys(s.limits)))
 		even := evenShare * float64(limit)
 		share := 1 / float64(max(1, t.entries))
 		if total := float64(s.demand) + even; total > 0 {
--- a/internal/control/saddlequarantine/detector.go
+++ b/internal/control/saddlequarantine/detector.go
@@ -79,10 +79,10 @@
 
 func (d *Detector) expire(now time.Time) {
 	expired := func(_ string, at time.Time) bool { return now.Sub(at) > blameTTL }
-	for name, p := range d.traits {
-		maps.DeleteFunc(p.ended, expired)
-		maps.DeleteFunc(p.discounted, expired)
-		if len(p.ended)+len(p.discounted) == 0 {
+	for name, tr := range d.traits {
+		maps.DeleteFunc(tr.ended, expired)
+		maps.DeleteFunc(tr.discounted, expired)
+		if len(tr.ended)+len(tr.discounted) == 0 {
 			delete(d.traits, name)
 		}
 	}
@@ -91,30 +91,30 @@
 }
 
 func (d *Detector) blame(now time.Time, name, target string) {
-	p, ok := d.traits[name]
+	tr, ok := d.traits[name]
 	if !ok {
 		if len(d.traits) >= maxTraits {
 			return
 		}
-		p = &trait{ended: map[string]time.Time{}, discounted: map[string]time.Time{}}
-		d.traits[name] = p
+		tr = &trait{ended: map[string]time.Time{}, discounted: map[string]time.Time{}}
+		d.traits[name] = tr
 	}
-	if _, ok := p.discounted[target]; ok {
+	if _, ok := tr.discounted[target]; ok {
 		return
 	}
-	if _, ok := p.ended[target]; !ok {
-		p.ended[target] = now
+	if _, ok := tr.ended[target]; !ok {
+		tr.ended[target] = now
 	}
 }
 
 // clear records that a target has answered with a trait, and lifts the quarantines of this
 // trait alone. A quarantine of several traits then needs the others only.
 func (d *Detector) clear(now time.Time, name string) []Change {
-	if p, ok := d.traits[name]; ok {
-		for target := range p.ended {
-			p.discounted[target] = now
+	if tr, ok := d.traits[name]; ok {
+		for target := range tr.ended {
+			tr.discounted[target] = now
 		}
-		clear(p.ended)
+		clear(tr.ended)
 	}
 	var out []Change
 	for k, q := range d.quarantines {
@@ -152,13 +152,13 @@
 func (d *Detector) begin(now time.Time) []Change {
 	byTargets := map[string][]string{}
 	var suspects [][]string
-	for name, p := range d.traits {
+	for name, tr := range d.traits {
 		switch {
-		case d.explained(name, p):
-		case identical(name) && len(p.ended) >= minCrashes:
+		case tr.crashes(name) < minCrashes || d.explained(name, tr):
+		case identical(name):
 			suspects = append(suspects, []string{name})
-		case !identical(name) && crashes(p.ended) >= minCrashes:
-			targets := key(slices.Collect(maps.Keys(p.ended)))
+		default:
+			targets := key(slices.Collect(maps.Keys(tr.ended)))
 			byTargets[targets] = append(byTargets[targets], name)
 		}
 	}
@@ -179,11 +179,14 @@
 	return out
 }
 
-// crashes counts the times at which targets ended.
-func crashes(ended map[string]time.Time) int {
+// crashes counts the times at which targets ended under a trait.
+func (tr *trait) crashes(name string) int {
+	if identical(name) {
+		return len(tr.ended)
+	}
 	n := 0
 	var counted time.Time
-	for _, at := range slices.SortedFunc(maps.Values(ended), time.Time.Compare) {
+	for _, at := range slices.SortedFunc(maps.Values(tr.ended), time.Time.Compare) {
 		if n == 0 || at.Sub(counted) >= crashInterval {
 			n++
 			counted = at
@@ -197,12 +200,12 @@
 // the same targets ended under them, what they share with other requests need not be the cause.
 // They are explained by one another only, since a part of them that ends targets is put in
 // quarantine itself.
-func (d *Detector) explained(name string, p *trait) bool {
+func (d *Detector) explained(name string, tr *trait) bool {
 	for otherName, other := range d.traits {
-		if otherName == name || !subset(p.ended, other.ended) || (identical(name) && !identical(otherName)) {
-			continue
-		}
-		if len(other.ended) > len(p.ended) || (identical(otherName) && !identical(name)) {
+		switch {
+		case otherName == name || !subset(tr.ended, other.ended):
+		case identical(name) && !identical(otherName):
+		case len(other.ended) > len(tr.ended), identical(otherName) && !identical(name):
 			return true
 		}
 	}
@@ -247,8 +250,8 @@
 // AddTo adds the quarantines, and the traits of which entries are to report whether targets
 // answer with them, to an update for an entry.
 func (d *Detector) AddTo(u *saddlewire.Update) {
-	for name, p := range d.traits {
-		if len(p.ended) > 0 {
+	for name, tr := range d.traits {
+		if len(tr.ended) > 0 {
 			u.Blamed = append(u.Blamed, name)
 		}
 	}
--- a/internal/direct/saddleblame/tracker.go
+++ b/internal/direct/saddleblame/tracker.go
@@ -105,18 +105,18 @@
 		b = &blame{traits: map[fireflysaddle.Trait]struct{}{}, at: now}
 		t.blames[i.target] = b
 	}
-	for _, p := range i.traits {
+	for _, tr := range i.traits {
 		if len(b.traits) < maxTraitsPerTarget {
-			b.traits[p] = struct{}{}
-			t.watch(now, p)
-			delete(t.harmless, p)
+			b.traits[tr] = struct{}{}
+			t.watch(now, tr)
+			delete(t.harmless, tr)
 		}
 	}
 }
 
-func (t *Tracker) watch(now time.Time, p fireflysaddle.Trait) {
-	if _, ok := t.watched[p]; !ok {
-		t.watched[p] = now
+func (t *Tracker) watch(now time.Time, tr fireflysaddle.Trait) {
+	if _, ok := t.watched[tr]; !ok {
+		t.watched[tr] = now
 	}
 }
 
@@ -128,14 +128,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	cleared := false
-	for _, p := range traits {
-		if since, ok := t.watched[p]; !ok || !sentAt.After(since) {
+	for _, tr := range traits {
+		if since, ok := t.watched[tr]; !ok || !sentAt.After(since) {
 			continue
 		}
-		delete(t.watched, p)
-		t.harmless[p] = now
+		delete(t.watched, tr)
+		t.harmless[tr] = now
 		for _, b := range t.blames {
-			delete(b.traits, p)
+			delete(b.traits, tr)
 		}
 		cleared = true
 	}
@@ -150,17 +150,17 @@
 	t.expire(now)
 	before := t.watched
 	t.watched = make(map[fireflysaddle.Trait]time.Time, len(v.Blamed))
-	for _, p := range v.Blamed {
-		t.watch(now, fireflysaddle.Trait(p))
+	for _, tr := range v.Blamed {
+		t.watch(now, fireflysaddle.Trait(tr))
 	}
 	for _, b := range t.blames {
-		for p := range b.traits {
-			t.watch(now, p)
+		for tr := range b.traits {
+			t.watch(now, tr)
 		}
 	}
-	for p := range t.watched {
-		if since, ok := before[p]; ok {
-			t.watched[p] = since
+	for tr := range t.watched {
+		if since, ok := before[tr]; ok {
+			t.watched[tr] = since
 		}
 	}
 	var begun []*saddlewire.Quarantine
@@ -187,7 +187,7 @@
 	defer t.mu.Unlock()
 	for _, q := range t.quarantines {
 		end := time.UnixMilli(q.GetUntilMs())
-		missing := func(p string) bool { return !slices.Contains(traits, fireflysaddle.Trait(p)) }
+		missing := func(tr string) bool { return !slices.Contains(traits, fireflysaddle.Trait(tr)) }
 		if now.Before(end) && len(q.GetTraits()) > 0 && !slices.ContainsFunc(q.GetTraits(), missing) {
 			return end, true
 		}
@@ -211,8 +211,8 @@
 
 func sorted[V any](traits map[fireflysaddle.Trait]V) []string {
 	var out []string
-	for p := range traits {
-		out = append(out, string(p))
+	for tr := range traits {
+		out = append(out, string(tr))
 	}
 	slices.Sort(out)
 	return out
