Bound what interrupted requests cost control and entries

Found by reading the change: each request that an outage interrupts has a fingerprint of its own, so each crash added all of them to every update of every entry for ten minutes, and after 4,096 of them nothing new was blamed, a fatal request neither.

Change: entries are sent identical requests only if more than one target ended under them. When there are too many traits, the oldest identical ones under which one target ended are forgotten. Suspects are looked for only after a report that brings something new, and what has expired is removed once a second.

TestRequestsOfOneOutageAreNotSentToEntries and TestFatalRequestIsNoticedAmongManyInterruptedOnes failed before.

--- a/internal/control/saddlequarantine/detector.go
+++ b/internal/control/saddlequarantine/detector.go
@@ -22,8 +22,10 @@
 	quarantineTime = 10 * time.Minute
 	// blameTTL is how long the end of a target counts. Requests with a trait may be rare.
 	blameTTL = 10 * time.Minute
-	// maxTraits bounds the traits that are tracked. Further traits are ignored until blames
-	// have expired.
+	// expireInterval is the time between two removals of what has expired.
+	expireInterval = time.Second
+	// maxTraits bounds the traits that are tracked. If there are more, the oldest identical
+	// requests under which one target ended are forgotten.
 	maxTraits = 4096
 )
 
@@ -35,6 +37,7 @@
 	traits      map[string]*trait
 	quarantines map[string]*saddlewire.Quarantine // by key
 	lifted      map[string]time.Time              // keys of quarantines that were lifted, and when
+	expiredAt   time.Time                         // latest time at which what had expired was removed
 }
 
 // trait is what is known of a trait. The keys of its maps are targets.
@@ -62,9 +65,10 @@
 		return nil
 	}
 	d.expire(now)
+	changed := false
 	for _, b := range m.GetBlames() {
 		for _, name := range b.GetTraits() {
-			d.blame(now, name, b.GetTarget())
+			changed = d.blame(now, name, b.GetTarget()) || changed
 		}
 	}
 	var out []Change
@@ -74,10 +78,17 @@
 	for _, q := range m.GetQuarantines() {
 		d.adopt(now, q)
 	}
-	return append(out, d.begin(now)...)
+	if changed || len(m.GetHarmless()) > 0 {
+		out = append(out, d.begin(now)...)
+	}
+	return out
 }
 
 func (d *Detector) expire(now time.Time) {
+	if now.Sub(d.expiredAt) < expireInterval {
+		return
+	}
+	d.expiredAt = now
 	expired := func(_ string, at time.Time) bool { return now.Sub(at) > blameTTL }
 	for name, tr := range d.traits {
 		maps.DeleteFunc(tr.ended, expired)
@@ -90,21 +101,40 @@
 	maps.DeleteFunc(d.quarantines, func(_ string, q *saddlewire.Quarantine) bool { return q.GetUntilMs() <= now.UnixMilli() })
 }
 
-func (d *Detector) blame(now time.Time, name, target string) {
+// blame records that a target ended under a trait. It reports whether that was not known.
+func (d *Detector) blame(now time.Time, name, target string) bool {
 	tr, ok := d.traits[name]
 	if !ok {
-		if len(d.traits) >= maxTraits {
-			return
+		if len(d.traits) >= maxTraits && !d.forgetOldest() {
+			return false
 		}
 		tr = &trait{ended: map[string]time.Time{}, discounted: map[string]time.Time{}}
 		d.traits[name] = tr
 	}
-	if _, ok := tr.discounted[target]; ok {
-		return
+	_, discounted := tr.discounted[target]
+	if _, known := tr.ended[target]; known || discounted {
+		return false
 	}
-	if _, ok := tr.ended[target]; !ok {
-		tr.ended[target] = now
+	tr.ended[target] = now
+	return true
+}
+
+// forgetOldest forgets the oldest identical requests under which only one target ended, which
+// are mostly those of an outage. It reports whether there were such requests.
+func (d *Detector) forgetOldest() bool {
+	oldest, oldestAt := "", time.Time{}
+	for name, tr := range d.traits {
+		if !identical(name) || len(tr.ended) != 1 {
+			continue
+		}
+		for _, at := range tr.ended {
+			if oldest == "" || at.Before(oldestAt) {
+				oldest, oldestAt = name, at
+			}
+		}
 	}
+	delete(d.traits, oldest)
+	return oldest != ""
 }
 
 // clear records that a target has answered with a trait, and lifts the quarantines of this
@@ -248,10 +278,11 @@
 }
 
 // AddTo adds the quarantines, and the traits of which entries are to report whether targets
-// answer with them, to an update for an entry.
+// answer with them, to an update for an entry. Identical requests are added only if more than one
+// target ended under them: an outage interrupts many requests once.
 func (d *Detector) AddTo(u *saddlewire.Update) {
 	for name, tr := range d.traits {
-		if len(tr.ended) > 0 {
+		if len(tr.ended) > 1 || (len(tr.ended) == 1 && !identical(name)) {
 			u.Blamed = append(u.Blamed, name)
 		}
 	}
--- a/internal/control/saddlequarantine/identical_test.go
+++ b/internal/control/saddlequarantine/identical_test.go
@@ -53,3 +53,36 @@
 	d.Observe(start.Add(5*time.Second), blame("target-9", "shared", identical("other")))
 	is.Equal(quarantined(d), [][]string{{identical("fatal")}, {"shared"}})
 }
+
+// Pattern: an outage interrupts many requests at one target, each with a fingerprint of its own.
+// Guards against updates to all entries that grow with them: entries need not know of requests
+// under which one target ended.
+func TestRequestsOfOneOutageAreNotSentToEntries(t *testing.T) {
+	is := is.New(t)
+	d := saddlequarantine.New()
+	for i := range 100 {
+		d.Observe(start, blame("target-1", "shared", identical(fmt.Sprint(i))))
+	}
+	d.Observe(start, blame("target-2", identical("7")))
+	u := &saddlewire.Update{}
+	d.AddTo(u)
+	is.Equal(u.GetBlamed(), []string{identical("7"), "shared"})
+}
+
+// Pattern: outages interrupt thousands of requests within ten minutes.
+// Guards against a fatal request that is not noticed because too many others are remembered.
+func TestFatalRequestIsNoticedAmongManyInterruptedOnes(t *testing.T) {
+	is := is.New(t)
+	d := saddlequarantine.New()
+	for i := range 50 {
+		var interrupted []string
+		for j := range 100 {
+			interrupted = append(interrupted, identical(fmt.Sprint(i, "-", j)))
+		}
+		d.Observe(start.Add(time.Duration(i)*time.Second), blame(fmt.Sprint("lost-", i), interrupted...))
+	}
+	for i := range 3 {
+		d.Observe(start.Add(time.Minute+time.Duration(i)*time.Second), blame(fmt.Sprint("target-", i), identical("fatal")))
+	}
+	is.Equal(quarantined(d), [][]string{{identical("fatal")}})
+}
