--- a/internal/control/saddlecontrol/members.go
+++ b/internal/control/saddlecontrol/members.go
@@ -53,8 +53,8 @@
 }
 
 // outdated reports whether a heartbeat is of an earlier incarnation, or was sent before the
-// latest one. A node that dials anew has two streams for a while, whose heartbeats may arrive in
-// another order.
+// latest one. After a reconnection a node has two streams for a while, whose heartbeats may
+// arrive in another order.
 func (t *memberTable) outdated(m *saddlewire.Member, sentNs int64) bool {
 	old, ok := t.members[m.GetNode()]
 	if !ok || m.GetIncarnation() > old.member.GetIncarnation() {
--- a/internal/control/saddlecontrol/oldstream_test.go
+++ b/internal/control/saddlecontrol/oldstream_test.go
@@ -10,8 +10,8 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-// Pattern: a node has dialled anew, and a heartbeat of its old connection arrives after one of
-// the new connection, because the replica is busy.
+// Pattern: a node has reconnected, and a heartbeat of its old connection arrives after one of the
+// new connection, because the replica is busy.
 // Guards against a node being reported behind a revision that it has already reported.
 func TestLateHeartbeatOfAnOldStreamChangesNothing(t *testing.T) {
 	is := is.New(t)
--- a/internal/direct/saddlegateway/fatalrequest_test.go
+++ b/internal/direct/saddlegateway/fatalrequest_test.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// A target that breaks off an answer and goes on accepting connections has not been ended by
-// the request.
+// A target that breaks off an answer but still accepts connections has not been ended by the
+// request.
 func TestRequestWhoseTargetGoesOnIsNotBlamed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
