Review: one unreadable report keeps configurations from all entries

The second case: reports of another writer whose ID is not UTF-8. The ID is not checked, and no update with the registration can be encoded, so that entries get none from a control process that holds it.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,7 @@
 
 // cases are the cases by name. trouble tells whether the disruption takes place.
 var cases = map[string]func(c *cluster, trouble bool) error{
+	"foreignreport":      foreignReport,
 	"plannedreplacement": plannedReplacement,
 }
 
