Review: drafts are cut while their engine pauses, around SIGTERM

The third case: engines preempt the newest request for 1.7 s, while callers wait for 2 s. The entry ends an attempt after 1.4 s without an event, also if no other may follow.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]func(c *cluster, trouble bool) error{
 	"foreignreport":      foreignReport,
 	"plannedreplacement": plannedReplacement,
+	"silentrunner":       silentRunner,
 }
 
 func main() { os.Exit(runCase()) }
