Review: filings run at a server that only incomplete reports name

A case: a status report of another writer without version, slots, cold_remaining_ms and seq makes its address a runner of the service that it names, although such a report names no runner to use.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -32,6 +32,7 @@
 	"foreignreport":      foreignReport,
 	"plannedreplacement": plannedReplacement,
 	"silentrunner":       silentRunner,
+	"foreignrunner":      foreignRunner,
 	"lasttenant":         lastTenant,
 }
 
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -26,6 +26,7 @@
 	id, group, zone, address string
 	c                        *cluster
 	work                     time.Duration
+	fieldsMissing            bool                                                                      // reports without some of the fields that a report has
 	engine                   *engine                                                                   // nil for a plain service
 	handler                  func(t *target, w http.ResponseWriter, r *http.Request, body []byte) bool // answers a request itself, or returns false
 
@@ -99,10 +100,18 @@
 		if t.engine != nil {
 			t.addEngine(fields)
 		}
+		if t.fieldsMissing {
+			for _, name := range []string{"version", "slots", "cold_remaining_ms", "seq"} {
+				delete(fields, name)
+			}
+		}
 		body, _ := json.Marshal(fields)
 		address := controls[t.reporter%len(controls)]
 		t.mu.Unlock()
 		status, _, err := t.c.call(http.MethodPut, "http://"+address+"/instances/"+t.id, body)
+		if t.fieldsMissing {
+			t.c.rec.addf("report %s of %s to %s: %s", body, t.id, address, outcome(status, err))
+		}
 		if err == nil && status == http.StatusOK {
 			return true
 		}
