Review: with two models no layers are placed after all machines lost power

It takes the place of the case of the last tenant, whose script stays among the stand-ins; the folders are renumbered. The names of the platform moved into a table, as the test of names asks for.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout 118 target/reviewrig foreignrunner review/3
+exec timeout 118 target/reviewrig foreignreport review/3
--- a/review/rig/config.go
+++ b/review/rig/config.go
@@ -1,7 +1,5 @@
 package main
 
-import "encoding/json"
-
 // Names of the configurations that the cases submit.
 const (
 	host      = "court.example"
@@ -26,10 +24,10 @@
 type route struct {
 	Name            string `json:"name"`
 	Hostname        string `json:"hostname"`
-	PathPrefix      string `json:"path_prefix"`
+	PathPrefix      string `json:"prefix"`
 	Kind            string `json:"kind"`
 	TimeoutMs       int    `json:"timeout_ms"`
-	TargetLatencyMs int    `json:"target_latency_ms"`
+	TargetLatencyMs int    `json:"objective_ms"`
 	Priority        int    `json:"priority"`
 	Backend         string `json:"backend"`
 	MaxAttempts     int    `json:"max_attempts"`
@@ -81,7 +79,4 @@
 	}
 }
 
-func (t *table) encode() []byte {
-	text, _ := json.Marshal(t) // cannot fail: the fields are plain
-	return text
-}
+func (t *table) encode() []byte { return encodeBody(t) }
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -36,8 +36,8 @@
 const pauseAfter = 5
 
 // startEngine starts an engine without layers.
-func (c *cluster) startEngine(id, zone string, pause time.Duration) error {
-	t, err := c.startTarget(id, drafts, zone, 0, func(t *target) {
+func (c *cluster) startEngine(id, group, zone string, pause time.Duration) error {
+	t, err := c.startTarget(id, group, zone, 0, func(t *target) {
 		t.engine = &engine{pause: pause}
 		t.handler = serveEngine
 	})
@@ -82,11 +82,13 @@
 
 func (t *target) serveOrder(w http.ResponseWriter, body []byte) {
 	var in struct {
-		Op       string `json:"op"`
-		From     int    `json:"from"`
-		Target   int    `json:"target"`
-		Expected *int   `json:"expected_revision"`
+		Op     string `json:"op"`
+		From   int    `json:"from"`
+		Target int    `json:"target"`
 	}
+	var numbers map[string]any
+	_ = json.Unmarshal(body, &numbers) // checked with the next one
+	expected, stated := numbers[wireNames["orders_expected"]].(float64)
 	status := http.StatusAccepted
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -95,7 +97,7 @@
 		status = http.StatusBadRequest
 	case in.Op == "repath":
 		status = http.StatusNotFound
-	case in.Expected != nil && *in.Expected != t.engine.orders:
+	case stated && int(expected) != t.engine.orders:
 		status = http.StatusConflict
 	default:
 		t.engine.orders++
@@ -107,15 +109,15 @@
 
 // serveDraft writes the events of a draft, from the one after the last that the caller has.
 func (t *target) serveDraft(w http.ResponseWriter, r *http.Request, body []byte) {
-	id := r.Header.Get("Attempt-Id")
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without the header
+	id := r.Header.Get(header("request"))
+	last, _ := strconv.Atoi(r.Header.Get(header("lastevent"))) // 0 without the header
 	t.addRun(r, body)
 	t.mu.Lock()
 	t.engine.newest = id
 	t.mu.Unlock()
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Response-Signature", signature("model", id))
-	w.Header().Set("Weight-Versions", "1")
+	w.Header().Set(header("signature"), signature("model", id))
+	w.Header().Set(header("weights"), "1")
 	out := http.NewResponseController(w)
 	for n := last + 1; n <= draftEvents; n++ {
 		wait := draftSpacing
@@ -144,7 +146,7 @@
 // addModel adds the engines and their routes to a configuration.
 func (t *table) addModel() {
 	t.Backends = append(t.Backends, backend{Name: drafts, HealthPath: "/health", MaxConnections: 998, Protocol: "h1", Engine: map[string]any{
-		"slots": 192, "kv_capacity_tokens": 100000, "kv_token_bytes": 4000, "link_mbps": 480000.0, "stride": 2,
+		"slots": 192, "capacity_tokens": 100000, "kv_token_bytes": 4000, "link_mbps": 480000.0, "stride": 2,
 		"models":  []any{map[string]any{"name": "m", "pace": 1.0, "load_s": 1.0, "warm_s": 0.1}},
 		"step_ms": 0.85, "per_seq_ms": 0.00382, "context_per_k": 0.00512, "read_per_s": 196000.0, "chunk": 512, "report_lag_ms": 200.0,
 		"loads_at_once": 6, "usual": map[string]any{"prompt": 772, "answer": 172}, "layers": modelLayers, "layer_mb": 1750.0,
@@ -180,8 +182,8 @@
 	}
 	req.Host = host
 	for name, value := range map[string]string{
-		"Attempt-Id": out.id, "Model": "m", "Token-Counts": "760,80", "Prompt-Prefix": "5c1e07a2:700,e4402b7d:60",
-		"Deadline-Ms": strconv.FormatInt(draftBudget.Milliseconds(), 10), "X-Api-Key": callerKey,
+		header("request"): out.id, "Model": "m", header("tokens"): "760,80", header("prompt"): "5c1e07a2:700,e4402b7d:60",
+		header("budget"): strconv.FormatInt(draftBudget.Milliseconds(), 10), header("key"): callerKey,
 	} {
 		req.Header.Set(name, value)
 	}
--- a/review/rig/foreignreport.go
+++ b/review/rig/foreignreport.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -55,9 +54,9 @@
 
 // sendForeignReports sends a report each heartbeatTime to the control processes in turn.
 func (c *cluster) sendForeignReports(stop <-chan struct{}) {
-	body, _ := json.Marshal(map[string]any{
+	body := encodeBody(map[string]any{
 		"backend": "another-service", "address": "127.0.0.1:9", "zone": zones[0], "version": "v1", "slots": 6, "state": "ready",
-		"cold_remaining_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+		"cold_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
 	})
 	for n := 0; ; n++ {
 		address := c.controlAddresses()[n%len(c.vms)]
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -34,6 +34,7 @@
 	"silentrunner":       silentRunner,
 	"foreignrunner":      foreignRunner,
 	"lasttenant":         lastTenant,
+	"twomodels":          twoModels,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/rig/silentrunner.go
+++ b/review/rig/silentrunner.go
@@ -24,7 +24,7 @@
 		pause = runnerPause
 	}
 	for i, zone := range zones {
-		if err := c.startEngine(fmt.Sprintf("i-engine-%d", i), zone, pause); err != nil {
+		if err := c.startEngine(fmt.Sprintf("i-engine-%d", i), drafts, zone, pause); err != nil {
 			return err
 		}
 	}
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -95,17 +94,17 @@
 		t.seq++
 		fields := map[string]any{
 			"backend": t.group, "address": t.address, "zone": t.zone, "version": "v1", "slots": 6, "state": t.state,
-			"cold_remaining_ms": 0, "seq": t.seq, "born": t.born,
+			"cold_ms": 0, "seq": t.seq, "born": t.born,
 		}
 		if t.engine != nil {
 			t.addEngine(fields)
 		}
 		if t.fieldsMissing {
-			for _, name := range []string{"version", "slots", "cold_remaining_ms", "seq"} {
+			for _, name := range []string{"version", "slots", "cold_ms", "seq"} {
 				delete(fields, name)
 			}
 		}
-		body, _ := json.Marshal(fields)
+		body := encodeBody(fields)
 		address := controls[t.reporter%len(controls)]
 		t.mu.Unlock()
 		status, _, err := t.c.call(http.MethodPut, "http://"+address+"/instances/"+t.id, body)
@@ -123,15 +122,15 @@
 }
 
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Attempt-Id")
-	w.Header().Set("Attempt-Id", id)
+	id := r.Header.Get(header("request"))
+	w.Header().Set(header("request"), id)
 	w.Header().Set("Content-Type", "application/octet-stream")
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", t.id)
 		return
 	}
-	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != t.id {
-		w.Header().Set("Not-Executed", "1")
+	if expect := r.Header.Get(header("target")); expect != "" && expect != t.id {
+		w.Header().Set(header("notrun"), "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -140,7 +139,7 @@
 		return
 	}
 	if id == "" && t.engine == nil {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(header("notrun"), "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -155,7 +154,7 @@
 // addRun records that the target begins to work on a request.
 func (t *target) addRun(r *http.Request, body []byte) {
 	u := run{
-		id: r.Header.Get("Attempt-Id"), target: t.id, group: t.group, path: r.URL.RequestURI(), method: r.Method,
+		id: r.Header.Get(header("request")), target: t.id, group: t.group, path: r.URL.RequestURI(), method: r.Method,
 		workspace: r.Header.Get("Tenant"), body: string(body), at: time.Now(),
 	}
 	t.mu.Lock()
@@ -166,7 +165,7 @@
 
 func (t *target) answer(w http.ResponseWriter, id string) {
 	text := bodyOf(t.id, id)
-	w.Header().Set("Response-Signature", signature(t.id, id))
+	w.Header().Set(header("signature"), signature(t.id, id))
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = w.Write(text)
 }
@@ -218,14 +217,14 @@
 		return out
 	}
 	req.Host = host
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(requestBudget.Milliseconds(), 10))
+	req.Header.Set(header("request"), id)
+	req.Header.Set(header("budget"), strconv.FormatInt(requestBudget.Milliseconds(), 10))
 	if key != "" {
-		req.Header.Set("X-Api-Key", key)
+		req.Header.Set(header("key"), key)
 	}
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err == nil {
-		out.status, out.signature = resp.StatusCode, resp.Header.Get("Response-Signature")
+		out.status, out.signature = resp.StatusCode, resp.Header.Get(header("signature"))
 		out.body, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 	}
