--- a/review/rig/twomodels.go
+++ b/review/rig/twomodels.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -12,14 +13,19 @@
 )
 
 // twoModels adds a second model to the configuration, and then lets all machines lose
-// power, those of the engines too, which start again empty. It checks that drafts of the
-// first model are served again.
+// power, those of the engines too, which start again empty. It checks that requests are
+// served again.
 func twoModels(c *cluster, trouble bool) error {
 	for i, zone := range zones {
 		if err := c.startEngine(fmt.Sprintf("i-engine-%d", i), drafts, zone, 0); err != nil {
 			return err
 		}
 	}
+	for i, zone := range zones {
+		if _, err := c.startTarget(fmt.Sprintf("i-desk-%d", i), desk, zone, 20*time.Millisecond); err != nil {
+			return err
+		}
+	}
 	config := newTable(1, desk)
 	config.addModel()
 	if _, err := c.submit(1, config.encode()); err != nil {
@@ -39,9 +45,9 @@
 		}
 	}
 	time.Sleep(contactTime + configApplyTime)
-	before, sent := c.serveDrafts()
+	before, sent := c.serveMix()
 	if before < sent/4 {
-		return fmt.Errorf("%d of %d drafts were served before the final fault", before, sent)
+		return fmt.Errorf("%d of %d requests were served before the final fault", before, sent)
 	}
 	if trouble {
 		if err := c.losePower(); err != nil {
@@ -49,22 +55,27 @@
 		}
 	}
 	time.Sleep(recoverTime)
-	after, sent := c.serveDrafts()
+	after, sent := c.serveMix()
 	if after < sent/4 {
-		return brokenf("RECOVER: %d of %d drafts were served that were sent later than %v after all machines were back; %d before", after, sent, recoverTime, before)
+		return brokenf("RECOVER: %d of %d requests were served that were sent later than %v after all machines were back; %d before", after, sent, recoverTime, before)
 	}
 	return nil
 }
 
-// serveDrafts sends drafts of the first model one after the other to all entries in turn.
-func (c *cluster) serveDrafts() (served, sent int) {
-	for sent = range 8 {
-		if d := c.requestDraft(c.vms[sent%len(c.vms)], draftPath+fmt.Sprint(sent)); d.complete {
+// serveMix sends eight drafts of the first model, and one filing: drafts are 63 of the 72
+// requests a second of the site.
+func (c *cluster) serveMix() (served, sent int) {
+	for n := range 8 {
+		sent++
+		if d := c.requestDraft(c.vms[n%len(c.vms)], draftPath+fmt.Sprint(n)); d.complete {
 			served++
 		}
 	}
 	sent++
-	c.rec.addf("%d of %d drafts served", served, sent)
+	if r := c.request(c.vms[0], http.MethodPost, filePath+"claim", callerKey, []byte("form")); r.err == nil && r.status == http.StatusOK {
+		served++
+	}
+	c.rec.addf("%d of %d requests served", served, sent)
 	return served, sent
 }
 
