A planned replacement leaves the control group able to bear a loss

No read of the acknowledged configuration succeeds from then on, and all requests with a key are refused.

Cause: the group grows from three voters to four, which need three. The replaced voter has stopped on purpose, but counts until it has been silent for group.silent (2 s). The lost disk leaves two of four, so nobody can remove either of them.

Ruled out: the identity of the lost disk (held without a replacement) and a new replica that is behind.

Change: a process that stops asks the leader to remove its replica before it ends, if the group has more voters than desired; a surplus voter that is silent is removed after an election timeout. This works because the group has its odd number of voters again before the process is gone. A replica that the group needs keeps its vote, as it usually comes back.

--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -154,6 +154,8 @@
 			replacedID = c.replica.ReplicaToReplace(now, change.GetAdd(), change.GetAddress())
 		}
 		return c.replica.AddReplica(now, change.GetAdd(), change.GetAddress(), replacedID)
+	case change.GetRemove() != "" && change.GetSurplus():
+		return c.replica.RemoveSurplusReplica(now, change.GetRemove())
 	case change.GetRemove() != "":
 		return c.replica.RemoveReplica(now, change.GetRemove())
 	}
--- a/internal/control/saddlereplica/membership.go
+++ b/internal/control/saddlereplica/membership.go
@@ -115,6 +115,29 @@
 	return r.proposeMembership(now, r.membershipWithout(id)), nil
 }
 
+// RemoveSurplusReplica removes a replica that stops, if the group has more voters than
+// desired. If the replica is needed or is not a voter, nothing changes and the returned
+// index is 0.
+func (r *Replica) RemoveSurplusReplica(now time.Time, id string) (uint64, error) {
+	if err := r.checkMembershipChange(now); err != nil {
+		return 0, err
+	}
+	if !r.Surplus(id) {
+		return 0, nil
+	}
+	return r.proposeMembership(now, r.membershipWithout(id)), nil
+}
+
+// Surplus reports whether a replica is a voter that the group does not need, because it
+// has more voters than desired.
+func (r *Replica) Surplus(id string) bool {
+	return r.hasSurplusVoters() && r.isVoter(id)
+}
+
+func (r *Replica) hasSurplusVoters() bool {
+	return r.cfg.DesiredVoters > 0 && r.voterCount() > r.cfg.DesiredVoters
+}
+
 // checkMembershipChange returns an error unless this replica is the leader and may
 // propose a membership change. It allows one uncommitted change at a time, and none
 // before the leader committed an entry of its own term.
--- a/internal/control/saddlereplica/replacement.go
+++ b/internal/control/saddlereplica/replacement.go
@@ -21,18 +21,25 @@
 	if r.cfg.DesiredVoters == 0 || r.voterCount() < r.cfg.DesiredVoters {
 		return ""
 	}
-	return r.longestWithoutReply(now, func(p *saddlewire.Peer) bool { return p.GetVoter() })
+	return r.longestWithoutReply(now, r.cfg.ReplaceAfter, (*saddlewire.Peer).GetVoter)
 }
 
-// removeSurplus proposes the removal of one replica that has not replied for
-// ReplaceAfter. It considers all learners, and the voters only if the group has more
-// of them than desired. It reports whether it proposed a removal.
+// removeSurplus proposes the removal of one replica that does not reply: of a learner
+// after ReplaceAfter, and of a voter after an election timeout if the group has more
+// voters than desired. Such a group must not wait longer: an even number of voters bears
+// no more losses than one voter fewer, so the silent voter takes the place of a loss that
+// the group is to bear. It reports whether it proposed a removal.
 func (r *Replica) removeSurplus(now time.Time) bool {
 	if r.cfg.DesiredVoters == 0 {
 		return false
 	}
-	surplus := r.voterCount() > r.cfg.DesiredVoters
-	id := r.longestWithoutReply(now, func(p *saddlewire.Peer) bool { return surplus || !p.GetVoter() })
+	id := ""
+	if r.hasSurplusVoters() {
+		id = r.longestWithoutReply(now, min(r.cfg.ElectionTimeout, r.cfg.ReplaceAfter), (*saddlewire.Peer).GetVoter)
+	}
+	if id == "" {
+		id = r.longestWithoutReply(now, r.cfg.ReplaceAfter, func(p *saddlewire.Peer) bool { return !p.GetVoter() })
+	}
 	if id == "" {
 		return false
 	}
@@ -41,10 +48,10 @@
 }
 
 // longestWithoutReply returns the id of the eligible replica that has not replied
-// for the longest time, or an empty string if none exceeds ReplaceAfter. It never
+// for the longest time, or an empty string if none exceeds the limit. It never
 // returns this replica.
-func (r *Replica) longestWithoutReply(now time.Time, eligible func(*saddlewire.Peer) bool) string {
-	longest := r.cfg.ReplaceAfter
+func (r *Replica) longestWithoutReply(now time.Time, limit time.Duration, eligible func(*saddlewire.Peer) bool) string {
+	longest := limit
 	id := ""
 	for _, p := range r.Members() {
 		if p.GetId() == r.cfg.ID || !eligible(p) {
--- a/internal/control/saddlereplica/replacement_test.go
+++ b/internal/control/saddlereplica/replacement_test.go
@@ -187,3 +187,89 @@
 	g.runFor(time.Second)
 	is.True(slices.Contains(g.members(), "new"))
 }
+
+// awaitLeader advances the virtual time until a replica leads, and reports whether one
+// does within the limit.
+func (g *managedGroup) awaitLeader(limit time.Duration) bool {
+	for until := g.now.Add(limit); g.now.Before(until); {
+		if g.leader() != nil {
+			return true
+		}
+		g.runFor(100 * time.Millisecond)
+	}
+	return false
+}
+
+// Guards against a group that can never elect a leader again: a member is replaced as
+// planned, the new one first, and another member loses its disk soon after the replaced one
+// has stopped, while the group has still four voters.
+func TestPlannedReplacementBearsTheLossOfADisk(t *testing.T) {
+	for name, c := range map[string]struct {
+		leaderStops bool
+		announced   bool          // the stopping replica asks to be removed
+		pause       time.Duration // between the stop and the loss
+	}{
+		"a follower stops, announced":     {announced: true},
+		"the leader stops, announced":     {leaderStops: true, announced: true},
+		"a follower is killed":            {pause: time.Second},
+		"the leader is killed, then lost": {leaderStops: true, pause: 1900 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newManagedGroup()
+			g.runFor(5 * time.Second)
+			g.join(t, "elsewhere")
+			g.runFor(5 * time.Second)
+			is.Equal(len(g.members()), 4)
+
+			stopped := g.follower()
+			if c.leaderStops {
+				stopped = g.leader().LeaderID()
+			}
+			if c.announced {
+				_, err := g.leader().RemoveSurplusReplica(g.now, stopped)
+				is.NoErr(err)
+				g.runFor(50 * time.Millisecond)
+			}
+			g.down[stopped] = true
+			g.runFor(c.pause)
+
+			var lost string
+			for _, id := range threeIDs {
+				if id != stopped && g.replicas[id] != g.leader() {
+					lost = id
+				}
+			}
+			g.down[lost] = true
+			g.runFor(700 * time.Millisecond)
+			is.True(g.awaitLeader(5 * time.Second))
+			g.add("again", nil)
+			l := g.leader()
+			_, err := l.AddReplica(g.now, "again", lost, l.ReplicaToReplace(g.now, "again", lost))
+			is.NoErr(err)
+			g.runFor(2 * time.Second)
+			is.Equal(len(g.members()), 3)
+			is.True(!slices.Contains(g.members(), stopped) && !slices.Contains(g.members(), lost))
+		})
+	}
+}
+
+// A replica that stops keeps its vote unless the group has more voters than it needs.
+func TestStoppingReplicaThatIsNeededStays(t *testing.T) {
+	is := is.New(t)
+	g := newManagedGroup()
+	g.runFor(5 * time.Second)
+	index, err := g.leader().RemoveSurplusReplica(g.now, g.follower())
+	is.NoErr(err)
+	is.Equal(index, uint64(0))
+	g.join(t, "elsewhere")
+	g.runFor(time.Second)
+	first := g.follower()
+	_, err = g.leader().RemoveSurplusReplica(g.now, first)
+	is.NoErr(err)
+	g.runFor(100 * time.Millisecond)
+	index, err = g.leader().RemoveSurplusReplica(g.now, g.leader().LeaderID())
+	is.NoErr(err)
+	is.Equal(index, uint64(0)) // one surplus voter has left already
+	is.Equal(len(g.members()), 3)
+}
--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -27,6 +27,11 @@
 // delay does not help with a full or stalled disk.
 const reopenDelay = 300 * time.Millisecond
 
+// leaveTimeout bounds how long a process that stops waits until its group has removed its
+// surplus replica. It is longer than an election, and shorter than the time after which
+// processes that do not stop are killed.
+const leaveTimeout = 3 * time.Second
+
 // groupReplica is a control replica that manages its own membership of the group. Its
 // API and its placer keep running while the replica is reopened.
 type groupReplica struct {
@@ -52,6 +57,7 @@
 		go func() {
 			select {
 			case <-stop:
+				g.leave(runCtx)
 				cancel()
 			case <-runCtx.Done():
 			}
@@ -190,6 +196,19 @@
 	return s.Run(ctx)
 }
 
+// leave lets the open replica leave its group if the group does not need it.
+func (g *groupReplica) leave(ctx context.Context) {
+	s := g.server.Load()
+	if s == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := s.Leave(ctx); err != nil {
+		g.process.log.Warn().Err(err).Msg("surplus replica was not removed before the process stops; the leader removes it as silent")
+	}
+}
+
 // replica returns the open replica, or a nil interface value while none is open.
 func (g *groupReplica) replica() platform.Replica {
 	if s := g.server.Load(); s != nil {
