Log when the updates of a control replica begin and end, and why

A node that was cut off from control left no line that says so: dial errors, streams that a replica ended and heartbeats that could not be sent were dropped.

Each node now logs one line a change, with the cause: the error of the replica, of its own heartbeat, or the silence.

--- a/internal/agent/saddleagent/server.go
+++ b/internal/agent/saddleagent/server.go
@@ -75,6 +75,7 @@
 		Member:                s.member,
 		Timeline:              cfg.Timeline,
 		Network:               cfg.Network,
+		Log:                   cfg.Log,
 	}, nil)
 	s.stages, s.stopStages = saddlestage.New(saddlestage.Config{
 		Self:               cfg.Advertise,
--- a/internal/daemon/saddledaemon/controlsubscriber.go
+++ b/internal/daemon/saddledaemon/controlsubscriber.go
@@ -25,6 +25,7 @@
 		ControlSilenceTimeout: controlSilenceTimeout,
 		Timeline:              p.timeline,
 		Network:               p.network,
+		Log:                   p.log,
 		Member: p.withSettings(func() *saddlewire.Member {
 			view := s.View()
 			m := &saddlewire.Member{
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -102,6 +102,7 @@
 		ControlSilenceTimeout: settings.Attend.ControlSilenceTimeout.Std(),
 		Timeline:              p.timeline,
 		Network:               p.network,
+		Log:                   p.log,
 		Member:                p.withSettings(g.member),
 	}, g.updateView)
 	stopReloads := g.watchReloads(reloads)
--- a/internal/entry/saddleentry/server.go
+++ b/internal/entry/saddleentry/server.go
@@ -71,6 +71,7 @@
 		Member:                s.member,
 		Timeline:              cfg.Timeline,
 		Network:               cfg.Network,
+		Log:                   cfg.Log,
 	}, s.router.Prune)
 	var closeControl, closePool func() error
 	var cancelBackground context.CancelFunc
--- a/internal/node/saddlesubscriber/config.go
+++ b/internal/node/saddlesubscriber/config.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
@@ -18,4 +20,5 @@
 	Member   func() *saddlewire.Member
 	Timeline *saddletimeline.Ring
 	Network  fireflysaddle.Network // nil: TCP
+	Log      zerolog.Logger
 }
--- a/internal/node/saddlesubscriber/subscriber.go
+++ b/internal/node/saddlesubscriber/subscriber.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclock"
 	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
 	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleheartbeat"
@@ -180,8 +182,12 @@
 // maintainStream runs streams to one replica until the context is done, with a
 // pause before each new one.
 func (s *Subscriber) maintainStream(ctx context.Context, address string, wake <-chan struct{}) {
+	log := streamLog{log: s.cfg.Log.With().Str("control", address).Logger()}
 	for ctx.Err() == nil {
-		s.runStream(ctx, address, wake)
+		err := s.runStream(ctx, address, wake, log.connected)
+		if ctx.Err() == nil {
+			log.lost(err)
+		}
 		s.post(ctx, event{replica: address})
 		select {
 		case <-ctx.Done():
@@ -198,38 +204,40 @@
 }
 
 // runStream receives updates over one connection until the connection fails or no
-// update arrives within Config.ControlSilenceTimeout.
-func (s *Subscriber) runStream(ctx context.Context, address string, wake <-chan struct{}) {
+// update arrives within Config.ControlSilenceTimeout, and returns the cause. It calls
+// onUpdate for each update.
+func (s *Subscriber) runStream(ctx context.Context, address string, wake <-chan struct{}, onUpdate func()) error {
 	conn, err := saddlelink.DialWithNetwork(ctx, saddlelink.NetworkOrTCP(s.cfg.Network), address)
 	if err != nil {
-		return
+		return err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	silenceTimer := time.AfterFunc(s.cfg.ControlSilenceTimeout, func() {
-		cancel()
+		cancel(errSilent)
 		_ = conn.Close()
 	})
 	defer silenceTimer.Stop()
 	defer func() { _ = conn.Close() }()
 	stream, err := saddlewire.NewDRPCControlClient(conn).Attend(ctx)
 	if err != nil {
-		return
+		return err
 	}
-	go s.heartbeatLoop(ctx, cancel, stream, wake)
+	go func() { cancel(s.sendHeartbeats(ctx, stream, wake)) }()
 	for {
 		u, err := stream.Recv()
 		if err != nil {
-			return
+			return streamError(ctx, err)
 		}
 		silenceTimer.Reset(s.cfg.ControlSilenceTimeout)
 		s.cfg.Timeline.Observe(time.Now(), u.GetStamp())
+		onUpdate()
 		s.post(ctx, event{replica: address, update: u})
 	}
 }
 
-func (s *Subscriber) heartbeatLoop(ctx context.Context, cancel func(), stream saddlewire.DRPCControl_AttendClient, wake <-chan struct{}) {
-	defer cancel()
+// sendHeartbeats sends heartbeats until the context ends or one cannot be sent.
+func (s *Subscriber) sendHeartbeats(ctx context.Context, stream saddlewire.DRPCControl_AttendClient, wake <-chan struct{}) error {
 	tick := time.NewTicker(s.cfg.HeartbeatInterval)
 	defer tick.Stop()
 	var sender saddleheartbeat.Sender
@@ -241,11 +249,11 @@
 		b.Stamp = s.cfg.Timeline.Stamp(time.Now())
 		b.SentNs = sentAt.UnixNano()
 		if err := stream.Send(b); err != nil {
-			return
+			return eris.Wrap(err, "send a heartbeat")
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return ctx.Err()
 		case <-tick.C:
 		case <-wake:
 		}
--- a/internal/node/saddlesubscriber/subscriber_test.go
+++ b/internal/node/saddlesubscriber/subscriber_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
@@ -83,12 +84,18 @@
 }
 
 func startSubscriber(t *testing.T, controls ...string) *saddlesubscriber.Subscriber {
+	t.Helper()
+	return startSubscriberWithLog(t, zerolog.Nop(), controls...)
+}
+
+func startSubscriberWithLog(t *testing.T, log zerolog.Logger, controls ...string) *saddlesubscriber.Subscriber {
 	t.Helper()
 	s := saddlesubscriber.New(saddlesubscriber.Config{
 		Controls:              controls,
 		HeartbeatInterval:     10 * time.Millisecond,
 		ControlSilenceTimeout: time.Second,
 		Member:                func() *saddlewire.Member { return &saddlewire.Member{Node: "entry-1", Role: "entry"} },
+		Log:                   log,
 	}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
