One target identifier that is not text no longer keeps updates from all entries

Cause: the identifier comes from the path and was stored unchecked. The new line of the nodes names it: "string field contains invalid UTF-8", from the replica.

The same cause on a related path: the identifiers of prompt parts in a caller's header. An entry reports them when an engine ends under the request, and could then not encode its own heartbeats: it refused all requests with keys.

So nothing that cannot be sent is ever held, whichever adapter or process it comes from.

--- a/internal/control/saddlecontrol/register.go
+++ b/internal/control/saddlecontrol/register.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
@@ -66,8 +69,12 @@
 
 // Register stores the registration of a target without an agent. If the target is
 // leaving, Register returns only after a majority has committed the departure. From then
-// on the departure is sent to every node.
+// on the departure is sent to every node. A registration that cannot be encoded is refused
+// with a *fireflysaddle.RefusedError, because no update that contains it could be sent.
 func (s *Server) Register(ctx context.Context, reg *saddlewire.Registration) error {
+	if _, err := proto.Marshal(reg); err != nil {
+		return &fireflysaddle.RefusedError{Code: fireflysaddle.CodeInvalid, Message: "the registration cannot be encoded: " + err.Error()}
+	}
 	reply := make(chan registerReply, 1)
 	r, err := ask(ctx, s, registerEvent{registration: reg, reply: reply}, reply)
 	if err != nil || !reg.GetLeaving() || r.departed {
--- a/internal/control/saddlecontrol/server_test.go
+++ b/internal/control/saddlecontrol/server_test.go
@@ -40,6 +40,13 @@
 
 // run runs a group of one replica until the test ends or stop is called.
 func run(t *testing.T, cfg saddlecontrol.Config) (stop func()) {
+	t.Helper()
+	_, stop = runServer(t, cfg)
+	return stop
+}
+
+// runServer does as run, and also returns the replica.
+func runServer(t *testing.T, cfg saddlecontrol.Config) (server *saddlecontrol.Server, stop func()) {
 	t.Helper()
 	s, cleanup, err := saddlecontrol.New(time.Now(), cfg)
 	if err != nil {
@@ -63,7 +70,7 @@
 		}
 	}
 	t.Cleanup(stop)
-	return stop
+	return s, stop
 }
 
 func waitContext(t *testing.T) context.Context {
