Each model is placed by its own engines

Cause: a model that no engine holds is placed once its engines have been the same for 1.5 s, and there was one such set for all models. Each round compared the engines of one model with those of the other, found a change and began the wait again, every 100 ms.

Evidence: no orders in any round, and with one model the wait ends; a test with two models shows it without the power loss. A line now says when a model waits for its engines to settle.

Change: a set of engines for each model, so that only its own engines begin its wait again.

--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -69,8 +70,7 @@
 	term               uint64                               // term that this replica leads, else 0
 	registrationsSince time.Time                            // since when targets have been known; zero: none are
 	orders             map[fireflysaddle.TargetID]order     // pending orders
-	engines            map[fireflysaddle.TargetID]uint64    // incarnations, as of the last reconcile
-	enginesChangedAt   time.Time                            // last change of the set of engines
+	engineSets         map[fireflysaddle.Group]engineSet    // as of the last reconcile
 	ordersInTerm       uint64                               // orders sent in this term, for the fencing tokens
 	refusedUntil       map[fireflysaddle.TargetID]time.Time // end of the backoff of engines that refused an order
 	results            chan orderResult
@@ -100,7 +100,7 @@
 	return &Placer{
 		cfg:          cfg,
 		orders:       map[fireflysaddle.TargetID]order{},
-		engines:      map[fireflysaddle.TargetID]uint64{},
+		engineSets:   map[fireflysaddle.Group]engineSet{},
 		refusedUntil: map[fireflysaddle.TargetID]time.Time{},
 		results:      make(chan orderResult, 256),
 		probes:       newProbes(),
@@ -157,6 +157,7 @@
 	if routing == nil {
 		return
 	}
+	maps.DeleteFunc(p.engineSets, func(group fireflysaddle.Group, _ engineSet) bool { return routing.Pools[group] == nil })
 	p.silent.update(view, func(reg *saddlewire.Registration) bool { return p.leaving(view, reg) })
 	for _, pool := range routing.Pools {
 		if pool.Model != nil {
@@ -182,12 +183,12 @@
 		engines = append(engines, e)
 		regs[e.ID] = reg
 	}
-	p.trackEngines(now, regs)
+	p.trackEngines(now, pool.Group, regs, holding)
 	engines = append(engines, p.silentEngines(ctx, now, wg, pool, view)...)
 	if holding && now.Sub(p.registrationsSince) < viewWarmup {
 		return
 	}
-	if !holding && now.Sub(p.enginesChangedAt) < settleTime {
+	if !holding && now.Sub(p.engineSets[pool.Group].changedAt) < settleTime {
 		return
 	}
 	for id, layers := range saddleplan.Plan(pool.Model, engines) {
@@ -222,18 +223,14 @@
 	}
 }
 
-// trackEngines records when the set of engines last changed.
-func (p *Placer) trackEngines(now time.Time, regs map[fireflysaddle.TargetID]*saddlewire.Registration) {
-	unchanged := len(regs) == len(p.engines)
-	incarnations := make(map[fireflysaddle.TargetID]uint64, len(regs))
-	for id, reg := range regs {
-		incarnations[id] = reg.GetIncarnation()
-		unchanged = unchanged && p.engines[id] == reg.GetIncarnation()
-	}
-	if !unchanged {
-		p.engines = incarnations
-		p.enginesChangedAt = now
+// trackEngines records when the set of a pool's engines last changed.
+func (p *Placer) trackEngines(now time.Time, group fireflysaddle.Group, regs map[fireflysaddle.TargetID]*saddlewire.Registration, holding bool) {
+	next := p.engineSets[group].update(now, regs)
+	if !holding && next.changedAt.After(p.engineSets[group].changedAt) {
+		p.cfg.Log.Info().Str("group", string(group)).Int("engines", len(regs)).Dur("settle_time", settleTime).
+			Msg("engines of a model that no engine holds have changed: it is placed once they settle")
 	}
+	p.engineSets[group] = next
 }
 
 // heldLayers returns the ordered layers while an order to the engine is pending.
--- a/internal/place/saddleplacer/placer_test.go
+++ b/internal/place/saddleplacer/placer_test.go
@@ -39,12 +39,14 @@
 	unreachable     string // address of an engine that does not answer
 	state           saddlecontrol.EngineState
 	term            atomic.Uint64
+	models          []fireflysaddle.Group // in the configuration
 }
 
 func newEngines(count int) *engines {
 	e := &engines{
 		builder: saddleview.NewBuilder(), held: map[string]fireflysaddle.Holding{},
 		orders: map[string][]fireflysaddle.PlaceOrder{}, stepTimeFactors: map[string]float64{},
+		models: []fireflysaddle.Group{"drafts"},
 	}
 	for i := range count {
 		e.register(fmt.Sprintf("e%d", i), 1)
@@ -54,10 +56,14 @@
 }
 
 func (e *engines) register(id string, incarnation uint64) {
+	e.registerIn("drafts", id, incarnation)
+}
+
+func (e *engines) registerIn(group, id string, incarnation uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.builder.Update("control", &saddlewire.Update{Registrations: []*saddlewire.Registration{{
-		Id: id, Address: id, Group: "drafts", Centre: "a", Accelerator: "big", Incarnation: incarnation,
+		Id: id, Address: id, Group: group, Centre: "a", Accelerator: "big", Incarnation: incarnation,
 	}}})
 	e.view = e.builder.Build()
 }
@@ -107,12 +113,14 @@
 	p := saddleplacer.New(saddleplacer.Config{
 		Orders: e, View: e.View, Term: e.term.Load, Log: zerolog.Nop(),
 		Routing: func() *saddlerouting.Routing {
-			return &saddlerouting.Routing{Version: 1, Pools: map[fireflysaddle.Group]*saddlerouting.Pool{"drafts": {
-				Group: "drafts", Model: &saddlerouting.Model{
+			routing := &saddlerouting.Routing{Version: 1, Pools: map[fireflysaddle.Group]*saddlerouting.Pool{}}
+			for _, group := range e.models {
+				routing.Pools[group] = &saddlerouting.Pool{Group: group, Model: &saddlerouting.Model{
 					Layers: 4, LayerMB: 10, TokenBytes: 400, LoadTime: 10 * time.Millisecond, Step: time.Millisecond, PrefillTokensPerSecond: 1e6,
 					Accelerators: map[fireflysaddle.Accelerator]saddlerouting.Accelerator{"big": {MemoryMB: 40, StepTimeFactor: 1, PrefillFactor: 1}},
-				},
-			}}}
+				}}
+			}
+			return routing
 		},
 		OnLayers: func(_ context.Context, reg *saddlewire.Registration) {
 			e.update(&saddlewire.Update{Registrations: []*saddlewire.Registration{reg}})
@@ -135,10 +143,15 @@
 	})
 }
 
-// covered reports whether the registered engines hold every layer.
-func (e *engines) covered() bool {
+// covered reports whether the registered engines of drafts hold every layer.
+func (e *engines) covered() bool { return e.modelCovered("drafts") }
+
+func (e *engines) modelCovered(group string) bool {
 	var held [4]bool
 	for _, reg := range e.View().Registrations {
+		if reg.GetGroup() != group {
+			continue
+		}
 		for _, l := range reg.GetLayers() {
 			for i := l.GetFrom(); i < l.GetTo(); i++ {
 				held[i] = true
