Load of one model takes no capacity of another

What callers would see: with two models, requests for one are refused for lack of capacity while its engines are idle, as soon as the other is loaded.

Cause: entries and the leader report tokens by data centre, and nothing said for which model. An entry took the sum as load of whichever engines it chose from.

Change: reservations, reports and sums are kept by group and data centre. This works because engines belong to one group, so a section's tokens occupy only its engines. On the wire, the message has one field more; load from an earlier build counts for no model while an upgrade lasts.

Tests that set loads now name the group of the engines; nothing else in them changes.

--- a/internal/control/saddlecontrol/entryreports.go
+++ b/internal/control/saddlecontrol/entryreports.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlelimit"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
@@ -11,21 +12,21 @@
 // entryReports sums what the entries report in their heartbeats. Entries receive the sums,
 // whose size does not grow with the number of entries, in place of every entry's report.
 type entryReports struct {
-	drafts   map[string]uint64            // tokens that the drafts of all entries reserve, by data centre
-	suspects map[string]uint32            // entries that suspect a target, by target
-	failing  map[string]map[string]uint32 // entries that list an engine as failing, by data centre of the entry and target
+	drafts   map[fireflysaddle.Section]uint64 // tokens that the drafts of all entries reserve
+	suspects map[string]uint32                // entries that suspect a target, by target
+	failing  map[string]map[string]uint32     // entries that list an engine as failing, by data centre of the entry and target
 	limits   *saddlelimit.Table
 }
 
 func newEntryReports() entryReports {
-	return entryReports{drafts: map[string]uint64{}, suspects: map[string]uint32{}, failing: map[string]map[string]uint32{}, limits: saddlelimit.New()}
+	return entryReports{drafts: map[fireflysaddle.Section]uint64{}, suspects: map[string]uint32{}, failing: map[string]map[string]uint32{}, limits: saddlelimit.New()}
 }
 
 // add adds the reports of a member.
 func (r *entryReports) add(m *saddlewire.Member) {
 	r.limits.Add(m)
 	for _, d := range m.GetLoad().GetDrafts() {
-		r.drafts[d.GetCentre()] += d.GetTokens()
+		r.drafts[sectionOf(d)] += d.GetTokens()
 	}
 	for _, id := range m.GetSuspects() {
 		r.suspects[id]++
@@ -38,11 +39,15 @@
 	}
 }
 
+func sectionOf(load *saddlewire.SectionLoad) fireflysaddle.Section {
+	return fireflysaddle.Section{Group: fireflysaddle.Group(load.GetGroup()), Centre: fireflysaddle.DataCentre(load.GetCentre())}
+}
+
 // remove removes the reports of a member that were added before.
 func (r *entryReports) remove(m *saddlewire.Member) {
 	r.limits.Remove(m)
 	for _, d := range m.GetLoad().GetDrafts() {
-		r.drafts[d.GetCentre()] -= d.GetTokens()
+		r.drafts[sectionOf(d)] -= d.GetTokens()
 	}
 	for _, id := range m.GetSuspects() {
 		decrement(r.suspects, id)
@@ -62,13 +67,13 @@
 // addTo adds the sums of all entries but one, and that one's shares of limits, to an update
 // for that one.
 func (r *entryReports) addTo(u *saddlewire.Update, entry *saddlewire.Member) {
-	own := map[string]uint64{}
+	own := map[fireflysaddle.Section]uint64{}
 	for _, d := range entry.GetLoad().GetDrafts() {
-		own[d.GetCentre()] += d.GetTokens()
+		own[sectionOf(d)] += d.GetTokens()
 	}
-	for _, centre := range slices.Sorted(maps.Keys(r.drafts)) {
-		if tokens := r.drafts[centre] - own[centre]; tokens > 0 {
-			u.PeerDrafts = append(u.PeerDrafts, &saddlewire.CentreLoad{Centre: centre, Tokens: tokens})
+	for _, section := range slices.SortedFunc(maps.Keys(r.drafts), fireflysaddle.Section.Compare) {
+		if tokens := r.drafts[section] - own[section]; tokens > 0 {
+			u.PeerDrafts = append(u.PeerDrafts, &saddlewire.SectionLoad{Group: string(section.Group), Centre: string(section.Centre), Tokens: tokens})
 		}
 	}
 	u.Suspects = countsWithout(r.suspects, entry.GetSuspects())
--- a/internal/control/saddlecontrol/heartbeat_test.go
+++ b/internal/control/saddlecontrol/heartbeat_test.go
@@ -60,7 +60,7 @@
 func entryBeat(i int, tokens uint64) *saddlewire.Beat {
 	m := &saddlewire.Member{Node: fmt.Sprintf("front-soweto-d-%d", i), Role: "entry", Incarnation: 1, Load: &saddlewire.Load{}}
 	for _, centre := range []string{"joburg-a", "pretoria-b", "midrand-c", "soweto-d", "tembisa-e"} {
-		m.Load.Drafts = append(m.Load.Drafts, &saddlewire.CentreLoad{Centre: centre, Tokens: tokens})
+		m.Load.Drafts = append(m.Load.Drafts, &saddlewire.SectionLoad{Group: "drafting-models", Centre: centre, Tokens: tokens})
 	}
 	return &saddlewire.Beat{Member: m}
 }
--- a/internal/control/saddlecontrol/register.go
+++ b/internal/control/saddlecontrol/register.go
@@ -36,8 +36,8 @@
 
 // EngineState is what the leader learned about the engines by probing them.
 type EngineState struct {
-	StepTimeFactors []*saddlewire.Pace       // step time factors of slow engines
-	OccupiedTokens  []*saddlewire.CentreLoad // occupied tokens of the engines of each data centre
+	StepTimeFactors []*saddlewire.Pace        // step time factors of slow engines
+	OccupiedTokens  []*saddlewire.SectionLoad // occupied tokens of the engines
 }
 
 // engineStateEvent delivers the result of probing the engines.
--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -129,7 +129,7 @@
 		tokenLayers := float64(sign*r.tokens) * float64(p.to-p.from)
 		p.target.inFlight += sign
 		p.target.reservedTokenLayers += tokenLayers
-		f.ownTokens[p.target.Centre] += tokenLayers / float64(r.model.Layers)
+		f.ownTokens[p.target.section] += tokenLayers / float64(r.model.Layers)
 	}
 }
 
--- a/internal/direct/saddlefleet/chain_test.go
+++ b/internal/direct/saddlefleet/chain_test.go
@@ -47,9 +47,9 @@
 // request.
 func TestCapacityIsSharedWithOtherEntries(t *testing.T) {
 	for name, u := range map[string]*saddlewire.Update{
-		"by load that another entry reports": {PeerDrafts: []*saddlewire.CentreLoad{{Centre: "a", Tokens: 8}}},
-		"by occupancy that engines report":   {Leads: true, Occupied: []*saddlewire.CentreLoad{{Centre: "a", Tokens: 8}}},
-		"not by load in another data centre": {PeerDrafts: []*saddlewire.CentreLoad{{Centre: "b", Tokens: 8}}},
+		"by load that another entry reports": {PeerDrafts: []*saddlewire.SectionLoad{{Group: "drafts", Centre: "a", Tokens: 8}}},
+		"by occupancy that engines report":   {Leads: true, Occupied: []*saddlewire.SectionLoad{{Group: "drafts", Centre: "a", Tokens: 8}}},
+		"not by load in another data centre": {PeerDrafts: []*saddlewire.SectionLoad{{Group: "drafts", Centre: "b", Tokens: 8}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -80,7 +80,7 @@
 func TestEntriesThatChooseAlikeDoNotOverfillTheFastEngine(t *testing.T) {
 	is := is.New(t)
 	p, f := fastAndSlow()
-	f.update(&saddlewire.Update{PeerDrafts: []*saddlewire.CentreLoad{{Centre: "a", Tokens: 120_000}}})
+	f.update(&saddlewire.Update{PeerDrafts: []*saddlewire.SectionLoad{{Group: "drafts", Centre: "a", Tokens: 120_000}}})
 	heads := map[fireflysaddle.TargetID]int{}
 	for range 10 {
 		c, _, _, ok := f.fleet.PickChain(start, p, 1000, nil)
@@ -238,7 +238,7 @@
 		done()
 		done() // a second call has no effect
 	}
-	is.Equal(fmt.Sprint(f.fleet.CentreLoads()), "[]")
+	is.Equal(fmt.Sprint(f.fleet.SectionLoads()), "[]")
 }
 
 // Pattern: an engine has just loaded layers, and its registration says so before its report
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -26,9 +27,9 @@
 	groups          map[fireflysaddle.Group][]*target                              // targets that accept new requests, sorted by ID
 	byCentre        map[fireflysaddle.Group]map[fireflysaddle.DataCentre][]*target // those in groups, by data centre
 	byAddress       map[string]*target                                             // targets that accept new requests, by address
-	peerTokens      map[fireflysaddle.DataCentre]float64                           // tokens reserved by requests of the other entries
-	reportedTokens  map[fireflysaddle.DataCentre]float64                           // tokens in the KV caches, as reported by the engines
-	ownTokens       map[fireflysaddle.DataCentre]float64                           // tokens reserved by requests of this entry, times the fraction of the layers that run in the data centre
+	peerTokens      map[fireflysaddle.Section]float64                              // tokens reserved by requests of the other entries
+	reportedTokens  map[fireflysaddle.Section]float64                              // tokens in the KV caches, as reported by the engines
+	ownTokens       map[fireflysaddle.Section]float64                              // tokens reserved by requests of this entry, times the fraction of the layers that run in the section
 	entryCount      int                                                            // entries that share the engines, including this one
 	peerEntryCounts map[fireflysaddle.DataCentre]int                               // number of the other entries in each data centre
 	rotation        int                                                            // offset at which Pick starts, to alternate between equal targets
@@ -45,7 +46,7 @@
 func New(node string, centre fireflysaddle.DataCentre, log zerolog.Logger, onDown func(address string, ended bool)) *Fleet {
 	return &Fleet{
 		node: node, centre: centre, log: log, entryCount: 1, onDown: onDown, probeRequests: make(chan struct{}, 1),
-		ownTokens: map[fireflysaddle.DataCentre]float64{}, leavers: map[fireflysaddle.TargetID]uint64{},
+		ownTokens: map[fireflysaddle.Section]float64{}, leavers: map[fireflysaddle.TargetID]uint64{},
 	}
 }
 
@@ -68,14 +69,14 @@
 		t.failingForPeers = int(v.Failing[string(id)])
 	}
 	f.updateLimits(now, v.Limits)
-	f.reportedTokens = tokensByCentre(v.OccupiedTokens)
-	f.peerTokens = tokensByCentre(v.PeerDrafts)
+	f.reportedTokens = tokensBySection(v.OccupiedTokens)
+	f.peerTokens = tokensBySection(v.PeerDrafts)
 }
 
-func tokensByCentre(tokens map[string]uint64) map[fireflysaddle.DataCentre]float64 {
-	out := make(map[fireflysaddle.DataCentre]float64, len(tokens))
-	for centre, n := range tokens {
-		out[fireflysaddle.DataCentre(centre)] = float64(n)
+func tokensBySection(tokens map[fireflysaddle.Section]uint64) map[fireflysaddle.Section]float64 {
+	out := make(map[fireflysaddle.Section]float64, len(tokens))
+	for section, n := range tokens {
+		out[section] = float64(n)
 	}
 	return out
 }
@@ -131,6 +132,7 @@
 				ID: id, Address: reg.GetAddress(), Centre: fireflysaddle.DataCentre(reg.GetCentre()),
 				incarnation: reg.GetIncarnation(),
 			},
+			section: fireflysaddle.Section{Group: fireflysaddle.Group(reg.GetGroup()), Centre: fireflysaddle.DataCentre(reg.GetCentre())},
 		}
 	}
 	if !sameLayers(t.reg, reg) {
@@ -170,18 +172,17 @@
 	return f.entryCount
 }
 
-// CentreLoads returns the tokens that this entry's streaming requests reserve in each
-// data centre.
-func (f *Fleet) CentreLoads() []*saddlewire.CentreLoad {
+// SectionLoads returns the tokens that this entry's streaming requests reserve at the engines
+// of each group in each data centre.
+func (f *Fleet) SectionLoads() []*saddlewire.SectionLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []*saddlewire.CentreLoad
-	for centre, tokens := range f.ownTokens {
-		if tokens >= 1 {
-			out = append(out, &saddlewire.CentreLoad{Centre: string(centre), Tokens: uint64(tokens)})
+	var out []*saddlewire.SectionLoad
+	for _, section := range slices.SortedFunc(maps.Keys(f.ownTokens), fireflysaddle.Section.Compare) {
+		if tokens := f.ownTokens[section]; tokens >= 1 {
+			out = append(out, &saddlewire.SectionLoad{Group: string(section.Group), Centre: string(section.Centre), Tokens: uint64(tokens)})
 		}
 	}
-	slices.SortFunc(out, func(a, b *saddlewire.CentreLoad) int { return cmp.Compare(a.GetCentre(), b.GetCentre()) })
 	return out
 }
 
--- a/internal/direct/saddlefleet/load.go
+++ b/internal/direct/saddlefleet/load.go
@@ -82,31 +82,33 @@
 // the engines report, which include requests of entries that have stopped. The other
 // entries are assumed to distribute their requests over the engines as this entry does.
 // For this estimate, layersPerToken is the mean number of layers that the engine runs for
-// each token reserved in its data centre.
+// each token reserved at its group in its data centre.
 // weight is the engine's value from expectedLayers.
 func (f *Fleet) load(model *saddlerouting.Model, t *target, weight float64, tokens int) (load float64, maxLayers int) {
 	held := 0
 	t.eachLayer(model.Layers, func(int) { held++ })
 	unreported := unreportedRequests * float64(f.peerEntryCounts[t.Centre]*(model.MeanPromptTokens+model.MeanAnswerTokens))
 	usableTokenLayers := max(0, t.capacity(model)*usableCapacityFraction-unreported) * float64(held)
-	layersPerToken := (t.reservedTokenLayers + priorTokens*weight) / (f.ownTokens[t.Centre] + priorTokens)
-	occupiedTokenLayers := max(t.reservedTokenLayers+f.peerTokens[t.Centre]*layersPerToken, f.reportedTokens[t.Centre]*layersPerToken)
+	layersPerToken := (t.reservedTokenLayers + priorTokens*weight) / (f.ownTokens[t.section] + priorTokens)
+	occupiedTokenLayers := max(t.reservedTokenLayers+f.peerTokens[t.section]*layersPerToken, f.reportedTokens[t.section]*layersPerToken)
 	if usableTokenLayers <= occupiedTokenLayers {
 		return 1, 0
 	}
-	estimatedTokenLayers := max(occupiedTokenLayers, t.reservedTokenLayers+f.minPeerTokens(t.Centre)*layersPerToken)
+	estimatedTokenLayers := max(occupiedTokenLayers, t.reservedTokenLayers+f.minPeerTokens(t.section)*layersPerToken)
 	return estimatedTokenLayers / usableTokenLayers, min(held, int((usableTokenLayers-occupiedTokenLayers)/float64(max(1, tokens))))
 }
 
 // minPeerTokens returns a lower bound on the estimate of the tokens that the other
-// entries of a data centre have reserved there: minPeerShare of this entry's tokens for
-// each of them. Reports lag behind after a start and while load rises. The bound
-// influences which engine is preferred, but never the capacity, so no request is refused
-// because of it.
-func (f *Fleet) minPeerTokens(centre fireflysaddle.DataCentre) float64 {
+// entries of a data centre have reserved in a section there: minPeerShare of this entry's
+// tokens at the group for each of them. Reports lag behind after a start and while load
+// rises. The bound influences which engine is preferred, but never the capacity, so no
+// request is refused because of it.
+func (f *Fleet) minPeerTokens(section fireflysaddle.Section) float64 {
 	own := 0.0
-	for _, tokens := range f.ownTokens {
-		own += tokens
+	for s, tokens := range f.ownTokens {
+		if s.Group == section.Group {
+			own += tokens
+		}
 	}
-	return minPeerShare * own * float64(f.peerEntryCounts[centre])
+	return minPeerShare * own * float64(f.peerEntryCounts[section.Centre])
 }
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -25,6 +25,7 @@
 // target is the state of one incarnation of a target.
 type target struct {
 	Target
+	section         fireflysaddle.Section // to which its reservations count
 	reg             *saddlewire.Registration
 	layersChangedAt time.Time // arrival of the registration with its present layers
 	stepTimeFactor  float64   // step time relative to other engines with its type of accelerator, at least 1
--- a/internal/direct/saddlegateway/reroute_test.go
+++ b/internal/direct/saddlegateway/reroute_test.go
@@ -85,7 +85,7 @@
 	is.True(chain[1].Address != sent[0].Chain[1].Address)
 	is.Equal(chain[1].From, 2)
 	is.Equal(chain[1].To, layers)
-	is.Equal(fmt.Sprint(f.fleet.CentreLoads()), "[]") // all reservations are released
+	is.Equal(fmt.Sprint(f.fleet.SectionLoads()), "[]") // all reservations are released
 }
 
 // If the head refuses to reroute the stream, a further attempt continues it.
@@ -97,7 +97,7 @@
 	sent := f.fakeTargets.forwarded()
 	is.Equal(len(sent), 2)
 	is.Equal(sent[1].LastEventID, eventID(3))
-	is.Equal(fmt.Sprint(f.fleet.CentreLoads()), "[]")
+	is.Equal(fmt.Sprint(f.fleet.SectionLoads()), "[]")
 }
 
 // Two engines are lost at once: the head reports the second one as the cause of its
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -30,14 +31,14 @@
 	membersStale       bool
 	registryStale      bool // registrations and departures
 
-	peerDrafts      map[string]uint64 // tokens of the other entries' drafts in the latest update with reports, by data centre
-	suspects        map[string]uint32 // number of other entries that suspect a target, in the same update
-	failing         map[string]uint32 // number of other entries of the data centre that list an engine as failing, in the same update
+	peerDrafts      map[fireflysaddle.Section]uint64 // tokens of the other entries' drafts in the latest update with reports
+	suspects        map[string]uint32                // number of other entries that suspect a target, in the same update
+	failing         map[string]uint32                // number of other entries of the data centre that list an engine as failing, in the same update
 	limits          []*saddlewire.LimitShare
 	blamed          []string // parts that any entry blames, in the same update
 	quarantines     []*saddlewire.Quarantine
-	stepTimeFactors map[string]float64 // factors that the leader sent last, by target
-	occupiedTokens  map[string]uint64  // tokens that the leader sent last, by data centre
+	stepTimeFactors map[string]float64               // factors that the leader sent last, by target
+	occupiedTokens  map[fireflysaddle.Section]uint64 // tokens that the leader sent last
 }
 
 // replicaState is the state that one replica has sent.
@@ -105,7 +106,7 @@
 // changed.
 func (b *Builder) updateLoad(u *saddlewire.Update) {
 	if u.GetLeads() || len(u.GetPeerDrafts())+len(u.GetSuspects())+len(u.GetFailing()) > 0 {
-		b.peerDrafts = tokensByCentre(u.GetPeerDrafts())
+		b.peerDrafts = tokensBySection(u.GetPeerDrafts())
 		b.suspects = countsByTarget(u.GetSuspects())
 		b.failing = countsByTarget(u.GetFailing())
 	}
@@ -122,7 +123,7 @@
 	for _, p := range u.GetPaces() {
 		b.stepTimeFactors[p.GetTarget()] = p.GetFactor()
 	}
-	b.occupiedTokens = tokensByCentre(u.GetOccupied())
+	b.occupiedTokens = tokensBySection(u.GetOccupied())
 }
 
 func countsByTarget(counts []*saddlewire.TargetCount) map[string]uint32 {
@@ -133,10 +134,10 @@
 	return out
 }
 
-func tokensByCentre(loads []*saddlewire.CentreLoad) map[string]uint64 {
-	out := make(map[string]uint64, len(loads))
+func tokensBySection(loads []*saddlewire.SectionLoad) map[fireflysaddle.Section]uint64 {
+	out := make(map[fireflysaddle.Section]uint64, len(loads))
 	for _, l := range loads {
-		out[l.GetCentre()] += l.GetTokens()
+		out[fireflysaddle.Section{Group: fireflysaddle.Group(l.GetGroup()), Centre: fireflysaddle.DataCentre(l.GetCentre())}] += l.GetTokens()
 	}
 	return out
 }
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -1,6 +1,7 @@
 package saddleview
 
 import (
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -26,8 +27,8 @@
 	ConfirmedNs     int64
 	Registrations   map[string]*saddlewire.Registration // targets without an agent, by id
 	StepTimeFactors map[string]float64                  // factors of slow engines, by target; above 1: slower
-	OccupiedTokens  map[string]uint64                   // tokens in the engines' KV caches, by data centre
-	PeerDrafts      map[string]uint64                   // tokens that the drafts of the other entries reserve, by data centre
+	OccupiedTokens  map[fireflysaddle.Section]uint64    // tokens in the engines' KV caches
+	PeerDrafts      map[fireflysaddle.Section]uint64    // tokens that the drafts of the other entries reserve
 	Suspects        map[string]uint32                   // number of other entries that suspect a target, by target
 	Failing         map[string]uint32                   // number of other entries of this data centre that list an engine as failing, by target
 	Limits          []*saddlewire.LimitShare            // limits that targets stated to any entry, with this entry's shares
--- a/internal/place/saddleplacer/probes.go
+++ b/internal/place/saddleplacer/probes.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -47,9 +48,9 @@
 
 // occupancy is the KV cache occupancy that an engine reported.
 type occupancy struct {
-	centre string
-	tokens uint64
-	at     time.Time
+	section fireflysaddle.Section
+	tokens  uint64
+	at      time.Time
 }
 
 // probeResult is the report of a probed engine, with the layers that the engine held when
@@ -57,12 +58,16 @@
 type probeResult struct {
 	target          string
 	incarnation     uint64
-	centre          string
+	section         fireflysaddle.Section
 	layers          int // number of layers held
 	holdsFirstLayer bool
 	report          fireflysaddle.EngineReport
 }
 
+func sectionOf(reg *saddlewire.Registration) fireflysaddle.Section {
+	return fireflysaddle.Section{Group: fireflysaddle.Group(reg.GetGroup()), Centre: fireflysaddle.DataCentre(reg.GetCentre())}
+}
+
 func newProbes() probes {
 	return probes{
 		stepTimeFactors:   map[string]float64{},
@@ -115,7 +120,7 @@
 func (p *Placer) probeEngine(ctx context.Context, wg *sync.WaitGroup, reg *saddlewire.Registration, holdsFirstLayer bool) {
 	countProbes.Add(1)
 	held := reg.GetLayers()[0]
-	r := probeResult{target: reg.GetId(), incarnation: reg.GetIncarnation(), centre: reg.GetCentre(), layers: int(held.GetTo() - held.GetFrom()), holdsFirstLayer: holdsFirstLayer}
+	r := probeResult{target: reg.GetId(), incarnation: reg.GetIncarnation(), section: sectionOf(reg), layers: int(held.GetTo() - held.GetFrom()), holdsFirstLayer: holdsFirstLayer}
 	wg.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
@@ -142,7 +147,7 @@
 	if r.holdsFirstLayer && r.layers > 0 {
 		tokens := uint64(r.report.KVUsed / float64(r.layers))
 		changed = changed || p.probes.occupied[r.target].tokens != tokens
-		p.probes.occupied[r.target] = occupancy{centre: r.centre, tokens: tokens, at: now}
+		p.probes.occupied[r.target] = occupancy{section: r.section, tokens: tokens, at: now}
 	}
 	if !changed {
 		return
@@ -151,11 +156,11 @@
 	for target, factor := range p.probes.stepTimeFactors {
 		state.StepTimeFactors = append(state.StepTimeFactors, &saddlewire.Pace{Target: target, Factor: factor})
 	}
-	for centre, tokens := range p.probes.occupiedByCentre(now) {
-		state.OccupiedTokens = append(state.OccupiedTokens, &saddlewire.CentreLoad{Centre: centre, Tokens: tokens})
+	occupied := p.probes.occupiedBySection(now)
+	for _, s := range slices.SortedFunc(maps.Keys(occupied), fireflysaddle.Section.Compare) {
+		state.OccupiedTokens = append(state.OccupiedTokens, &saddlewire.SectionLoad{Group: string(s.Group), Centre: string(s.Centre), Tokens: occupied[s]})
 	}
 	slices.SortFunc(state.StepTimeFactors, func(a, b *saddlewire.Pace) int { return cmp.Compare(a.GetTarget(), b.GetTarget()) })
-	slices.SortFunc(state.OccupiedTokens, func(a, b *saddlewire.CentreLoad) int { return cmp.Compare(a.GetCentre(), b.GetCentre()) })
 	p.cfg.OnEngineState(ctx, state)
 }
 
@@ -176,16 +181,16 @@
 	return view.Leaving(reg) || (ok && incarnation == reg.GetIncarnation())
 }
 
-// occupiedByCentre returns the occupied tokens of each data centre. Reports older than
+// occupiedBySection returns the occupied tokens of the engines. Reports older than
 // occupancyTTL are removed, because the engine may have stopped.
-func (s *probes) occupiedByCentre(now time.Time) map[string]uint64 {
-	out := map[string]uint64{}
+func (s *probes) occupiedBySection(now time.Time) map[fireflysaddle.Section]uint64 {
+	out := map[fireflysaddle.Section]uint64{}
 	for target, o := range s.occupied {
 		if now.Sub(o.at) > occupancyTTL {
 			delete(s.occupied, target)
 			continue
 		}
-		out[o.centre] += o.tokens
+		out[o.section] += o.tokens
 	}
 	return out
 }
