Engines with layers that their model does not have end no process

With layers 0 to 4000 requests at an entry panic in the search for a chain, "index out of range", and their connections are closed.

Cause: registered layers were clipped to the model in some places and used as they are in others. The code that checks a registration does not know the model.

Change: such an engine is no stage of a chain, is not planned and not probed, and a line says so once. The search and the plan bear any input besides, so that no further path to them can panic.

--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -243,14 +243,14 @@
 	return c
 }
 
-// usableEngines returns those of the engines that are usable and not pausing, hold layers and
-// have a type of accelerator that the model describes, without those whose addresses are in
+// usableEngines returns those of the engines that are usable and not pausing, hold layers of the
+// model and have a type of accelerator that it describes, without those whose addresses are in
 // avoid.
 func usableEngines(now time.Time, model *saddlerouting.Model, engines []*target, avoid []string) []*target {
 	out := make([]*target, 0, len(engines))
 	for _, t := range engines {
 		_, known := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
-		if known && len(t.reg.GetLayers()) > 0 && t.usable(now) && t.pause.accepts(now) && !slices.Contains(avoid, t.Address) {
+		if known && t.holdsLayersOf(model) && t.usable(now) && t.pause.accepts(now) && !slices.Contains(avoid, t.Address) {
 			out = append(out, t)
 		}
 	}
--- a/internal/direct/saddlefleet/load.go
+++ b/internal/direct/saddlefleet/load.go
@@ -67,6 +67,16 @@
 	return float64(model.TokenCapacity(acc, layers))
 }
 
+// holdsLayersOf reports whether a target holds layers, and none that the model does not have.
+func (t *target) holdsLayersOf(model *saddlerouting.Model) bool {
+	for _, held := range t.reg.GetLayers() {
+		if !model.HasLayers(int(held.GetFrom()), int(held.GetTo())) {
+			return false
+		}
+	}
+	return len(t.reg.GetLayers()) > 0
+}
+
 // eachLayer calls do for each layer in [0, layers) that a target holds.
 func (t *target) eachLayer(layers int, do func(l int)) {
 	for _, held := range t.reg.GetLayers() {
--- a/internal/direct/saddlefleet/models_test.go
+++ b/internal/direct/saddlefleet/models_test.go
@@ -67,3 +67,21 @@
 	doneSummary()
 	is.Equal(len(f.fleet.SectionLoads()), 0)
 }
+
+// Guards against requests that are cut, or sent nowhere, because an engine of another writer
+// reports layers that the model does not have.
+func TestEngineWithForeignLayersIsNoStage(t *testing.T) {
+	for name, layers := range map[string][2]uint32{"behind the model": {7, 9}, "over its end": {2, 9}, "all and more": {0, 1 << 31}, "none": {2, 2}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(engine("a0", "a", 0, 2), engine("a2", "a", 2, 4), engine("foreign", "a", layers[0], layers[1]))
+			head, done, _ := f.chain(start, 6)
+			is.Equal(head, "a0")
+			done()
+			alone := newFixture(engine("a0", "a", 0, 2), engine("foreign", "a", layers[0], layers[1]))
+			head, _, _ = alone.chain(start, 6)
+			is.Equal(head, "")
+			is.True(!alone.fleet.Covered(start, newPool()))
+		})
+	}
+}
--- a/internal/direct/saddlepath/find.go
+++ b/internal/direct/saddlepath/find.go
@@ -115,7 +115,7 @@
 			if e.Centre != s.stateByIndex[previous].centre {
 				cost += crossCost
 			}
-			end := min(e.To, layer+e.MaxLayers)
+			end := min(e.To, layer+e.MaxLayers, s.layers)
 			if end <= layer {
 				continue
 			}
--- a/internal/direct/saddlepath/find_test.go
+++ b/internal/direct/saddlepath/find_test.go
@@ -118,3 +118,22 @@
 		})
 	}
 }
+
+// Guards against a search that panics, or leaves the model, because an engine reports layers that
+// the model does not have.
+func TestFindBearsAnyLayers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines := rapid.SliceOfN(rapid.Custom(drawEngine), 1, 4).Draw(t, "drawn engines")
+		for range rapid.IntRange(1, 4).Draw(t, "foreign engines") {
+			from := rapid.SampledFrom([]int{0, 5, layers - 1, layers, layers + 3, 1 << 31}).Draw(t, "foreign from")
+			engines = append(engines, saddlepath.Engine{
+				From: from, To: from + rapid.SampledFrom([]int{0, 1, layers, 1 << 31}).Draw(t, "foreign layers"),
+				LayerCost: 1, MaxLayers: rapid.IntRange(0, 3*layers).Draw(t, "foreign max layers"),
+			})
+		}
+		parts, _ := saddlepath.Find(engines, layers, 0, saddlepath.Costs{})
+		if len(parts) > 0 && parts[len(parts)-1].To != layers {
+			t.Fatalf("the chain ends at layer %d", parts[len(parts)-1].To)
+		}
+	})
+}
--- a/internal/direct/saddlerouting/model.go
+++ b/internal/direct/saddlerouting/model.go
@@ -28,6 +28,9 @@
 	PrefillFactor  float64 // factor on the time of processing a prompt
 }
 
+// HasLayers reports whether [from, to) is a range of layers of the model.
+func (m *Model) HasLayers(from, to int) bool { return from >= 0 && from < to && to <= m.Layers }
+
 // MaxLayers returns the number of layers that an accelerator can hold such that the
 // KV cache of a number of tokens fits at each of them.
 func (m *Model) MaxLayers(a Accelerator, tokens int) int {
--- a/internal/place/saddleplacer/log.go
+++ b/internal/place/saddleplacer/log.go
@@ -26,6 +26,18 @@
 	e.Msg("engine no longer counts as lost")
 }
 
+// logForeign logs, once for each incarnation, that an engine is not used because it reports
+// layers that its model does not have.
+func (p *Placer) logForeign(pool *saddlerouting.Pool, reg *saddlewire.Registration) {
+	id := fireflysaddle.TargetID(reg.GetId())
+	if incarnation, ok := p.foreign[id]; ok && incarnation == reg.GetIncarnation() {
+		return
+	}
+	p.foreign[id] = reg.GetIncarnation()
+	p.cfg.Log.Warn().Str("target", reg.GetId()).Str("group", reg.GetGroup()).Str("address", reg.GetAddress()).Uint64("target_incarnation", reg.GetIncarnation()).
+		Interface("layers", reg.GetLayers()).Int("model_layers", pool.Model.Layers).Msg("engine reports layers that its model does not have: not used")
+}
+
 // logCapacities logs the token capacity of the data centres in which it has changed.
 func (p *Placer) logCapacities(pool *saddlerouting.Pool, engines []saddleplan.Engine) {
 	logged := p.capacities[pool.Group]
--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -77,6 +77,7 @@
 	probes             probes
 	silent             silentEngines
 	lost               map[fireflysaddle.TargetID]uint64                        // incarnations of the engines that count as lost
+	foreign            map[fireflysaddle.TargetID]uint64                        // incarnations of the engines that report layers which their model does not have, as logged
 	capacities         map[fireflysaddle.Group]map[fireflysaddle.DataCentre]int // token capacities as last logged
 }
 
@@ -106,6 +107,7 @@
 		probes:       newProbes(),
 		silent:       newSilentEngines(),
 		lost:         map[fireflysaddle.TargetID]uint64{},
+		foreign:      map[fireflysaddle.TargetID]uint64{},
 		capacities:   map[fireflysaddle.Group]map[fireflysaddle.DataCentre]int{},
 	}
 }
@@ -150,6 +152,7 @@
 		clear(p.refusedUntil)
 		p.silent.clear()
 		clear(p.lost)
+		clear(p.foreign)
 		clear(p.capacities)
 		p.cfg.Log.Info().Uint64("term", term).Msg("placement started")
 	}
@@ -158,6 +161,7 @@
 		return
 	}
 	maps.DeleteFunc(p.engineSets, func(group fireflysaddle.Group, _ engineSet) bool { return routing.Pools[group] == nil })
+	maps.DeleteFunc(p.foreign, func(id fireflysaddle.TargetID, _ uint64) bool { return view.Registrations[string(id)] == nil })
 	p.silent.update(view, func(reg *saddlewire.Registration) bool { return p.leaving(view, reg) })
 	for _, pool := range routing.Pools {
 		if pool.Model != nil {
@@ -177,6 +181,10 @@
 		if fireflysaddle.Group(reg.GetGroup()) != pool.Group || p.leaving(view, reg) {
 			continue
 		}
+		if !holdsLayersOf(pool.Model, reg) {
+			p.logForeign(pool, reg)
+			continue
+		}
 		e := p.planEngine(now, reg, suspected.lost(reg))
 		p.logLost(reg, e.Lost, suspected.entries(id))
 		holding = holding || e.Held.Len() > 0
@@ -251,6 +259,16 @@
 	return ok && o.incarnation == reg.GetIncarnation() && o.layers != registeredLayers(reg) && now.Before(o.expiresAt)
 }
 
+// holdsLayersOf reports whether an engine reports no layers that the model does not have.
+func holdsLayersOf(model *saddlerouting.Model, reg *saddlewire.Registration) bool {
+	for _, l := range reg.GetLayers() {
+		if !model.HasLayers(int(l.GetFrom()), int(l.GetTo())) {
+			return false
+		}
+	}
+	return true
+}
+
 // registeredLayers returns the layers that an engine reports in its heartbeats.
 func registeredLayers(reg *saddlewire.Registration) saddleplan.Range {
 	list := reg.GetLayers()
--- a/internal/place/saddleplacer/probes.go
+++ b/internal/place/saddleplacer/probes.go
@@ -102,7 +102,7 @@
 	}
 	suspected := newSuspicions(view)
 	for id, reg := range view.Registrations {
-		if fireflysaddle.Group(reg.GetGroup()) != pool.Group || len(reg.GetLayers()) == 0 || suspected.entries(id) > 0 || p.leaving(view, reg) {
+		if fireflysaddle.Group(reg.GetGroup()) != pool.Group || len(reg.GetLayers()) == 0 || !holdsLayersOf(pool.Model, reg) || suspected.entries(id) > 0 || p.leaving(view, reg) {
 			continue
 		}
 		stepTimeDue := (slow[reg.GetCentre()] || p.probes.stepTimeFactors[id] > 0) && now.Sub(p.probes.stepTimeProbedAt[id]) >= stepTimeInterval
--- a/internal/place/saddleplacer/silent.go
+++ b/internal/place/saddleplacer/silent.go
@@ -80,7 +80,7 @@
 		if _, ok := view.Registrations[id]; ok || fireflysaddle.Group(reg.GetGroup()) != pool.Group {
 			continue
 		}
-		if _, lost := p.lost[fireflysaddle.TargetID(id)]; lost {
+		if _, lost := p.lost[fireflysaddle.TargetID(id)]; lost || !holdsLayersOf(pool.Model, reg) {
 			p.silent.forget(id)
 			continue
 		}
--- a/internal/place/saddleplan/bottleneck.go
+++ b/internal/place/saddleplan/bottleneck.go
@@ -63,8 +63,11 @@
 	for i := len(out) - 1; i >= 0; i-- {
 		e := &out[i]
 		own := tokenCapacity(model, *e)
-		held := capacities[max(0, e.Held.From):min(model.Layers, e.Held.To)]
-		if e.Pending || len(held) == 0 || slices.Min(held)-own < acceptableCapacity {
+		if e.Pending || !model.HasLayers(e.Held.From, e.Held.To) {
+			continue
+		}
+		held := capacities[e.Held.From:e.Held.To]
+		if slices.Min(held)-own < acceptableCapacity {
 			continue
 		}
 		for l := range held {
