A refusal that is written once more is not believed

Cause: answers are matched by the request's identifier, which is the same in all sends of a call. A stream that its engine refused is sent to the same engine again after 200 ms, on the connection on which a copy of that refusal may still come.

Change: a call that was sent to an address before goes there on a new connection, on which no earlier answer can come.

--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
 
@@ -40,6 +42,7 @@
 	lastEventAt     time.Time     // time of the last event sent to the caller
 	longestPause    time.Duration // longest pause between events
 	triedTargets    []fireflysaddle.TargetID
+	sentAddresses   []string             // addresses that the call was sent to
 	avoidUntil      map[string]time.Time // engine addresses to avoid, and until when
 	failedHeads     []string             // addresses of engines that failed this stream as heads
 	chainAddresses  []string             // engine addresses of the most recent chain; empty for plain services
@@ -68,9 +71,18 @@
 	return out
 }
 
-// newForward returns a Forward with the fields that do not depend on the target.
-func (j *job) newForward(now time.Time) fireflysaddle.Forward {
+// newForward returns a Forward to a target. If the call was sent to the target's address
+// before, it is sent on another connection: the earlier answer may arrive once more, and has the
+// same identifier as the one that is awaited.
+func (j *job) newForward(now time.Time, target saddlefleet.Target) fireflysaddle.Forward {
+	sentBefore := slices.Contains(j.sentAddresses, target.Address)
+	if !sentBefore {
+		j.sentAddresses = append(j.sentAddresses, target.Address)
+	}
 	return fireflysaddle.Forward{
+		Target:    target.ID,
+		Address:   target.Address,
+		NewConn:   sentBefore,
 		Request:   j.call.ID,
 		Method:    j.call.Method,
 		Host:      j.call.Host,
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -76,9 +76,7 @@
 // it has not, why the attempt failed.
 func (j *job) tryPlain(ctx context.Context, target saddlefleet.Target) (ended bool, failure string) {
 	now := time.Now()
-	f := j.newForward(now)
-	f.Target = target.ID
-	f.Address = target.Address
+	f := j.newForward(now, target)
 	f.FreshConn = !j.route.Retryable()
 	j.attemptAddress, j.attemptLifetime, j.attemptSentAt = target.Address, target.Lifetime(), now
 	ctx, cancel := context.WithTimeout(ctx, j.attemptTimeout(now))
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -105,9 +105,7 @@
 // whether the call has ended and, if it has not, why the attempt failed.
 func (j *job) tryStream(ctx context.Context, chain saddlefleet.Chain) (ended bool, failure string) {
 	now := time.Now()
-	f := j.newForward(now)
-	f.Target = chain.Head.ID
-	f.Address = chain.Head.Address
+	f := j.newForward(now, chain.Head)
 	f.Chain = chain.Parts
 	f.LastEventID = j.lastEventID
 	j.chainAddresses, j.attemptAddress, j.attemptLifetime, j.attemptEvents = chain.Addresses(), chain.Head.Address, chain.Head.Lifetime(), 0
--- a/internal/direct/saddlehttpclient/client.go
+++ b/internal/direct/saddlehttpclient/client.go
@@ -56,6 +56,7 @@
 	HTTP      *http.Request // Body must not be set
 	Body      []byte
 	FreshConn bool // reuse only a connection that was idle for less than maxFreshIdle
+	NewConn   bool // open a new connection
 	// MatchAnswer reports whether an answer with this header belongs to the request; first
 	// is set for the first answer on its connection. Late answers to earlier requests
 	// are discarded.
@@ -94,7 +95,7 @@
 
 // connect returns a usable idle connection, or opens a new one.
 func (c *Client) connect(ctx context.Context, now time.Time, r Request) (*conn, error) {
-	for {
+	for !r.NewConn {
 		cn := c.takeIdle(r.Address)
 		if cn == nil {
 			break
