The events of a further attempt must continue the stream

Of 32 answers of a second target, all whose status says that they are errors were handled already. Ten with status 200 were passed on: text or a whole head in a stream of events, events without a number, events with others missing before them.

Cause: events of a further attempt were compared with those that the caller has only to leave out repeated ones; whatever had no number counted as new.

Change: the events of a further attempt must be numbered if all before were, and leave no gap if there was none before. An event that does not is a fault of the target, and nothing of it is sent. This works because targets number events without gaps, as the streams before the break show.

--- a/internal/direct/saddlegateway/relay.go
+++ b/internal/direct/saddlegateway/relay.go
@@ -43,9 +43,11 @@
 var errNoEvent = errors.New("the connection ended before the first event")
 
 // relay sends events to the caller as they arrive, except those that the caller has
-// already received.
+// already received. If an event of a further attempt does not continue the stream, the attempt
+// has failed.
 func (j *job) relay(ctx context.Context, reply *fireflysaddle.Reply, watch *watchdog) (ended bool, failure string) {
 	events := saddlesse.NewReader(reply.Body)
+	further := j.headerSent
 	for received := 0; ; received++ {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && received == 0 && reply.Framing == fireflysaddle.FramingClose {
@@ -59,6 +61,11 @@
 			j.recordAttemptEvent()
 		}
 		if len(e.Raw) > 0 && !j.alreadyDelivered(e.ID) {
+			if further && err == nil {
+				if seqErr := j.sequence.check(e); seqErr != nil {
+					return false, j.recordInterruption(ctx, seqErr)
+				}
+			}
 			if j.writeEvent(reply, e) != nil {
 				j.endDisconnected()
 				return true, ""
@@ -119,6 +126,7 @@
 	}
 	j.eventsSent++
 	j.lastEventAt = now
+	j.sequence.record(e)
 	if e.ID != "" {
 		j.lastEventID = e.ID
 	}
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -37,6 +37,7 @@
 // serveStream serves a call that is answered by a stream of events.
 func (j *job) serveStream(ctx context.Context) {
 	j.lastEventID = j.call.LastEventID
+	j.sequence.start(j.lastEventID)
 	j.cfg.Fleet.RecordDemand(time.Now(), j.pool.Group)
 	if j.mayOutlastProcess(time.Now()) {
 		j.refuse(Refusal{Code: fireflysaddle.CodeLeaving, Message: "the process is shutting down and may stop before the stream ends", RetryAfter: shutdownRetryAfter})
--- a/internal/direct/saddlesse/reader.go
+++ b/internal/direct/saddlesse/reader.go
@@ -16,8 +16,9 @@
 
 // Event is one event as received. Raw is only valid until the next call of Next.
 type Event struct {
-	Raw []byte // including the empty line that ends the event
-	ID  string // empty: none
+	Raw       []byte // including the empty line that ends the event
+	ID        string // empty: none
+	HasFields bool   // false: the event consists of comments
 }
 
 // Reader reads events, whose lines end with LF, CRLF or CR. It is not safe for concurrent
@@ -59,7 +60,7 @@
 		case err != nil:
 			return Event{}, err
 		case len(line) == 0:
-			e.Raw = r.raw
+			e.Raw, e.HasFields = r.raw, !complete
 			return e, nil
 		case len(r.raw) > maxEventBytes:
 			return Event{}, &EventTooLongError{Limit: maxEventBytes}
