The end of an engine is reported though the first probe left it open

Cause: the entry whose draft ends an engine is the first to probe it, while it is ending, and the probe is cut off with "unexpected EOF", in four of five ends here. Later probes are refused, which is the evidence for blaming the draft, but an engine was reported only at its first failed probe. Other entries had the evidence and not the draft.

Ruled out: too many traits at once (at most 33 requests were interrupted, 128 are reported), and a quarantine lost with the control process that was killed (none was decided before).

Change: the fleet reports again when a later probe shows that the engine has ended. That probe is due well within the 2 s in which an interruption and the end of its engine are connected.

--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -42,7 +42,8 @@
 
 // New returns a fleet without targets. onDown is called when an engine fails a
 // probe for the first time since it last answered one. ended tells whether the probe shows
-// that this start of the engine has ended; else it may merely be out of reach.
+// that this start of the engine has ended; else it may merely be out of reach, and onDown is
+// called once more if a later probe shows that the engine has ended.
 func New(node string, centre fireflysaddle.DataCentre, log zerolog.Logger, onDown func(address string, ended bool)) *Fleet {
 	return &Fleet{
 		node: node, centre: centre, log: log, entryCount: 1, onDown: onDown, probeRequests: make(chan struct{}, 1),
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -212,23 +212,28 @@
 	if err == nil && now.Sub(t.layersChangedAt) > reportLag && !t.holdsRegisteredLayers(report) {
 		err = errLayersMissing
 	}
-	wasExcluded, wasUnresponsive := t.excluded, t.unresponsive
+	wasExcluded, wasUnresponsive, wasEnded := t.excluded, t.unresponsive, t.ended
 	t.probing = false
 	t.probeRequested = false
 	if err != nil {
 		t.exclude(now)
 		t.unresponsive = true
+		t.ended = t.ended || errors.Is(err, errLayersMissing) || errors.Is(err, syscall.ECONNREFUSED)
 	} else {
 		t.readmit()
+		t.ended = false
 		t.nextProbe = now.Add(f.reprobeInterval())
 	}
+	ended := t.ended
 	f.mu.Unlock()
 	switch {
 	case err != nil && !wasUnresponsive:
 		countExclusions.Add(1)
 		f.log.Warn().Err(err).Str("target", string(t.ID)).Str("address", t.Address).
 			Uint64("target_incarnation", t.incarnation).Bool("passed_over_before", wasExcluded).Msg("engine failed its probe")
-		f.onDown(t.Address, errors.Is(err, errLayersMissing) || errors.Is(err, syscall.ECONNREFUSED))
+		f.onDown(t.Address, ended)
+	case ended && !wasEnded: // the first probe that failed left open whether the engine has ended
+		f.onDown(t.Address, true)
 	case err == nil && wasExcluded:
 		f.log.Info().Str("target", string(t.ID)).Str("address", t.Address).Msg("engine readmitted after a successful probe")
 	}
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -35,6 +35,7 @@
 	reservedTokenLayers float64 // tokens x layers reserved by this entry's requests
 
 	excluded            bool      // seems to have failed, not selected for requests
+	ended               bool      // a probe since its last answer showed that this incarnation has ended
 	unresponsive        bool      // did not answer its last probe or lacked the registered layers
 	consecutiveFailures int       // number of consecutive failed probes or requests
 	nextProbe           time.Time // earliest time of the next probe
