Entries of an unknown service take no target's place

Entries that say that they leave keep the target out for ten minutes.

Cause: an address or identifier belongs to its latest start, which anybody may name.

Change: a registration of a group that the configuration does not have is refused while it would take the place of a target of a configured group that has not left.

--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -212,7 +212,7 @@
 // replica returns the open replica, or a nil interface value while none is open.
 func (g *groupReplica) replica() platform.Replica {
 	if s := g.server.Load(); s != nil {
-		return s
+		return configuredReplica{Server: s, routing: &g.routing, view: g.subscriber.View, log: g.process.log}
 	}
 	return nil
 }
