One constructor of sections

A section was built from a message's group and data centre in four places. SectionOf does it now, in the root package; nothing behaves otherwise.

--- a/internal/control/saddlecontrol/entryreports.go
+++ b/internal/control/saddlecontrol/entryreports.go
@@ -26,7 +26,7 @@
 func (r *entryReports) add(m *saddlewire.Member) {
 	r.limits.Add(m)
 	for _, d := range m.GetLoad().GetDrafts() {
-		r.drafts[sectionOf(d)] += d.GetTokens()
+		r.drafts[fireflysaddle.SectionOf(d)] += d.GetTokens()
 	}
 	for _, id := range m.GetSuspects() {
 		r.suspects[id]++
@@ -39,15 +39,11 @@
 	}
 }
 
-func sectionOf(load *saddlewire.SectionLoad) fireflysaddle.Section {
-	return fireflysaddle.Section{Group: fireflysaddle.Group(load.GetGroup()), Centre: fireflysaddle.DataCentre(load.GetCentre())}
-}
-
 // remove removes the reports of a member that were added before.
 func (r *entryReports) remove(m *saddlewire.Member) {
 	r.limits.Remove(m)
 	for _, d := range m.GetLoad().GetDrafts() {
-		r.drafts[sectionOf(d)] -= d.GetTokens()
+		r.drafts[fireflysaddle.SectionOf(d)] -= d.GetTokens()
 	}
 	for _, id := range m.GetSuspects() {
 		decrement(r.suspects, id)
@@ -69,7 +65,7 @@
 func (r *entryReports) addTo(u *saddlewire.Update, entry *saddlewire.Member) {
 	own := map[fireflysaddle.Section]uint64{}
 	for _, d := range entry.GetLoad().GetDrafts() {
-		own[sectionOf(d)] += d.GetTokens()
+		own[fireflysaddle.SectionOf(d)] += d.GetTokens()
 	}
 	for _, section := range slices.SortedFunc(maps.Keys(r.drafts), fireflysaddle.Section.Compare) {
 		if tokens := r.drafts[section] - own[section]; tokens > 0 {
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -133,7 +133,7 @@
 				ID: id, Address: reg.GetAddress(), Centre: fireflysaddle.DataCentre(reg.GetCentre()),
 				incarnation: reg.GetIncarnation(),
 			},
-			section: fireflysaddle.Section{Group: fireflysaddle.Group(reg.GetGroup()), Centre: fireflysaddle.DataCentre(reg.GetCentre())},
+			section: fireflysaddle.SectionOf(reg),
 		}
 	}
 	if !sameLayers(t.reg, reg) {
--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -137,7 +137,7 @@
 func tokensBySection(loads []*saddlewire.SectionLoad) map[fireflysaddle.Section]uint64 {
 	out := make(map[fireflysaddle.Section]uint64, len(loads))
 	for _, l := range loads {
-		out[fireflysaddle.Section{Group: fireflysaddle.Group(l.GetGroup()), Centre: fireflysaddle.DataCentre(l.GetCentre())}] += l.GetTokens()
+		out[fireflysaddle.SectionOf(l)] += l.GetTokens()
 	}
 	return out
 }
--- a/internal/place/saddleplacer/probes.go
+++ b/internal/place/saddleplacer/probes.go
@@ -64,10 +64,6 @@
 	report          fireflysaddle.EngineReport
 }
 
-func sectionOf(reg *saddlewire.Registration) fireflysaddle.Section {
-	return fireflysaddle.Section{Group: fireflysaddle.Group(reg.GetGroup()), Centre: fireflysaddle.DataCentre(reg.GetCentre())}
-}
-
 func newProbes() probes {
 	return probes{
 		stepTimeFactors:   map[string]float64{},
@@ -120,7 +116,7 @@
 func (p *Placer) probeEngine(ctx context.Context, wg *sync.WaitGroup, reg *saddlewire.Registration, holdsFirstLayer bool) {
 	countProbes.Add(1)
 	held := reg.GetLayers()[0]
-	r := probeResult{target: reg.GetId(), incarnation: reg.GetIncarnation(), section: sectionOf(reg), layers: int(held.GetTo() - held.GetFrom()), holdsFirstLayer: holdsFirstLayer}
+	r := probeResult{target: reg.GetId(), incarnation: reg.GetIncarnation(), section: fireflysaddle.SectionOf(reg), layers: int(held.GetTo() - held.GetFrom()), holdsFirstLayer: holdsFirstLayer}
 	wg.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
