A lost stream to one control replica is logged as information

Seen in the demo of the README, which logs warnings: 50 lines of nodes that lose their streams while it stops, and of those that start before the replicas listen. A node has a stream to each replica, and one is enough; that none confirms its state shows in its readiness and refusals. With the change the demo has none of these lines, as before the line existed. Default settings log both levels.

--- a/internal/node/saddlesubscriber/streamlog.go
+++ b/internal/node/saddlesubscriber/streamlog.go
@@ -45,12 +45,13 @@
 	l.state, l.attempts = streamConnected, 0
 }
 
-// lost records the end of a stream.
+// lost records the end of a stream. It is no warning: a node has a stream to each replica, and
+// one is enough.
 func (l *streamLog) lost(err error) {
 	l.attempts++
 	if l.state == streamLost {
 		return
 	}
-	l.log.Warn().Err(err).Msg("no updates of a control replica; connecting again")
+	l.log.Info().Err(err).Msg("no updates of a control replica; connecting again")
 	l.state = streamLost
 }
