Plainer comments and test names

Comments of the control group, the event sequence and the checked registrations say what happens in the usual terms: a group tolerates failures, a registration replaces another.

--- a/internal/control/saddlecontrol/leave.go
+++ b/internal/control/saddlecontrol/leave.go
@@ -19,9 +19,9 @@
 func (e surplusEvent) handle(_ time.Time, c *core) { e.reply <- c.replica.Surplus(c.cfg.Node) }
 
 // Leave removes this replica from its group before the process stops, if the group has
-// more voters than desired, as after the first half of a planned replacement. If it stayed
-// a voter, the group would count it as lost until it is removed as silent, and could not
-// bear another loss. Leave returns nil once this replica is not a surplus voter.
+// more voters than desired, as after the first half of a planned replacement. As a voter
+// that has stopped, it would use up a failure that the group should tolerate, until the
+// leader removes it as silent. Leave returns nil once this replica is not a surplus voter.
 func (s *Server) Leave(ctx context.Context) error {
 	var lastErr error
 	for {
--- a/internal/control/saddlereplica/replacement.go
+++ b/internal/control/saddlereplica/replacement.go
@@ -26,9 +26,9 @@
 
 // removeSurplus proposes the removal of one replica that does not reply: of a learner
 // after ReplaceAfter, and of a voter after an election timeout if the group has more
-// voters than desired. Such a group must not wait longer: an even number of voters bears
-// no more losses than one voter fewer, so the silent voter takes the place of a loss that
-// the group is to bear. It reports whether it proposed a removal.
+// voters than desired. An even number of voters tolerates no more failures than one voter
+// fewer, so a silent surplus voter uses up a failure that the group should tolerate. It
+// reports whether it proposed a removal.
 func (r *Replica) removeSurplus(now time.Time) bool {
 	if r.cfg.DesiredVoters == 0 {
 		return false
--- a/internal/control/saddlereplica/replacement_test.go
+++ b/internal/control/saddlereplica/replacement_test.go
@@ -203,7 +203,7 @@
 // Guards against a group that can never elect a leader again: a member is replaced as
 // planned, the new one first, and another member loses its disk soon after the replaced one
 // has stopped, while the group has still four voters.
-func TestPlannedReplacementBearsTheLossOfADisk(t *testing.T) {
+func TestPlannedReplacementToleratesTheLossOfADisk(t *testing.T) {
 	for name, c := range map[string]struct {
 		leaderStops bool
 		announced   bool          // the stopping replica asks to be removed
--- a/internal/daemon/saddledaemon/configuredreplica.go
+++ b/internal/daemon/saddledaemon/configuredreplica.go
@@ -12,8 +12,8 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
-// configuredReplica is a replica that refuses registrations which take the place of a
-// configured target for a group that the configuration does not have.
+// configuredReplica is a replica that refuses registrations for groups that the configuration
+// does not have, if they would replace a target of a configured group.
 type configuredReplica struct {
 	*saddlecontrol.Server
 	routing *routingCache
@@ -21,10 +21,10 @@
 	log     zerolog.Logger
 }
 
-// Register stores the registration of a target without an agent, unless it names a group
-// that the configuration does not have, and the identifier or address of a target of one that it
-// has. Such a registration would take that target out of use. It is accepted once the target has
-// ended, since the group may be configured later.
+// Register stores the registration of a target without an agent. It refuses a registration that
+// names a group without configuration and the identifier or address of a target of a configured
+// group, because the latest start at an address replaces the earlier ones. Once that target has
+// left or expired, the registration is accepted: the group may be configured later.
 func (r configuredReplica) Register(ctx context.Context, reg *saddlewire.Registration) error {
 	if other := r.replaced(ctx, reg); other != nil {
 		return &fireflysaddle.RefusedError{
@@ -36,8 +36,8 @@
 	return r.Server.Register(ctx, reg)
 }
 
-// replaced returns the target of a configured group whose place a registration of another group
-// would take, or nil.
+// replaced returns the target of a configured group that a registration for a group without
+// configuration would replace, or nil.
 func (r configuredReplica) replaced(ctx context.Context, reg *saddlewire.Registration) *saddlewire.Registration {
 	if r.routing.hasGroup(ctx, r.Server, r.log, reg.GetGroup()) {
 		return nil
--- a/internal/direct/saddlegateway/eventsequence.go
+++ b/internal/direct/saddlegateway/eventsequence.go
@@ -7,9 +7,9 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlesse"
 )
 
-// eventSequence holds the identifiers of the events that a caller has received, to check that
-// the events of a further attempt continue them. A target that cannot continue a stream may
-// send anything in its place, an error with the status of a success too.
+// eventSequence checks that the events of a further attempt continue those that the caller has
+// received. A target that cannot continue a stream may answer with an error whose status is
+// that of a success.
 type eventSequence struct {
 	events      int
 	last        uint64
--- a/internal/direct/saddlepath/find_test.go
+++ b/internal/direct/saddlepath/find_test.go
@@ -121,7 +121,7 @@
 
 // Guards against a search that panics, or leaves the model, because an engine reports layers that
 // the model does not have.
-func TestFindBearsAnyLayers(t *testing.T) {
+func TestFindToleratesAnyLayers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		engines := rapid.SliceOfN(rapid.Custom(drawEngine), 1, 4).Draw(t, "drawn engines")
 		for range rapid.IntRange(1, 4).Draw(t, "foreign engines") {
--- a/internal/place/saddleplan/foreign_test.go
+++ b/internal/place/saddleplan/foreign_test.go
@@ -13,7 +13,7 @@
 
 // Guards against a plan that ends its process because engines report layers that the model does
 // not have.
-func TestPlanBearsAnyHeldLayers(t *testing.T) {
+func TestPlanToleratesAnyHeldLayers(t *testing.T) {
 	kinds := []fireflysaddle.Accelerator{"h100", "a100s", "l4", "t4"}
 	rapid.Check(t, func(t *rapid.T) {
 		m := model()
