--- a/internal/direct/saddlegateway/reroute.go
+++ b/internal/direct/saddlegateway/reroute.go
@@ -51,7 +51,7 @@
 		countRerouted.Add(1)
 		w.job.logEvent(zerolog.InfoLevel).Str("engine", address).Int64("silent_ms", silence.Milliseconds()).
 			Strs("chain", w.chain.Load().Addresses()).Msg("chain rerouted")
-		w.timer.Reset(firstEventCheck)
+		w.scheduleCheck(firstEventCheck)
 		return
 	}
 	cannotWait := isUnknownRequest(err) || address == w.chain.Load().Head.Address || silence > maxRerouteWait
@@ -61,12 +61,12 @@
 			w.job.logEvent(zerolog.InfoLevel).Err(err).Str("engine", address).Int64("silent_ms", silence.Milliseconds()).
 				Bool("attempts_left", w.mayRetry).Msg("chain waits for a replacement engine")
 		}
-		w.timer.Reset(rerouteInterval)
+		w.scheduleCheck(rerouteInterval)
 		return
 	}
 	w.job.logEvent(zerolog.InfoLevel).Err(err).Str("engine", address).Int64("silent_ms", silence.Milliseconds()).
 		Msg("chain not rerouted")
-	w.abort(address, fmt.Errorf("chain stalled at the engine %s and could not be rerouted", address))
+	w.abort(address, w.checkDelay(), fmt.Errorf("chain stalled at the engine %s and could not be rerouted", address))
 }
 
 // reserveNextAttempt reports whether another attempt may follow this one, and deducts
--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -48,6 +48,7 @@
 	hasEvent      atomic.Bool  // an event has arrived
 	startTime     time.Time
 	timer         *time.Timer
+	checkDue      atomic.Int64           // nanoseconds from startTime to the next check
 	faultyAddress atomic.Pointer[string] // address of the engine that caused the abort; nil: none
 	chainMu       sync.Mutex             // held while the chain is rerouted
 	mayRetry      bool                   // another attempt may follow this one
@@ -62,6 +63,7 @@
 	w := &watchdog{job: j, ctx: ctx, cancel: cancel, startTime: time.Now()}
 	w.mayRetry = j.route.Retryable() && j.runs+1 < j.route.MaxAttempts && j.sends < maxSends
 	w.chain.Store(&chain)
+	w.checkDue.Store(int64(firstEventCheck))
 	w.timer = time.AfterFunc(firstEventCheck, w.check)
 	j.attemptIndex.add(w, chain)
 	return w
@@ -75,7 +77,19 @@
 		w.job.usualPause.record(pause)
 	}
 	w.job.slowCentres.recordPause(time.Now(), w.chain.Load().Centres, pause, w.job.usualPause.atLeast(minSlowMeanPause, slowMeanFactor))
-	w.timer.Reset(w.job.usualPause.atLeast(minEventGapCheck, eventGapFactor))
+	w.scheduleCheck(w.job.usualPause.atLeast(minEventGapCheck, eventGapFactor))
+}
+
+// scheduleCheck has check run after the duration d, unless an event arrives first.
+func (w *watchdog) scheduleCheck(d time.Duration) {
+	w.checkDue.Store(int64(time.Since(w.startTime) + d))
+	w.timer.Reset(d)
+}
+
+// checkDelay returns how late the present check is. A long delay shows that this process was
+// held up, so that events and reports may wait unread.
+func (w *watchdog) checkDelay() time.Duration {
+	return time.Since(w.startTime) - time.Duration(w.checkDue.Load())
 }
 
 // stop ends the monitoring and returns the current chain.
@@ -94,8 +108,11 @@
 	return time.Since(w.startTime) - time.Duration(w.lastEvent.Load())
 }
 
-// abort ends the attempt because of a faulty engine.
-func (w *watchdog) abort(address string, cause error) {
+// abort ends the attempt because of a faulty engine. delay is how late the check was that
+// found the engine faulty.
+func (w *watchdog) abort(address string, delay time.Duration, cause error) {
+	w.job.logEvent(zerolog.InfoLevel).Err(cause).Str("engine", address).Int64("silent_ms", w.silence().Milliseconds()).
+		Int64("check_late_ms", delay.Milliseconds()).Bool("attempts_left", w.mayRetry).Msg("attempt aborted")
 	w.faultyAddress.Store(&address)
 	w.cancel(cause)
 }
@@ -110,17 +127,18 @@
 	if w.ctx.Err() != nil {
 		return
 	}
+	delay := w.checkDelay()
 	chain := w.chain.Load()
 	if lost := w.job.cfg.Fleet.FirstExcluded(chain.Addresses()); lost != "" || w.rerouteRefused.Load() {
 		w.handleEngineLoss(lost)
 		return
 	}
 	if w.silence() > maxSilence && !w.job.slowCentres.anySlow(time.Now(), chain.Centres) {
-		w.abort(chain.Head.Address, errSilent)
+		w.abort(chain.Head.Address, delay, errSilent)
 		return
 	}
 	if len(chain.Parts) == 0 {
-		w.timer.Reset(recheckInterval)
+		w.scheduleCheck(recheckInterval)
 		return
 	}
 	for _, address := range w.job.attemptIndex.silentEngines(*chain, w.job.usualPause.atLeast(minActiveWindow, activeWindowFactor)) {
@@ -135,7 +153,7 @@
 	}
 	if err != nil {
 		w.job.cfg.Fleet.MarkDown(time.Now(), chain.Head.Address, "report request failed: "+err.Error())
-		w.abort(chain.Head.Address, errHeadSilent)
+		w.abort(chain.Head.Address, delay, errHeadSilent)
 		return
 	}
 	for _, s := range report.Stalled {
@@ -147,5 +165,5 @@
 	}
 	w.job.logEvent(zerolog.DebugLevel).Str("head", chain.Head.Address).Int64("silent_ms", w.silence().Milliseconds()).
 		Int("queued", report.Queued).Int("running", report.Running).Msg("no event received, but the chain is not stalled")
-	w.timer.Reset(recheckInterval)
+	w.scheduleCheck(recheckInterval)
 }
