--- a/internal/direct/saddlegateway/enginereport.go
+++ b/internal/direct/saddlegateway/enginereport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -15,33 +14,43 @@
 	reportMaxAge = 100 * time.Millisecond
 )
 
-// cachedReport is the last report of a head, or the error of the request for it.
-type cachedReport struct {
-	mu        sync.Mutex
-	fetchedAt time.Time
-	report    fireflysaddle.EngineReport
-	err       error
+// sharedReport is a report of a head, or the error of the request for it.
+type sharedReport struct {
+	done        chan struct{} // closed once the fields below are set
+	requestedAt time.Time
+	fetchedAt   time.Time
+	report      fireflysaddle.EngineReport
+	err         error
+}
+
+// current reports whether further streams use the report or wait for it.
+func (r *sharedReport) current(now time.Time) bool {
+	select {
+	case <-r.done:
+		return now.Sub(r.fetchedAt) < reportMaxAge
+	default:
+		return true
+	}
 }
 
 // engineReport returns the report of a head. Concurrent callers share one report request,
 // so the request is not cancelled when the context of the caller that sent it ends.
-func (g *Gateway) engineReport(ctx context.Context, address string) (fireflysaddle.EngineReport, error) {
+func (g *Gateway) engineReport(ctx context.Context, now time.Time, address string) *sharedReport {
 	g.mu.Lock()
-	cached, ok := g.engineReports[address]
-	if !ok {
-		cached = &cachedReport{}
-		g.engineReports[address] = cached
+	shared, ok := g.engineReports[address]
+	if ok && shared.current(now) {
+		g.mu.Unlock()
+		<-shared.done
+		return shared
 	}
+	shared = &sharedReport{done: make(chan struct{}), requestedAt: now}
+	g.engineReports[address] = shared
 	g.mu.Unlock()
-	cached.mu.Lock()
-	defer cached.mu.Unlock()
-	if time.Since(cached.fetchedAt) < reportMaxAge {
-		return cached.report, cached.err
-	}
+	defer close(shared.done)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	defer cancel()
 	countReportRequests.Add(1)
-	cached.report, cached.err = g.cfg.Forwarder.Report(ctx, address)
-	cached.fetchedAt = time.Now()
-	return cached.report, cached.err
+	shared.report, shared.err = g.cfg.Forwarder.Report(ctx, address)
+	shared.fetchedAt = time.Now()
+	return shared
 }
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -38,7 +38,7 @@
 	mu            sync.Mutex    // guards stateChanged, retryBudgets, engineReports and endChecks
 	stateChanged  chan struct{} // closed and replaced when the state is set
 	retryBudgets  map[fireflysaddle.Group]*retryBudget
-	engineReports map[string]*cachedReport
+	engineReports map[string]*sharedReport
 	attemptIndex  attemptIndex
 	waitQueue     waitQueue
 	slowCentres   slowCentreDetector
@@ -49,7 +49,7 @@
 
 // New returns a gateway without a configuration.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, stateChanged: make(chan struct{}), retryBudgets: map[fireflysaddle.Group]*retryBudget{}, engineReports: map[string]*cachedReport{}, blames: saddleblame.New(), endChecks: map[string]time.Time{}}
+	g := &Gateway{cfg: cfg, stateChanged: make(chan struct{}), retryBudgets: map[fireflysaddle.Group]*retryBudget{}, engineReports: map[string]*sharedReport{}, blames: saddleblame.New(), endChecks: map[string]time.Time{}}
 	g.state.Store(&State{})
 	g.SetLimits(cfg.Limits)
 	return g
--- /dev/null
+++ b/internal/direct/saddlegateway/silence_test.go
@@ -0,0 +1,245 @@
+package saddlegateway_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlegateway"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
+)
+
+// timedBody yields one event at a time, each after a pause, until its context ends.
+type timedBody struct {
+	events []string
+	pause  func(event int) time.Duration
+	read   int
+	ctx    context.Context
+}
+
+func (b *timedBody) setContext(ctx context.Context) { b.ctx = ctx }
+
+func (b *timedBody) Close() error { return nil }
+
+func (b *timedBody) Read(p []byte) (int, error) {
+	if b.read == len(b.events) {
+		return 0, io.EOF
+	}
+	select {
+	case <-time.After(b.pause(b.read)):
+	case <-b.ctx.Done():
+		return 0, context.Cause(b.ctx)
+	}
+	n := copy(p, b.events[b.read])
+	b.read++
+	return n, nil
+}
+
+// timedAnswer answers with the events after the last one that the caller received. pause is
+// the time before an event.
+func timedAnswer(f fireflysaddle.Forward, pause func(event int) time.Duration) (*fireflysaddle.Reply, error) {
+	rest := eventStream(0, lastEventID)
+	if f.LastEventID != "" {
+		_, after, _ := strings.Cut(rest, "id: "+f.LastEventID+"\n")
+		_, rest, _ = strings.Cut(after, "\n\n")
+	}
+	events := strings.SplitAfter(rest, "\n\n")
+	r := okReply("")
+	r.Body = &timedBody{events: events[:len(events)-1], pause: pause}
+	return r, nil
+}
+
+const usualEventPause = 30 * time.Millisecond
+
+// silentBefore returns the pauses of a target that is silent for the duration d before one
+// of its events.
+func silentBefore(silentEvent int, d time.Duration) func(int) time.Duration {
+	return func(event int) time.Duration {
+		if event == silentEvent {
+			return d
+		}
+		return usualEventPause
+	}
+}
+
+// serveMany serves n calls at a time and returns how many were answered completely.
+func (f *fixture) serveMany(n int, path string) (complete int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() {
+			got := f.serve(call(path))
+			mu.Lock()
+			defer mu.Unlock()
+			if !got.aborted && got.body.String() == eventStream(0, lastEventID) {
+				complete++
+			}
+		})
+	}
+	wg.Wait()
+	return complete
+}
+
+// withoutRetries takes the retry budget from a fixture.
+func (f *fixture) withoutRetries() {
+	f.gateway.SetLimits(saddlegateway.Limits{KeyLease: 4 * time.Second})
+}
+
+// Guards against streams that are cut because their sound target is silent for 1.7 s,
+// although no other attempt can continue them.
+func TestSilentTargetIsNotCutWhereNoAttemptFollows(t *testing.T) {
+	silent := silentBefore(4, 1700*time.Millisecond)
+	for name, c := range map[string]struct {
+		path    string
+		prepare func(f *fixture)
+		first   answerFunc // nil: the silent target is the first
+	}{
+		"not resumable":          {path: "/once/"},
+		"of a plain service":     {path: "/feed/", prepare: (*fixture).withoutRetries},
+		"no attempt left":        {path: "/draft/", first: truncateAfter(2)},
+		"no retry left":          {path: "/draft/", prepare: (*fixture).withoutRetries},
+		"no other engine usable": {path: "/draft/", prepare: (*fixture).removeCentreB},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+					if n == 1 && c.first != nil {
+						return c.first(f)
+					}
+					return timedAnswer(f, silent)
+				})
+				if c.prepare != nil {
+					c.prepare(f)
+				}
+				is.Equal(f.serveMany(1, c.path), 1)
+			})
+		})
+	}
+}
+
+// removeCentreB removes the engines of data centre b.
+func (f *fixture) removeCentreB() {
+	u := &saddlewire.Update{}
+	for _, id := range []string{"engine-b-0", "engine-b-2"} {
+		u.Departures = append(u.Departures, &saddlewire.Departure{Target: id, Incarnation: 1})
+	}
+	f.builder.Update("control", u)
+	f.fleet.Update(time.Now(), f.builder.Build())
+}
+
+// Guards against all streams of a head being cut because its reports take 300 ms, while
+// events arrive every 180 ms.
+func TestSlowReportsCutNoStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, func(_ int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+			return timedAnswer(f, func(int) time.Duration { return 180 * time.Millisecond })
+		})
+		f.fakeTargets.report = lateReport
+		const drafts = 20
+		is.Equal(f.serveMany(drafts, "/draft/"), drafts)
+		is.Equal(len(f.fakeTargets.forwarded()), drafts) // no further attempts
+	})
+}
+
+// lateReport is a report that does not arrive within the time limit.
+func lateReport(address string) (fireflysaddle.EngineReport, error) {
+	time.Sleep(200 * time.Millisecond)
+	return fireflysaddle.EngineReport{}, &fireflysaddle.TargetError{Target: fireflysaddle.TargetID(address), Err: context.DeadlineExceeded}
+}
+
+// Pattern: an entry is held up for half a second, while it applies a configuration with many
+// routes. It then has no events and no report from a sound head through which 27 drafts pass,
+// more than its retry budget covers. Guards against cutting those that get no retry.
+func TestSuspectedHeadCutsNoStream(t *testing.T) {
+	for _, path := range []string{"/draft/", "/once/"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, func(_ int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+					return timedAnswer(f, silentBefore(4, 500*time.Millisecond))
+				})
+				f.fakeTargets.report = lateReport
+				const drafts = 27
+				is.Equal(f.serveMany(drafts, path), drafts)
+			})
+		})
+	}
+}
+
+// A stream without further attempts ends at once when its head has certainly ended.
+func TestStreamOfAnEndedHeadIsNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, func(_ int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+			return timedAnswer(f, silentBefore(4, time.Hour))
+		})
+		f.fakeTargets.report = func(address string) (fireflysaddle.EngineReport, error) {
+			return fireflysaddle.EngineReport{}, &fireflysaddle.NotSentError{Address: address, Err: syscall.ECONNREFUSED}
+		}
+		began := time.Now()
+		got := f.serve(call("/once/"))
+		is.True(got.aborted)
+		is.True(time.Since(began) < time.Second)
+	})
+}
+
+// Guards against a fixed limit on the silence of targets: the route decides how long callers
+// wait, and a further attempt begins before they leave.
+func TestSilentStreamContinuesBeforeItsCallerLeaves(t *testing.T) {
+	for name, c := range map[string]struct {
+		gapObjective time.Duration
+		silence      time.Duration // of the first target
+		sends        int
+		within       time.Duration // longest time to the end of the answer
+	}{
+		"silent for good":                  {silence: time.Hour, sends: 2, within: 2 * time.Second},
+		"silent for long, patient callers": {gapObjective: 500 * time.Millisecond, silence: 2500 * time.Millisecond, sends: 1, within: 3 * time.Second},
+		"silent for good, patient callers": {gapObjective: 500 * time.Millisecond, silence: time.Hour, sends: 2, within: 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+					if n == 1 {
+						return timedAnswer(f, silentBefore(4, c.silence))
+					}
+					return answerRest(f)
+				})
+				r := routing(t)
+				for _, route := range r.Routes {
+					route.EventGapObjective = c.gapObjective
+				}
+				f.setRouting(r, 0)
+				began := time.Now()
+				is.Equal(f.serveMany(1, "/draft/"), 1)
+				is.Equal(len(f.fakeTargets.forwarded()), c.sends)
+				is.True(time.Since(began) < c.within)
+			})
+		})
+	}
+}
+
+// Guards against a request that ends without its answer because its target is slow and no
+// retry is left.
+func TestSlowTargetIsAwaitedWithoutARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, func(_ int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+			return timedAnswer(f, silentBefore(4, 1200*time.Millisecond))
+		})
+		f.withoutRetries()
+		got := f.serve(call("/status/"))
+		is.Equal(got.refusal, nil)
+		is.Equal(got.body.String(), eventStream(0, lastEventID))
+	})
+}
--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -144,7 +144,8 @@
 	for _, address := range w.job.attemptIndex.silentEngines(*chain, w.job.usualPause.atLeast(minActiveWindow, activeWindowFactor)) {
 		w.job.cfg.Fleet.RequestProbe(time.Now(), address)
 	}
-	report, err := w.job.engineReport(w.ctx, chain.Head.Address)
+	shared := w.job.engineReport(w.ctx, time.Now(), chain.Head.Address)
+	report, err := shared.report, shared.err
 	if report.Leaving {
 		w.job.cfg.Fleet.RecordLeaving(chain.Head, "")
 	}
