A stream's attempt is aborted only once another one is certain

What callers saw: LOST.

Cause: silence of a target, or of its report, was taken for its loss, and the attempt was aborted at once. Only then was the retry asked for, and a chain looked for. The entry's part of the retry budget covers about a dozen of the streams that pass through one head; the others were cut, and so was every stream without further attempts. Silence and late reports have other causes than a lost target: the target preempts a request for a second, or the entry itself is held up, as by the work for a change.

Evidence: TestSilentTargetIsNotCutWhereNoAttemptFollows (five rows), TestSlowReportsCutNoStream (0 of 20 complete), TestSuspectedHeadCutsNoStream (0 of 27) and TestSilentStreamContinuesBeforeItsCallerLeaves (one row of three) failed before.

Why this works: an attempt is aborted on suspicion only after a chain and a retry are reserved for the next one, so that it is replaced, not ended. Otherwise it goes on, reroutes are tried again, and the target's own end, the deadline or the caller ends it. What is certain still ends it at once: a head that refuses connections or does not know the request. The silence after which another attempt takes over comes from the route: three quarters of the time that its callers wait. Events that arrive meanwhile outrank a report or a probe that is late (TestProgressOutranksAnUnansweredProbe, which tests a new function).

--- a/internal/daemon/saddledaemon/gatewaytargets.go
+++ b/internal/daemon/saddledaemon/gatewaytargets.go
@@ -48,12 +48,13 @@
 		case <-tick.C:
 		case <-g.fleet.ProbeRequests():
 		}
-		for _, t := range g.fleet.StartDueProbes(time.Now()) {
+		began := time.Now()
+		for _, t := range g.fleet.StartDueProbes(began) {
 			wg.Go(func() {
 				callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 				defer cancel()
 				report, err := g.client.Report(callCtx, t.Address)
-				g.fleet.RecordProbe(time.Now(), t, report, err)
+				g.gateway.RecordProbe(time.Now(), began, t, report, err)
 			})
 		}
 	}
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -78,6 +78,15 @@
 	return ""
 }
 
+// Ended reports whether the engine at an address has certainly ended, and not only failed to
+// answer a probe in time.
+func (f *Fleet) Ended(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t, ok := f.byAddress[address]
+	return ok && t.ended
+}
+
 // signalProbe sends to probeRequests without blocking.
 func (f *Fleet) signalProbe() {
 	select {
@@ -239,6 +248,25 @@
 	}
 }
 
+// RecordProgress records that events passed through an engine while its probe remained
+// unanswered: it is slow to answer, but it works.
+func (f *Fleet) RecordProgress(now time.Time, probed Target) {
+	f.mu.Lock()
+	t, ok := f.targets[probed.ID]
+	if !ok || t.incarnation != probed.incarnation {
+		f.mu.Unlock()
+		return
+	}
+	wasExcluded := t.excluded
+	t.probing, t.probeRequested, t.ended = false, false, false
+	t.readmit()
+	t.nextProbe = now.Add(f.reprobeInterval())
+	f.mu.Unlock()
+	if wasExcluded {
+		f.log.Info().Str("target", string(t.ID)).Str("address", t.Address).Msg("engine readmitted: events pass through it")
+	}
+}
+
 // reprobeInterval returns the time before an engine that answered is probed again. The
 // entries of a data centre use the same engines and tell one another which do not answer,
 // so each of them probes less often the more they are.
--- a/internal/direct/saddlegateway/attemptindex.go
+++ b/internal/direct/saddlegateway/attemptindex.go
@@ -1,11 +1,14 @@
 package saddlegateway
 
 import (
+	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
 )
 
@@ -80,13 +83,36 @@
 	return out
 }
 
+// activeSince reports whether a stream that passes through an engine has received an event
+// since a time.
+func (x *attemptIndex) activeSince(since time.Time, address string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for w := range x.byAddress[address] {
+		if w.hasEvent.Load() && w.lastEventTime().After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // stallSilence returns the time without an event after which a stream is rerouted or
 // aborted if an engine of its chain is down or stalled.
 func (g *Gateway) stallSilence() time.Duration {
 	return g.usualPause.atLeast(minStallSilence, stallSilenceFactor)
 }
 
-// HandleEngineDown reroutes or aborts the silent attempts whose chains pass through an
+// RecordProbe passes the result of a probe that was sent at began to the fleet. Events that
+// have passed through the engine since then outrank a probe that got no answer in time.
+func (g *Gateway) RecordProbe(now, began time.Time, probed saddlefleet.Target, report fireflysaddle.EngineReport, err error) {
+	if errors.Is(err, context.DeadlineExceeded) && g.attemptIndex.activeSince(began, probed.Address) {
+		g.cfg.Fleet.RecordProgress(now, probed)
+		return
+	}
+	g.cfg.Fleet.RecordProbe(now, probed, report, err)
+}
+
+// HandleEngineDown reroutes or retries the silent attempts whose chains pass through an
 // engine that was found to be down. ended tells whether the engine has certainly ended.
 func (g *Gateway) HandleEngineDown(address string, ended bool) {
 	if ended {
@@ -94,7 +120,7 @@
 	}
 	for _, w := range g.attemptIndex.passingThrough(address) {
 		if w.silence() > g.stallSilence() {
-			go w.handleEngineLoss(address)
+			go w.handleEngineLoss(address, ended)
 		}
 	}
 }
--- a/internal/direct/saddlegateway/awaitchain.go
+++ b/internal/direct/saddlegateway/awaitchain.go
@@ -62,14 +62,20 @@
 // pickOtherHead selects a chain with capacity. An engine that failed the stream as head is
 // selected again only if no other chain has capacity.
 func (j *job) pickOtherHead() (chain saddlefleet.Chain, release func(), full, ok bool) {
-	avoid := j.avoidedAddresses(time.Now())
-	if len(j.failedHeads) > 0 {
-		chain, release, _, ok = j.cfg.Fleet.PickChain(time.Now(), j.pool, j.call.estimatedTokens(), slices.Concat(avoid, j.failedHeads))
+	now := time.Now()
+	return j.pickChainWithout(now, j.avoidedAddresses(now), j.failedHeads)
+}
+
+// pickChainWithout selects a chain with capacity without the engines avoid, and without the
+// engines failedHeads if such a chain has capacity.
+func (j *job) pickChainWithout(now time.Time, avoid, failedHeads []string) (chain saddlefleet.Chain, release func(), full, ok bool) {
+	if len(failedHeads) > 0 {
+		chain, release, _, ok = j.cfg.Fleet.PickChain(now, j.pool, j.call.estimatedTokens(), slices.Concat(avoid, failedHeads))
 		if ok {
 			return chain, release, false, true
 		}
 	}
-	return j.cfg.Fleet.PickChain(time.Now(), j.pool, j.call.estimatedTokens(), avoid)
+	return j.cfg.Fleet.PickChain(now, j.pool, j.call.estimatedTokens(), avoid)
 }
 
 // refusePaused returns a refusal if engines without which a layer is missing have asked for
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -28,15 +28,16 @@
 	startTime     time.Time
 	deadline      time.Time
 
-	retryPrepaid    atomic.Bool // the next retry has already been deducted from the budget
-	sends           int         // sends so far
-	runs            int         // sends that may have run on a target
-	headerSent      bool        // Responder.Begin was called
-	eventsSent      int         // events sent to the caller
-	attemptAddress  string      // address that the most recent attempt was sent to
-	attemptLifetime string      // start of the target at that address
-	attemptSentAt   time.Time   // time at which the most recent attempt was sent
-	attemptEvents   int         // events of the most recent attempt at a stream
+	retryPrepaid    atomic.Bool                 // the next retry has already been deducted from the budget
+	next            atomic.Pointer[nextAttempt] // nil: none is reserved
+	sends           int                         // sends so far
+	runs            int                         // sends that may have run on a target
+	headerSent      bool                        // Responder.Begin was called
+	eventsSent      int                         // events sent to the caller
+	attemptAddress  string                      // address that the most recent attempt was sent to
+	attemptLifetime string                      // start of the target at that address
+	attemptSentAt   time.Time                   // time at which the most recent attempt was sent
+	attemptEvents   int                         // events of the most recent attempt at a stream
 	sequence        eventSequence
 	lastEventID     string        // identifier of the last event that the caller received
 	firstByteAt     time.Time     // time of the first event or byte
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -32,12 +32,13 @@
 func (j *job) servePlain(ctx context.Context) {
 	reason := "no target is available"
 	j.cfg.Fleet.RecordDemand(time.Now(), j.pool.Group)
+	defer j.releaseNextAttempt()
 	for {
 		if refusal := j.quarantineRefusal(time.Now()); refusal != nil {
 			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
 			return
 		}
-		target, release, ok := j.cfg.Fleet.Pick(time.Now(), j.pool.Group, j.triedTargets)
+		target, release, ok := j.pickTarget(time.Now())
 		if !ok {
 			j.failCall(ctx, fireflysaddle.CodeNoTarget, reason, j.targetsRetryAfter(time.Now()))
 			return
@@ -47,7 +48,6 @@
 			j.failCall(ctx, fireflysaddle.CodeNoTarget, reason, targetsFullRetryAfter)
 			return
 		}
-		j.triedTargets = append(j.triedTargets, target.ID)
 		ended, failure := j.tryPlain(ctx, target)
 		release()
 		if ended {
@@ -62,6 +62,17 @@
 	}
 }
 
+// pickTarget selects a target that was not tried, unless one is reserved.
+func (j *job) pickTarget(now time.Time) (t saddlefleet.Target, release func(), ok bool) {
+	if next, ok := j.takeNextAttempt(); ok {
+		return next.chain.Head, next.release, true
+	}
+	if t, release, ok = j.cfg.Fleet.Pick(now, j.pool.Group, j.triedTargets); ok {
+		j.triedTargets = append(j.triedTargets, t.ID)
+	}
+	return t, release, ok
+}
+
 // targetsRetryAfter returns the delay before a retry when no target of the group can be
 // chosen. If all of them asked for a pause or limit their requests, callers return when the
 // first one accepts a request.
--- a/internal/direct/saddlegateway/reroute.go
+++ b/internal/direct/saddlegateway/reroute.go
@@ -1,9 +1,11 @@
 package saddlegateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,30 +25,29 @@
 	// retried. A spare engine takes over the layers of a lost one within one or two
 	// seconds.
 	rerouteInterval = 100 * time.Millisecond
-	// maxRerouteWait is the time without an event after which a reroute is not attempted
-	// again. After two seconds engines terminate the requests that depend on a lost
-	// engine, and callers disconnect.
-	maxRerouteWait = 2 * time.Second
 )
 
 // handleEngineLoss reroutes the attempt around the lost engine at address. The address is
 // empty if the head has refused the current chain and no engine of the chain is excluded.
+// ended tells whether the engine has certainly ended.
 //
-// If the reroute fails, there are three cases:
-//   - It aborts the attempt if the lost engine is the head, if the head does not have the
-//     request, or after maxRerouteWait without an event.
-//   - Otherwise it aborts the attempt if another attempt may follow and the retry budget
-//     allows it.
-//   - Otherwise it schedules another reroute, because a spare engine may take over the lost
-//     layers.
-func (w *watchdog) handleEngineLoss(address string) {
+// If the attempt is not rerouted, there are three cases:
+//   - It is aborted if the head has certainly ended or does not have the request.
+//   - Otherwise it is aborted once another attempt is certain.
+//   - Otherwise it goes on, and the reroute is attempted again: a spare engine may take over
+//     the lost layers, and an engine that only seems to be lost may go on.
+func (w *watchdog) handleEngineLoss(address string, ended bool) {
 	w.chainMu.Lock()
 	defer w.chainMu.Unlock()
 	if w.stopped || w.ctx.Err() != nil || (!w.rerouteRefused.Load() && !w.chain.Load().Includes(address)) {
 		return
 	}
-	silence := w.silence()
-	err := w.reroute(address)
+	silence, delay := w.silence(), w.checkDelay()
+	head := w.chain.Load().Head
+	err := errHeadLost
+	if address != head.Address {
+		err = w.reroute(address)
+	}
 	if err == nil {
 		countRerouted.Add(1)
 		w.job.logEvent(zerolog.InfoLevel).Str("engine", address).Int64("silent_ms", silence.Milliseconds()).
@@ -54,24 +55,27 @@
 		w.scheduleCheck(firstEventCheck)
 		return
 	}
-	cannotWait := isUnknownRequest(err) || address == w.chain.Load().Head.Address || silence > maxRerouteWait
-	if !cannotWait && !w.reserveNextAttempt() {
+	over := isUnknownRequest(err) || (ended && address == head.Address)
+	if !w.secureNextAttempt(time.Now(), cmp.Or(address, head.Address)) && !over {
 		if !w.waiting {
 			w.waiting = true
 			w.job.logEvent(zerolog.InfoLevel).Err(err).Str("engine", address).Int64("silent_ms", silence.Milliseconds()).
-				Bool("attempts_left", w.mayRetry).Msg("chain waits for a replacement engine")
+				Int64("check_late_ms", delay.Milliseconds()).Bool("attempts_left", w.mayRetry).Msg("attempt goes on without a lost engine")
 		}
 		w.scheduleCheck(rerouteInterval)
 		return
 	}
-	w.job.logEvent(zerolog.InfoLevel).Err(err).Str("engine", address).Int64("silent_ms", silence.Milliseconds()).
-		Msg("chain not rerouted")
-	w.abort(address, w.checkDelay(), fmt.Errorf("chain stalled at the engine %s and could not be rerouted", address))
+	w.abort(address, delay, fmt.Errorf("engine %s lost: %w", address, err))
 }
 
-// reserveNextAttempt reports whether another attempt may follow this one, and deducts
-// it from the retry budget.
-func (w *watchdog) reserveNextAttempt() bool { return w.mayRetry && w.job.prepayRetry(w.ctx) }
+// secureNextAttempt reports whether another attempt can continue the stream at once without
+// the engine at an address. It then has reserved a chain and a retry for that attempt. It must
+// be called with chainMu held.
+func (w *watchdog) secureNextAttempt(now time.Time, without string) bool {
+	out := w.exclusions
+	out.engines = slices.Concat(out.engines, []string{without})
+	return w.mayRetry && w.job.secureNextAttempt(w.ctx, now, out)
+}
 
 // isUnknownRequest reports whether the head answered that it does not have the request.
 func isUnknownRequest(err error) bool {
@@ -79,7 +83,10 @@
 	return errors.As(err, &refused) && refused.Status == fireflysaddle.OrderNotFound
 }
 
-var errNoReplacement = errors.New("no other engines have capacity for the lost layers")
+var (
+	errNoReplacement = errors.New("no other engines have capacity for the lost layers")
+	errHeadLost      = errors.New("the head of a chain cannot be replaced")
+)
 
 // reroute assigns the layers of the lost engine to other engines and orders the head to
 // continue the attempt on the new chain, from where the attempt stopped. If an engine
--- a/internal/direct/saddlegateway/silence_test.go
+++ b/internal/direct/saddlegateway/silence_test.go
@@ -57,11 +57,13 @@
 	return r, nil
 }
 
-const usualEventPause = 30 * time.Millisecond
+const (
+	usualEventPause = 30 * time.Millisecond
+	silentEvent     = 4 // event of an answer before which a target is silent
+)
 
-// silentBefore returns the pauses of a target that is silent for the duration d before one
-// of its events.
-func silentBefore(silentEvent int, d time.Duration) func(int) time.Duration {
+// silentFor returns the pauses of a target that is silent once, for the duration d.
+func silentFor(d time.Duration) func(int) time.Duration {
 	return func(event int) time.Duration {
 		if event == silentEvent {
 			return d
@@ -96,7 +98,7 @@
 // Guards against streams that are cut because their sound target is silent for 1.7 s,
 // although no other attempt can continue them.
 func TestSilentTargetIsNotCutWhereNoAttemptFollows(t *testing.T) {
-	silent := silentBefore(4, 1700*time.Millisecond)
+	silent := silentFor(1700 * time.Millisecond)
 	for name, c := range map[string]struct {
 		path    string
 		prepare func(f *fixture)
@@ -166,7 +168,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newFixture(t, func(_ int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
-					return timedAnswer(f, silentBefore(4, 500*time.Millisecond))
+					return timedAnswer(f, silentFor(500*time.Millisecond))
 				})
 				f.fakeTargets.report = lateReport
 				const drafts = 27
@@ -181,7 +183,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFixture(t, func(_ int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
-			return timedAnswer(f, silentBefore(4, time.Hour))
+			return timedAnswer(f, silentFor(time.Hour))
 		})
 		f.fakeTargets.report = func(address string) (fireflysaddle.EngineReport, error) {
 			return fireflysaddle.EngineReport{}, &fireflysaddle.NotSentError{Address: address, Err: syscall.ECONNREFUSED}
@@ -211,7 +213,7 @@
 				is := is.New(t)
 				f := newFixture(t, func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
 					if n == 1 {
-						return timedAnswer(f, silentBefore(4, c.silence))
+						return timedAnswer(f, silentFor(c.silence))
 					}
 					return answerRest(f)
 				})
@@ -235,7 +237,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFixture(t, func(_ int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
-			return timedAnswer(f, silentBefore(4, 1200*time.Millisecond))
+			return timedAnswer(f, silentFor(1200*time.Millisecond))
 		})
 		f.withoutRetries()
 		got := f.serve(call("/status/"))
@@ -243,3 +245,35 @@
 		is.Equal(got.body.String(), eventStream(0, lastEventID))
 	})
 }
+
+// Guards against an engine being taken out of use because it answers probes late, while
+// streams make progress at it.
+func TestProgressOutranksAnUnansweredProbe(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause    time.Duration // between the events of a stream
+		err      error
+		excluded bool
+	}{
+		"events arrive":                  {180 * time.Millisecond, context.DeadlineExceeded, false},
+		"no event arrives":               {time.Hour, context.DeadlineExceeded, true},
+		"the engine has certainly ended": {180 * time.Millisecond, syscall.ECONNREFUSED, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, func(_ int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+					return timedAnswer(f, func(int) time.Duration { return c.pause })
+				})
+				go f.serve(call("/once/"))
+				time.Sleep(time.Second)
+				f.fleet.RequestProbe(time.Now(), "engine-a-0")
+				began := time.Now()
+				probed := f.fleet.StartDueProbes(began)
+				time.Sleep(200 * time.Millisecond)
+				f.gateway.RecordProbe(time.Now(), began, probed[0], fireflysaddle.EngineReport{}, c.err)
+				is.Equal(f.fleet.FirstExcluded([]string{"engine-a-0"}) != "", c.excluded)
+				time.Sleep(6 * time.Second) // the route's timeout
+			})
+		})
+	}
+}
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -43,6 +43,7 @@
 		j.refuse(Refusal{Code: fireflysaddle.CodeLeaving, Message: "the process is shutting down and may stop before the stream ends", RetryAfter: shutdownRetryAfter})
 		return
 	}
+	defer j.releaseNextAttempt()
 	for {
 		if refusal := j.quarantineRefusal(time.Now()); refusal != nil {
 			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
@@ -77,15 +78,17 @@
 	}
 }
 
-// pickChain selects a chain, or a single target for a plain service. It waits for a
-// chain with capacity until the caller has had no event for capacityWait.
+// pickChain selects a chain, or a single target for a plain service, unless one is reserved.
+// It waits for a chain with capacity until the caller has had no event for capacityWait.
 func (j *job) pickChain(ctx context.Context) (saddlefleet.Chain, func(), *Refusal) {
+	if next, ok := j.takeNextAttempt(); ok {
+		return next.chain, next.release, nil
+	}
 	if j.pool.Model == nil {
-		t, release, ok := j.cfg.Fleet.Pick(time.Now(), j.pool.Group, j.triedTargets)
+		t, release, ok := j.pickTarget(time.Now())
 		if !ok {
 			return saddlefleet.Chain{}, nil, &Refusal{Code: fireflysaddle.CodeNoTarget, Message: "no target is available", RetryAfter: j.targetsRetryAfter(time.Now())}
 		}
-		j.triedTargets = append(j.triedTargets, t.ID)
 		return saddlefleet.Chain{Head: t}, release, nil
 	}
 	return j.awaitChain(ctx)
--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,18 +26,13 @@
 	eventGapFactor = 2.5
 	// recheckInterval is the time between further checks. Reports are up to 200 ms old.
 	recheckInterval = 130 * time.Millisecond
-	// maxSilence is the time without an event after which an attempt is aborted
-	// regardless of the head's report. Callers disconnect after two seconds without an
-	// event. The attempt is not aborted while the mean pause between events is long in
-	// one of the data centres that its chain uses, because another attempt would only
-	// add load.
-	maxSilence = 1400 * time.Millisecond
+	// retryPatience is the share of the callers' patience after which another attempt
+	// continues a silent stream. The rest is left for that attempt to begin, which takes up
+	// to the objective for the first event: a quarter of the patience or less.
+	retryPatience = 0.75
 )
 
-var (
-	errSilent     = errors.New("no event within the silence limit")
-	errHeadSilent = errors.New("the head of the chain did not answer the report request")
-)
+var errSilent = errors.New("no event for so long that another attempt continues the stream")
 
 // watchdog monitors one attempt. It reroutes or aborts the attempt if its chain makes
 // no progress.
@@ -52,6 +49,7 @@
 	faultyAddress atomic.Pointer[string] // address of the engine that caused the abort; nil: none
 	chainMu       sync.Mutex             // held while the chain is rerouted
 	mayRetry      bool                   // another attempt may follow this one
+	exclusions    exclusions             // of the attempt after this one
 
 	rerouteRefused atomic.Bool // the head has not accepted the current chain
 	stopped        bool        // guarded by chainMu: the attempt has ended and the capacity of its chain is released
@@ -62,6 +60,7 @@
 func (j *job) startWatchdog(ctx context.Context, cancel context.CancelCauseFunc, chain saddlefleet.Chain) *watchdog {
 	w := &watchdog{job: j, ctx: ctx, cancel: cancel, startTime: time.Now()}
 	w.mayRetry = j.route.Retryable() && j.runs+1 < j.route.MaxAttempts && j.sends < maxSends
+	w.exclusions = exclusions{targets: slices.Clone(j.triedTargets), engines: j.avoidedAddresses(w.startTime), heads: slices.Clone(j.failedHeads)}
 	w.chain.Store(&chain)
 	w.checkDue.Store(int64(firstEventCheck))
 	w.timer = time.AfterFunc(firstEventCheck, w.check)
@@ -80,6 +79,11 @@
 	w.scheduleCheck(w.job.usualPause.atLeast(minEventGapCheck, eventGapFactor))
 }
 
+// lastEventTime returns the time of the last event, or the start of the attempt.
+func (w *watchdog) lastEventTime() time.Time {
+	return w.startTime.Add(time.Duration(w.lastEvent.Load()))
+}
+
 // scheduleCheck has check run after the duration d, unless an event arrives first.
 func (w *watchdog) scheduleCheck(d time.Duration) {
 	w.checkDue.Store(int64(time.Since(w.startTime) + d))
@@ -118,23 +122,26 @@
 }
 
 // check runs when the timer has expired without an event. It reroutes the chain if one of
-// its engines is excluded or the head has refused the current chain. It aborts the attempt
-// after maxSilence. Otherwise it has the fleet probe those engines of the chain whose
-// streams have all received no event recently. It also requests a report from the head to
-// find out why there is no event. If the head does not report, it aborts the attempt. If a
-// stream is stalled at an engine of the chain, it reroutes the chain.
+// its engines is excluded or the head has refused the current chain. If the silence has
+// lasted for retryPatience, another attempt continues the stream if there is one. Otherwise
+// check has the fleet probe those engines of the chain whose streams have all received no
+// event recently. It also requests a report from the head to find out why there is no event.
+// If the head does not report and no stream that begins there has had an event since, it
+// counts as down. If a stream is stalled at an engine of the chain, the chain is rerouted.
+//
+// A target's silence is no evidence that its answer will not come. An attempt is therefore
+// aborted only once another attempt is certain, or once its head has certainly ended.
 func (w *watchdog) check() {
 	if w.ctx.Err() != nil {
 		return
 	}
-	delay := w.checkDelay()
+	now, delay := time.Now(), w.checkDelay()
 	chain := w.chain.Load()
 	if lost := w.job.cfg.Fleet.FirstExcluded(chain.Addresses()); lost != "" || w.rerouteRefused.Load() {
-		w.handleEngineLoss(lost)
+		w.handleEngineLoss(lost, w.job.cfg.Fleet.Ended(lost))
 		return
 	}
-	if w.silence() > maxSilence && !w.job.slowCentres.anySlow(time.Now(), chain.Centres) {
-		w.abort(chain.Head.Address, delay, errSilent)
+	if w.silence() > w.retrySilence() && !w.job.slowCentres.anySlow(now, chain.Centres) && w.retryElsewhere(now, delay) {
 		return
 	}
 	if len(chain.Parts) == 0 {
@@ -142,29 +149,48 @@
 		return
 	}
 	for _, address := range w.job.attemptIndex.silentEngines(*chain, w.job.usualPause.atLeast(minActiveWindow, activeWindowFactor)) {
-		w.job.cfg.Fleet.RequestProbe(time.Now(), address)
+		w.job.cfg.Fleet.RequestProbe(now, address)
 	}
-	shared := w.job.engineReport(w.ctx, time.Now(), chain.Head.Address)
-	report, err := shared.report, shared.err
-	if report.Leaving {
+	shared := w.job.engineReport(w.ctx, now, chain.Head.Address)
+	if shared.report.Leaving {
 		w.job.cfg.Fleet.RecordLeaving(chain.Head, "")
 	}
 	if w.ctx.Err() != nil {
 		return
 	}
-	if err != nil {
-		w.job.cfg.Fleet.MarkDown(time.Now(), chain.Head.Address, "report request failed: "+err.Error())
-		w.abort(chain.Head.Address, delay, errHeadSilent)
+	if shared.err != nil && !w.job.attemptIndex.activeSince(shared.requestedAt, chain.Head.Address) {
+		w.job.cfg.Fleet.MarkDown(time.Now(), chain.Head.Address, "report request failed: "+shared.err.Error())
+		w.handleEngineLoss(chain.Head.Address, errors.Is(shared.err, syscall.ECONNREFUSED))
 		return
 	}
-	for _, s := range report.Stalled {
+	for _, s := range shared.report.Stalled {
 		if w.silence() > w.job.stallSilence() && w.chain.Load().Includes(s.Address) {
 			w.job.cfg.Fleet.MarkDown(time.Now(), s.Address, "a chain is stalled at the engine")
-			w.handleEngineLoss(s.Address)
+			w.handleEngineLoss(s.Address, false)
 			return
 		}
 	}
 	w.job.logEvent(zerolog.DebugLevel).Str("head", chain.Head.Address).Int64("silent_ms", w.silence().Milliseconds()).
-		Int("queued", report.Queued).Int("running", report.Running).Msg("no event received, but the chain is not stalled")
+		Int("queued", shared.report.Queued).Int("running", shared.report.Running).AnErr("report_error", shared.err).
+		Msg("no event received, but the chain is not stalled")
 	w.scheduleCheck(recheckInterval)
 }
+
+// retrySilence returns the time without an event after which another attempt is to continue
+// the stream.
+func (w *watchdog) retrySilence() time.Duration {
+	return time.Duration(retryPatience * float64(w.job.route.CallerPatience()))
+}
+
+// retryElsewhere aborts a silent attempt if another one is certain, and reports whether it
+// did.
+func (w *watchdog) retryElsewhere(now time.Time, delay time.Duration) bool {
+	w.chainMu.Lock()
+	defer w.chainMu.Unlock()
+	head := w.chain.Load().Head
+	if w.stopped || w.ctx.Err() != nil || !w.secureNextAttempt(now, head.Address) {
+		return false
+	}
+	w.abort(head.Address, delay, errSilent)
+	return true
+}
--- a/internal/direct/saddlerouting/route.go
+++ b/internal/direct/saddlerouting/route.go
@@ -28,6 +28,15 @@
 	return "non_idempotent"
 }
 
+const (
+	// minCallerPatience, patienceObjectives and patienceGaps determine how long callers wait
+	// for the next event of a stream, as the platform states it: the longest of two seconds,
+	// a multiple of the objective for the first event, and a multiple of that for pauses.
+	minCallerPatience  = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
+)
+
 // Route sends the requests of one host and path prefix to groups of targets.
 type Route struct {
 	Name               string
@@ -72,3 +81,9 @@
 func (r *Route) Retryable() bool {
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
 }
+
+// CallerPatience returns how long callers wait for the next event of a stream, also for the
+// first one, before they disconnect.
+func (r *Route) CallerPatience() time.Duration {
+	return max(minCallerPatience, patienceObjectives*r.FirstByteObjective, patienceGaps*r.EventGapObjective)
+}
