A slow target of a repeatable request is left only once another attempt is certain

What callers saw: a look-up whose target takes longer than twice the objective ends with 502 when no retry is left, though its answer would come within the deadline.

Change: at that time a target and a retry are reserved for the next attempt, and the present one ends only then; otherwise this is tried again every 100 ms while the target may still answer.

--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -19,9 +19,6 @@
 	// its header is sent to the caller, so that another target can be tried if the
 	// answer is truncated.
 	bufferedAnswerBytes = 256 << 10
-	// attemptTimeoutFactor bounds an attempt of a retryable request, as a multiple of
-	// the route's first-byte objective. After that time another target is tried.
-	attemptTimeoutFactor = 2
 	// targetsFullRetryAfter is the retry delay after all targets of a group were full.
 	// A target runs a request in some tens of milliseconds.
 	targetsFullRetryAfter = 250 * time.Millisecond
@@ -90,8 +87,10 @@
 	f := j.newForward(now, target)
 	f.FreshConn = !j.route.Retryable()
 	j.attemptAddress, j.attemptLifetime, j.attemptSentAt = target.Address, target.Lifetime(), now
-	ctx, cancel := context.WithTimeout(ctx, j.attemptTimeout(now))
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stopLimit := j.limitAttempt(ctx, now, cancel)
+	defer stopLimit()
 	reply, err := j.cfg.Forwarder.Forward(ctx, f)
 	j.recordNotice(time.Now(), now, target, reply, err)
 	if err != nil {
@@ -157,16 +156,6 @@
 	return status >= http.StatusInternalServerError && j.route.Retryable() && j.runs < j.route.MaxAttempts
 }
 
-// attemptTimeout returns the time limit of one attempt. If another attempt may follow, the
-// limit leaves time for it.
-func (j *job) attemptTimeout(now time.Time) time.Duration {
-	remaining := j.deadline.Sub(now)
-	if !j.route.Retryable() || j.route.MaxAttempts <= j.runs+1 || j.route.FirstByteObjective <= 0 {
-		return remaining
-	}
-	return min(remaining, attemptTimeoutFactor*j.route.FirstByteObjective)
-}
-
 // sendAnswer sends a target's answer to the caller. body is the part of its body that
 // has already been read.
 func (j *job) sendAnswer(reply *fireflysaddle.Reply, body []byte) {
