A confirmed loss ends an attempt that may be retried, though no other chain is free

The streams through a lost engine kept the capacity of the rest of their chain until the head gave up after 2 s, and could not secure another chain just because of what they held themselves.

Change: the loss of an engine is suspected, confirmed or certain. It is confirmed if the head names the engine as the one that it waits for, or if the engine has failed three times in succession; being held up for half a second gives neither. TestConfirmedLossReleasesTheChain failed before.

--- a/internal/direct/saddlegateway/attemptindex.go
+++ b/internal/direct/saddlegateway/attemptindex.go
@@ -120,7 +120,7 @@
 	}
 	for _, w := range g.attemptIndex.passingThrough(address) {
 		if w.silence() > g.stallSilence() {
-			go w.handleEngineLoss(address, ended)
+			go w.handleEngineLoss(address, w.lossOf(address))
 		}
 	}
 }
--- a/internal/direct/saddlegateway/reroute.go
+++ b/internal/direct/saddlegateway/reroute.go
@@ -27,20 +27,22 @@
 	rerouteInterval = 100 * time.Millisecond
 )
 
-// handleEngineLoss reroutes the attempt around the lost engine at address. The address is
-// empty if the head has refused the current chain and no engine of the chain is excluded.
-// ended tells whether the engine has certainly ended.
+// handleEngineLoss reroutes the attempt around the lost engine at address, and reports whether
+// it did or aborted the attempt. The address is empty if the head has refused the current
+// chain and no engine of the chain is excluded.
 //
-// If the attempt is not rerouted, there are three cases:
-//   - It is aborted if the head has certainly ended or does not have the request.
-//   - Otherwise it is aborted once another attempt is certain.
+// If the attempt is not rerouted, there are four cases:
+//   - It is aborted if its head has certainly ended or does not have the request.
+//   - It is aborted if the loss is confirmed, another attempt may follow and the retry budget
+//     allows it: the capacity that it holds is of use to the next attempt.
+//   - It is aborted once another attempt is certain, if the engine is only suspected.
 //   - Otherwise it goes on, and the reroute is attempted again: a spare engine may take over
 //     the lost layers, and an engine that only seems to be lost may go on.
-func (w *watchdog) handleEngineLoss(address string, ended bool) {
+func (w *watchdog) handleEngineLoss(address string, loss engineLoss) (settled bool) {
 	w.chainMu.Lock()
 	defer w.chainMu.Unlock()
 	if w.stopped || w.ctx.Err() != nil || (!w.rerouteRefused.Load() && !w.chain.Load().Includes(address)) {
-		return
+		return true
 	}
 	silence, delay := w.silence(), w.checkDelay()
 	head := w.chain.Load().Head
@@ -53,19 +55,38 @@
 		w.job.logEvent(zerolog.InfoLevel).Str("engine", address).Int64("silent_ms", silence.Milliseconds()).
 			Strs("chain", w.chain.Load().Addresses()).Msg("chain rerouted")
 		w.scheduleCheck(firstEventCheck)
-		return
+		return true
 	}
-	over := isUnknownRequest(err) || (ended && address == head.Address)
-	if !w.secureNextAttempt(time.Now(), cmp.Or(address, head.Address)) && !over {
+	over := isUnknownRequest(err) || (loss == lossCertain && address == head.Address)
+	if !w.replaceAttempt(time.Now(), cmp.Or(address, head.Address), loss) && !over {
 		if !w.waiting {
 			w.waiting = true
-			w.job.logEvent(zerolog.InfoLevel).Err(err).Str("engine", address).Int64("silent_ms", silence.Milliseconds()).
+			w.job.logEvent(zerolog.InfoLevel).Err(err).Str("engine", address).Int("loss", int(loss)).Int64("silent_ms", silence.Milliseconds()).
 				Int64("check_late_ms", delay.Milliseconds()).Bool("attempts_left", w.mayRetry).Msg("attempt goes on without a lost engine")
 		}
 		w.scheduleCheck(rerouteInterval)
-		return
+		return false
 	}
 	w.abort(address, delay, fmt.Errorf("engine %s lost: %w", address, err))
+	return true
+}
+
+// replaceAttempt reports whether another attempt is to continue the stream after the loss of
+// the engine at an address. It then has deducted the retry from the budget. It must be called
+// with chainMu held.
+func (w *watchdog) replaceAttempt(now time.Time, address string, loss engineLoss) bool {
+	return w.secureNextAttempt(now, address) || (loss >= lossConfirmed && w.mayRetry && w.job.prepayRetry(w.ctx))
+}
+
+// lossOf returns how sure the loss of the engine at an address is.
+func (w *watchdog) lossOf(address string) engineLoss {
+	switch {
+	case w.job.cfg.Fleet.Ended(address):
+		return lossCertain
+	case w.job.cfg.Fleet.Lost(address):
+		return lossConfirmed
+	}
+	return lossSuspected
 }
 
 // secureNextAttempt reports whether another attempt can continue the stream at once without
--- a/internal/direct/saddlegateway/silence_test.go
+++ b/internal/direct/saddlegateway/silence_test.go
@@ -87,6 +87,7 @@
 		})
 	}
 	wg.Wait()
+	time.Sleep(time.Second) // calls for reports may outlast the streams
 	return complete
 }
 
@@ -223,9 +224,10 @@
 				}
 				f.setRouting(r, 0)
 				began := time.Now()
-				is.Equal(f.serveMany(1, "/draft/"), 1)
-				is.Equal(len(f.fakeTargets.forwarded()), c.sends)
+				got := f.serve(call("/draft/"))
 				is.True(time.Since(began) < c.within)
+				is.Equal(got.body.String(), eventStream(0, lastEventID))
+				is.Equal(len(f.fakeTargets.forwarded()), c.sends)
 			})
 		})
 	}
@@ -270,10 +272,29 @@
 				began := time.Now()
 				probed := f.fleet.StartDueProbes(began)
 				time.Sleep(200 * time.Millisecond)
-				f.gateway.RecordProbe(time.Now(), began, probed[0], fireflysaddle.EngineReport{}, c.err)
+				for _, p := range probed {
+					f.gateway.RecordProbe(time.Now(), began, p, fireflysaddle.EngineReport{}, c.err)
+				}
 				is.Equal(f.fleet.FirstExcluded([]string{"engine-a-0"}) != "", c.excluded)
 				time.Sleep(6 * time.Second) // the route's timeout
 			})
 		})
 	}
 }
+
+// Pattern: engines are lost while there is little capacity. Guards against streams that hold
+// the capacity of a broken chain although their head confirms the loss and a retry is left.
+func TestConfirmedLossReleasesTheChain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, answerSequence(stallAfter(3), answerRest))
+		f.removeCentreB()
+		f.fakeTargets.report = func(string) (fireflysaddle.EngineReport, error) {
+			return fireflysaddle.EngineReport{Stalled: []fireflysaddle.StalledRequest{{Request: "r1", Address: "engine-a-2"}}}, nil
+		}
+		go f.serve(call("/draft/"))
+		time.Sleep(600 * time.Millisecond)
+		is.Equal(len(f.fleet.SectionLoads()), 0)
+		time.Sleep(6 * time.Second) // the route's timeout
+	})
+}
--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -121,26 +121,36 @@
 	w.cancel(cause)
 }
 
-// check runs when the timer has expired without an event. It reroutes the chain if one of
-// its engines is excluded or the head has refused the current chain. If the silence has
-// lasted for retryPatience, another attempt continues the stream if there is one. Otherwise
-// check has the fleet probe those engines of the chain whose streams have all received no
-// event recently. It also requests a report from the head to find out why there is no event.
-// If the head does not report and no stream that begins there has had an event since, it
-// counts as down. If a stream is stalled at an engine of the chain, the chain is rerouted.
+// check runs when the timer has expired without an event. It reroutes or replaces the attempt
+// if an engine of its chain is excluded or the head has refused the current chain. If that is
+// not possible, the head is asked whether it waits for the engine, which confirms the loss.
 //
 // A target's silence is no evidence that its answer will not come. An attempt is therefore
-// aborted only once another attempt is certain, or once its head has certainly ended.
+// aborted only for a loss that is certain or confirmed, or once another attempt is certain.
 func (w *watchdog) check() {
 	if w.ctx.Err() != nil {
 		return
 	}
-	now, delay := time.Now(), w.checkDelay()
-	chain := w.chain.Load()
-	if lost := w.job.cfg.Fleet.FirstExcluded(chain.Addresses()); lost != "" || w.rerouteRefused.Load() {
-		w.handleEngineLoss(lost, w.job.cfg.Fleet.Ended(lost))
+	now, chain := time.Now(), w.chain.Load()
+	lost := w.job.cfg.Fleet.FirstExcluded(chain.Addresses())
+	if lost == "" && !w.rerouteRefused.Load() {
+		w.checkSilent(now, w.checkDelay(), chain)
 		return
 	}
+	if w.handleEngineLoss(lost, w.lossOf(lost)) || lost == "" || lost == chain.Head.Address {
+		return
+	}
+	if report := w.headReport(now, chain); report.err == nil {
+		w.handleStalled(report)
+	}
+}
+
+// checkSilent finds out why there is no event although no engine of the chain is excluded. If
+// the silence has lasted for retrySilence, another attempt continues the stream if there is
+// one. Otherwise the fleet probes those engines of the chain whose streams have all received
+// no event recently, and the head is asked for a report. If it does not report and no stream
+// that passes through it has had an event since, it counts as down.
+func (w *watchdog) checkSilent(now time.Time, delay time.Duration, chain *saddlefleet.Chain) {
 	if w.silence() > w.retrySilence() && !w.job.slowCentres.anySlow(now, chain.Centres) && w.retryElsewhere(now, delay) {
 		return
 	}
@@ -151,31 +161,50 @@
 	for _, address := range w.job.attemptIndex.silentEngines(*chain, w.job.usualPause.atLeast(minActiveWindow, activeWindowFactor)) {
 		w.job.cfg.Fleet.RequestProbe(now, address)
 	}
-	shared := w.job.engineReport(w.ctx, now, chain.Head.Address)
-	if shared.report.Leaving {
-		w.job.cfg.Fleet.RecordLeaving(chain.Head, "")
-	}
+	report := w.headReport(now, chain)
 	if w.ctx.Err() != nil {
 		return
 	}
-	if shared.err != nil && !w.job.attemptIndex.activeSince(shared.requestedAt, chain.Head.Address) {
-		w.job.cfg.Fleet.MarkDown(time.Now(), chain.Head.Address, "report request failed: "+shared.err.Error())
-		w.handleEngineLoss(chain.Head.Address, errors.Is(shared.err, syscall.ECONNREFUSED))
+	if report.err != nil && !w.job.attemptIndex.activeSince(report.requestedAt, chain.Head.Address) {
+		w.job.cfg.Fleet.MarkDown(time.Now(), chain.Head.Address, "report request failed: "+report.err.Error())
+		loss := w.lossOf(chain.Head.Address)
+		if errors.Is(report.err, syscall.ECONNREFUSED) {
+			loss = lossCertain
+		}
+		w.handleEngineLoss(chain.Head.Address, loss)
 		return
 	}
-	for _, s := range shared.report.Stalled {
-		if w.silence() > w.job.stallSilence() && w.chain.Load().Includes(s.Address) {
-			w.job.cfg.Fleet.MarkDown(time.Now(), s.Address, "a chain is stalled at the engine")
-			w.handleEngineLoss(s.Address, false)
-			return
-		}
+	if w.handleStalled(report) {
+		return
 	}
 	w.job.logEvent(zerolog.DebugLevel).Str("head", chain.Head.Address).Int64("silent_ms", w.silence().Milliseconds()).
-		Int("queued", shared.report.Queued).Int("running", shared.report.Running).AnErr("report_error", shared.err).
+		Int("queued", report.report.Queued).Int("running", report.report.Running).AnErr("report_error", report.err).
 		Msg("no event received, but the chain is not stalled")
 	w.scheduleCheck(recheckInterval)
 }
 
+// headReport asks the head of the chain for a report.
+func (w *watchdog) headReport(now time.Time, chain *saddlefleet.Chain) *sharedReport {
+	report := w.job.engineReport(w.ctx, now, chain.Head.Address)
+	if report.report.Leaving {
+		w.job.cfg.Fleet.RecordLeaving(chain.Head, "")
+	}
+	return report
+}
+
+// handleStalled handles the loss of an engine of the chain at which streams are stalled. It
+// reports whether the report names one.
+func (w *watchdog) handleStalled(report *sharedReport) bool {
+	for _, s := range report.report.Stalled {
+		if w.silence() > w.job.stallSilence() && w.chain.Load().Includes(s.Address) {
+			w.job.cfg.Fleet.MarkDown(time.Now(), s.Address, "a chain is stalled at the engine")
+			w.handleEngineLoss(s.Address, lossConfirmed)
+			return true
+		}
+	}
+	return false
+}
+
 // retrySilence returns the time without an event after which another attempt is to continue
 // the stream.
 func (w *watchdog) retrySilence() time.Duration {
