A suspected engine is not left while events arrive from it

The silence is checked before the handler is started, and not when it runs, which is later where an entry is held up.

Change: the handler checks it itself, unless the loss is confirmed.

--- a/internal/direct/saddlegateway/reroute.go
+++ b/internal/direct/saddlegateway/reroute.go
@@ -45,6 +45,10 @@
 		return true
 	}
 	silence, delay := w.silence(), w.checkDelay()
+	if loss == lossSuspected && silence < w.job.stallSilence() { // an event has arrived meanwhile
+		w.scheduleCheck(w.job.stallSilence())
+		return true
+	}
 	head := w.chain.Load().Head
 	err := errHeadLost
 	if address != head.Address {
