Race of a watchdog's timer with its first check

The timer was stored after it had been started, and the first check reads it. Found by the race detector on a virtual clock, in tests of plain streams during a shutdown. It is scheduled once it is stored.

--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,9 @@
 	retryPatience = 0.75
 )
 
+// idleTimer is the duration of a timer that has not been scheduled.
+const idleTimer = time.Duration(math.MaxInt64)
+
 var errSilent = errors.New("no event for so long that another attempt continues the stream")
 
 // watchdog monitors one attempt. It reroutes or aborts the attempt if its chain makes
@@ -62,8 +66,8 @@
 	w.mayRetry = j.route.Retryable() && j.runs+1 < j.route.MaxAttempts && j.sends < maxSends
 	w.exclusions = exclusions{targets: slices.Clone(j.triedTargets), engines: j.avoidedAddresses(w.startTime), heads: slices.Clone(j.failedHeads)}
 	w.chain.Store(&chain)
-	w.checkDue.Store(int64(firstEventCheck))
-	w.timer = time.AfterFunc(firstEventCheck, w.check)
+	w.timer = time.AfterFunc(idleTimer, w.check)
+	w.scheduleCheck(firstEventCheck) // check reads w.timer
 	j.attemptIndex.add(w, chain)
 	return w
 }
