Requests that a stopping gateway cannot finish get an answer before it is killed

In a planned stop, in calm, callers whose requests came late in the grace time, or whose targets were slow, got no answer: the requests were passed on, and cut when the process was killed, also those that may not be repeated.

Whether a request may outlast the process was decided once, on arrival, for streams only, and by a constant for a token: not for plain requests, not for what was sent after a wait or after a refusal by a target, not for streams without a number of tokens. And nothing answered what was still waiting at the end.

What may not end in time is refused as not run, to be tried elsewhere at once. An answer in progress goes on until the kill. A `shutdown` limit without `grace` counts as the end as well.

--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -209,6 +209,16 @@
 	return g.settings.Load().ShutdownTimeout.Std()
 }
 
+// startShutdown tells the gateway when the process will end, if that is limited.
+func (g *gateway) startShutdown(now time.Time) {
+	lameDuckEnd := now.Add(g.settings.Load().LameDuck.Std())
+	killAt := lameDuckEnd.Add(g.shutdownTimeout())
+	if grace := g.settings.Load().Grace.Std(); grace > 0 {
+		killAt = now.Add(grace)
+	}
+	g.gateway.StartShutdown(now, lameDuckEnd, killAt)
+}
+
 // run serves until stop is closed, continues for the lame-duck period, and then waits
 // until the requests in progress have finished or the shutdown timeout has passed.
 func (g *gateway) run(stop <-chan struct{}) error {
@@ -232,9 +242,7 @@
 		}
 		g.shuttingDown.Store(true)
 		ingress.DisableKeepAlives()
-		if grace := g.settings.Load().Grace.Std(); grace > 0 {
-			g.gateway.SetShutdownDeadline(time.Now().Add(grace))
-		}
+		g.startShutdown(time.Now())
 		g.process.log.Info().Dur("lame_duck", g.settings.Load().LameDuck.Std()).Msg("shutting down: reporting not ready, still accepting requests for the lame-duck period")
 		sleep(ctx, g.settings.Load().LameDuck.Std())
 		stopServing()
--- a/internal/direct/saddlegateway/fixture_test.go
+++ b/internal/direct/saddlegateway/fixture_test.go
@@ -37,6 +37,9 @@
 	// the head does not know the request.
 	reroute func(request fireflysaddle.RequestID, chain []fireflysaddle.ChainPart) error
 
+	// silent makes Forward wait until its context ends.
+	silent bool
+
 	// ended reports whether a target accepts no connections. If it is nil, all do.
 	ended func(address string) bool
 
@@ -58,6 +61,10 @@
 	n := len(s.sent)
 	s.mu.Unlock()
 	reply, err := s.answer(n, f)
+	if s.silent {
+		<-ctx.Done()
+		reply, err = nil, &fireflysaddle.TargetError{Target: f.Target, Err: context.Cause(ctx)}
+	}
 	var notSent *fireflysaddle.NotSentError
 	if !errors.As(err, &notSent) && (reply == nil || !reply.NotRun) {
 		s.mu.Lock()
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -30,10 +30,13 @@
 
 // Gateway forwards calls to targets. It is safe for concurrent use.
 type Gateway struct {
-	cfg        Config
-	state      atomic.Pointer[State]
-	limits     atomic.Pointer[Limits]
-	shutdownAt atomic.Int64 // Unix nanoseconds at which the process will be killed; 0: no shutdown requested
+	cfg       Config
+	state     atomic.Pointer[State]
+	limits    atomic.Pointer[Limits]
+	shutdown  atomic.Pointer[shutdown] // nil: no shutdown requested
+	ending    context.Context          // ends when the process is about to be killed
+	end       context.CancelFunc       // ends it
+	durations durationEstimator
 
 	mu            sync.Mutex    // guards stateChanged, retryBudgets, engineReports and endChecks
 	stateChanged  chan struct{} // closed and replaced when the state is set
@@ -49,7 +52,8 @@
 
 // New returns a gateway without a configuration.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, stateChanged: make(chan struct{}), retryBudgets: map[fireflysaddle.Group]*retryBudget{}, engineReports: map[string]*cachedReport{}, blames: saddleblame.New(), endChecks: map[string]time.Time{}}
+	g := &Gateway{cfg: cfg, stateChanged: make(chan struct{}), retryBudgets: map[fireflysaddle.Group]*retryBudget{}, engineReports: map[string]*cachedReport{}, blames: saddleblame.New(), endChecks: map[string]time.Time{}, durations: durationEstimator{classes: map[callClass]*classDurations{}}}
+	g.ending, g.end = context.WithCancel(context.Background())
 	g.state.Store(&State{})
 	g.SetLimits(cfg.Limits)
 	return g
@@ -69,9 +73,6 @@
 // progress.
 func (g *Gateway) SetLimits(l Limits) { g.limits.Store(&l) }
 
-// SetShutdownDeadline records that the process is shutting down and when it will be killed.
-func (g *Gateway) SetShutdownDeadline(deadline time.Time) { g.shutdownAt.Store(deadline.UnixNano()) }
-
 // State returns the routing configuration in use.
 func (g *Gateway) State() State { return *g.state.Load() }
 
@@ -81,6 +82,8 @@
 func (g *Gateway) Serve(ctx context.Context, clock func() time.Time, call *Call, w Responder) {
 	j := &job{Gateway: g, call: call, responder: w, startTime: time.Now()}
 	countCalls.Add(1)
+	ctx, release := j.endWithProcess(ctx)
+	defer release()
 	route, tenant, refusal := j.awaitAdmission(ctx, clock)
 	if refusal != nil {
 		j.route = route
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -28,6 +28,7 @@
 	startTime     time.Time
 	deadline      time.Time
 
+	stopEnding      func() bool // see claimAnswer
 	retryPrepaid    atomic.Bool // the next retry has already been deducted from the budget
 	sends           int         // sends so far
 	runs            int         // sends that may have run on a target
@@ -168,6 +169,8 @@
 // a target may have run the call.
 func (j *job) failCall(ctx context.Context, code fireflysaddle.Code, message string, retryAfter time.Duration) {
 	switch {
+	case isProcessEnding(ctx):
+		j.refuseLeaving()
 	case errors.Is(ctx.Err(), context.Canceled):
 		j.endDisconnected()
 	case j.runs == 0:
@@ -190,6 +193,7 @@
 // routing decision.
 func (j *job) recordEnd(outcome string, code fireflysaddle.Code, message string) {
 	total := time.Since(j.startTime)
+	j.recordDuration(time.Now(), outcome == "answered")
 	observeLatency(j.route, total, j.firstByteAt.Sub(j.startTime), !j.firstByteAt.IsZero())
 	e := j.logEvent(zerolog.InfoLevel).Str("outcome", outcome).
 		Uint64("routing", j.state.Routing.GetVersion()).
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -37,6 +37,10 @@
 			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
 			return
 		}
+		if j.mayOutlastProcess(time.Now()) {
+			j.refuseLeaving()
+			return
+		}
 		target, release, ok := j.cfg.Fleet.Pick(time.Now(), j.pool.Group, j.triedTargets)
 		if !ok {
 			j.failCall(ctx, fireflysaddle.CodeNoTarget, reason, j.targetsRetryAfter(time.Now()))
@@ -100,7 +104,9 @@
 	j.firstByteAt = time.Now()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferedAnswerBytes))
 	if err != nil {
-		j.cfg.Fleet.RecordFault(time.Now(), target.Address, "answer truncated")
+		if !isProcessEnding(ctx) {
+			j.cfg.Fleet.RecordFault(time.Now(), target.Address, "answer truncated")
+		}
 		if ctx.Err() == nil {
 			j.recordUnanswered()
 		}
@@ -162,6 +168,10 @@
 	if reply.Length < 0 && len(body) < bufferedAnswerBytes {
 		reply.Length = int64(len(body))
 	}
+	if !j.claimAnswer() && len(body) == bufferedAnswerBytes { // the rest would be cut
+		j.refuseLeaving()
+		return
+	}
 	j.headerSent = true
 	if err := j.responder.Begin(reply); err != nil {
 		j.endDisconnected()
--- a/internal/direct/saddlegateway/relay.go
+++ b/internal/direct/saddlegateway/relay.go
@@ -66,7 +66,9 @@
 					return false, j.recordInterruption(ctx, seqErr)
 				}
 			}
-			if j.writeEvent(reply, e) != nil {
+			if err := j.writeEvent(reply, e); errors.Is(err, errProcessEnding) {
+				return false, err.Error()
+			} else if err != nil {
 				j.endDisconnected()
 				return true, ""
 			}
@@ -111,6 +113,9 @@
 
 func (j *job) writeEvent(reply *fireflysaddle.Reply, e saddlesse.Event) error {
 	if !j.headerSent {
+		if !j.claimAnswer() {
+			return errProcessEnding
+		}
 		j.headerSent = true
 		j.firstByteAt = time.Now()
 		if err := j.responder.Begin(reply); err != nil {
--- /dev/null
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -0,0 +1,104 @@
+package saddlegateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
+)
+
+const (
+	// shutdownMargin is the time before the end of the process at which calls without an
+	// answer are refused, so that the refusals are written. A busy VM needs some tens of
+	// milliseconds for that.
+	shutdownMargin = 300 * time.Millisecond
+	// shutdownRetryAfter is the retry delay while the process is shutting down. The retry
+	// reaches another process.
+	shutdownRetryAfter = 20 * time.Millisecond
+	// plannedTokenInterval is the time per token of streams before any was measured. It is
+	// about a third longer than the usual interval.
+	plannedTokenInterval = 17 * time.Millisecond
+	// cautionFactor is the duration for which time must be left, as a multiple of one that few
+	// calls exceed, if the call must not be cut. Its caller loses little by going elsewhere.
+	cautionFactor = 2
+)
+
+// errProcessEnding ends the attempts of calls that have no answer when the process is about
+// to be killed. It is a cancellation, which is no fault of the target.
+var errProcessEnding = fmt.Errorf("the process is about to end: %w", context.Canceled)
+
+// shutdown is a planned end of the process.
+type shutdown struct {
+	lameDuckEnd time.Time
+	killAt      time.Time
+}
+
+// StartShutdown records that the process has been told to stop, when its lame-duck period
+// ends, and when it will be killed. Calls that may last longer are refused from now on, and
+// those that have no answer shortly before the process is killed are refused then.
+func (g *Gateway) StartShutdown(now, lameDuckEnd, killAt time.Time) {
+	g.shutdown.Store(&shutdown{lameDuckEnd: lameDuckEnd, killAt: killAt})
+	time.AfterFunc(killAt.Sub(now)-shutdownMargin, g.end)
+}
+
+// endWithProcess returns a context that ends when the process is about to be killed, unless
+// claimAnswer has been called, and a function that releases its resources.
+func (j *job) endWithProcess(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	j.stopEnding = context.AfterFunc(j.ending, func() { cancel(errProcessEnding) })
+	return ctx, func() {
+		j.stopEnding()
+		cancel(nil)
+	}
+}
+
+// claimAnswer reports whether an answer may begin that takes some time. From then on the
+// call goes on until the process is killed, because a refusal can no longer be sent.
+func (j *job) claimAnswer() bool { return j.headerSent || j.stopEnding() }
+
+// isProcessEnding reports whether a context has ended because the process is about to.
+func isProcessEnding(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errProcessEnding)
+}
+
+// mayOutlastProcess reports whether the call, if it is sent now, may take longer than the
+// time left until the process is killed. During the lame-duck period calls that can be
+// continued elsewhere are judged by how long they usually take, because most would be refused
+// in vain otherwise. An answer that has begun goes on in any case.
+func (j *job) mayOutlastProcess(now time.Time) bool {
+	s := j.shutdown.Load()
+	if s == nil || j.headerSent {
+		return false
+	}
+	left := s.killAt.Sub(now) - shutdownMargin
+	if j.deadline.Sub(now) <= left {
+		return false
+	}
+	return j.expectedDuration(now, now.Before(s.lameDuckEnd) && j.route.Retryable()) > left
+}
+
+// expectedDuration returns how long the call may take if it is sent now. If it may be cut, the
+// usual duration counts; otherwise one that hardly any call exceeds.
+func (j *job) expectedDuration(now time.Time, mayBeCut bool) time.Duration {
+	class, units := j.class(), outputUnits(j.call.MaxOutputTokens)
+	initial := j.route.FirstByteObjective + time.Duration(units)*plannedTokenInterval
+	if j.route.FirstByteObjective <= 0 || (class.kind == saddlerouting.Streaming && !class.sized) {
+		initial = j.deadline.Sub(now)
+	}
+	if mayBeCut {
+		return j.durations.usual(class, units, initial)
+	}
+	return cautionFactor * j.durations.long(class, units, initial)
+}
+
+// refuseLeaving refuses the call because the process is shutting down.
+func (j *job) refuseLeaving() {
+	r := Refusal{Code: fireflysaddle.CodeLeaving, Message: "the process is shutting down and may end before the answer", RetryAfter: shutdownRetryAfter}
+	if j.runs > 0 {
+		r.Outcome, r.RetryAfter = OutcomeUnknown, 0
+	}
+	j.refuse(r)
+}
--- /dev/null
+++ b/internal/direct/saddlegateway/shutdown_test.go
@@ -0,0 +1,261 @@
+package saddlegateway_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlegateway"
+)
+
+const (
+	graceTime = 8 * time.Second
+	lameDuck  = 2300 * time.Millisecond
+)
+
+// startShutdown begins a shutdown as the platform does it, and returns when the process is
+// killed.
+func (f *fixture) startShutdown() time.Time {
+	now := time.Now()
+	f.gateway.StartShutdown(now, now.Add(lameDuck), now.Add(graceTime))
+	return now.Add(graceTime)
+}
+
+// setTimeouts sets the timeout of each route.
+func (f *fixture) setTimeouts(t *testing.T, timeout time.Duration) {
+	t.Helper()
+	r := routing(t)
+	for _, route := range r.Routes {
+		route.Timeout = timeout
+	}
+	f.setRouting(r, 0)
+}
+
+// answerAfter answers after a delay.
+func answerAfter(delay time.Duration, step answerFunc) answerFunc {
+	return func(f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+		time.Sleep(delay)
+		return step(f)
+	}
+}
+
+// pacedEvents answers with events, each after a pause.
+func pacedEvents(events int, pause time.Duration) answerFunc {
+	return func(fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+		r := okReply("")
+		body, w := io.Pipe()
+		go func() {
+			for i := range events {
+				time.Sleep(pause)
+				if _, err := io.WriteString(w, eventStream(i, i)); err != nil {
+					return
+				}
+			}
+			_ = w.Close()
+		}()
+		r.Body = body
+		return r, nil
+	}
+}
+
+// Guards against a call without an answer being cut in silence when the process is killed,
+// whatever it waits for and whenever it arrived.
+func TestCallsWithoutAnswerAreRefusedBeforeTheProcessIsKilled(t *testing.T) {
+	const soon = 400 * time.Millisecond // to the kill: too little for a call that is usually longer
+	for _, c := range []struct {
+		name, path string
+		change     func(f *fixture, call *saddlegateway.Call)
+	}{
+		{"no answer, non-idempotent", "/file/", func(f *fixture, _ *saddlegateway.Call) { f.fakeTargets.silent = true }},
+		{"no answer, idempotent", "/status/", func(f *fixture, _ *saddlegateway.Call) { f.fakeTargets.silent = true }},
+		{"no answer, resumable stream", "/draft/", func(f *fixture, _ *saddlegateway.Call) { f.fakeTargets.silent = true }},
+		{"no answer, stream", "/once/", func(f *fixture, _ *saddlegateway.Call) { f.fakeTargets.silent = true }},
+		{"part of an answer, non-idempotent", "/file/", func(*fixture, *saddlegateway.Call) {}},
+		{"part of an answer, idempotent", "/status/", func(*fixture, *saddlegateway.Call) {}},
+		{"no event", "/draft/", func(*fixture, *saddlegateway.Call) {}},
+		{"no capacity", "/draft/", func(_ *fixture, c *saddlegateway.Call) { c.PromptTokens = 1 << 30 }},
+		{"no configuration", "/file/", func(f *fixture, _ *saddlegateway.Call) { f.setRouting(nil, 0) }},
+	} {
+		for _, arrival := range []time.Duration{-time.Second, 0, lameDuck, 4 * time.Second, graceTime - soon, graceTime - 250*time.Millisecond, graceTime - 10*time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, %s after SIGTERM", c.name, arrival), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newFixture(t, func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+						r := okReply("")
+						r.Body = &silentBody{Reader: strings.NewReader("da")}
+						return r, nil
+					})
+					f.setTimeouts(t, time.Minute)
+					request := call(c.path)
+					c.change(f, request)
+					killed := time.Now().Add(graceTime - min(0, arrival))
+					time.AfterFunc(-min(0, arrival), func() { is.Equal(f.startShutdown(), killed) })
+					synctest.Wait()
+					time.Sleep(max(0, arrival))
+					arrived := time.Now()
+					got := f.serve(request)
+					is.True(got.refusal != nil)
+					is.True(time.Now().Before(killed))
+					is.True(time.Until(killed) > 250*time.Millisecond || time.Now().Equal(arrived)) // in time to be written
+					is.Equal(got.refusal.Outcome == saddlegateway.OutcomeNotRun, f.fakeTargets.runs == 0)
+					is.Equal(got.refusal.Outcome == saddlegateway.OutcomeNotRun, got.refusal.RetryAfter > 0)
+					time.Sleep(time.Until(killed))
+				})
+			})
+		}
+	}
+}
+
+// Guards against calls being sent that usually take longer than the process has left, and
+// against others being refused although they may last longer by their deadlines.
+func TestCallsThatUsuallyOutlastTheProcessAreNotSent(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		tokens     int
+		answer     answerFunc
+		served     time.Duration // after SIGTERM
+		refused    time.Duration // after SIGTERM
+	}{
+		{"plain, quick", "/file/", 0, answerAfter(60*time.Millisecond, ok), 7400 * time.Millisecond, 7700 * time.Millisecond},
+		{"plain, slow", "/file/", 0, answerAfter(2*time.Second, ok), 3 * time.Second, 4 * time.Second},
+		{"idempotent, slow", "/status/", 0, answerAfter(900*time.Millisecond, ok), 5 * time.Second, 7 * time.Second},
+		{"stream, quick", "/draft/", 20, pacedEvents(20, 10*time.Millisecond), 7 * time.Second, 7500 * time.Millisecond},
+		{"stream, slow", "/draft/", 20, pacedEvents(20, 100*time.Millisecond), 3 * time.Second, 4 * time.Second},
+		{"stream, long", "/draft/", 20, pacedEvents(20, 150*time.Millisecond), 2 * time.Second, 2500 * time.Millisecond},
+		{"stream that may not be repeated, long", "/once/", 20, pacedEvents(20, 150*time.Millisecond), 500 * time.Millisecond, 2 * time.Second},
+		{"stream of unknown length", "/once/", 0, pacedEvents(20, 100*time.Millisecond), 3 * time.Second, 4 * time.Second},
+	} {
+		for _, refused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, refused %t", c.name, refused), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newFixture(t, answerSequence(c.answer))
+					f.setTimeouts(t, 20*time.Second)
+					request := call(c.path)
+					request.MaxOutputTokens = c.tokens
+					const before = 100
+					for range before {
+						is.Equal(f.serve(request).refusal, nil)
+					}
+					killed := f.startShutdown()
+					if refused {
+						time.Sleep(c.refused)
+					} else {
+						time.Sleep(c.served)
+					}
+					got := f.serve(request)
+					is.Equal(got.refusal != nil, refused)
+					if refused {
+						is.Equal(got.refusal.Code, fireflysaddle.CodeLeaving)
+						is.Equal(got.refusal.Outcome, saddlegateway.OutcomeNotRun)
+						is.Equal(len(f.fakeTargets.forwarded()), before)
+					} else {
+						is.True(!got.aborted)
+						is.True(time.Now().Before(killed))
+					}
+					time.Sleep(time.Until(killed))
+				})
+			})
+		}
+	}
+}
+
+// Guards against the first streams of a process being a measure for all: only the shortest
+// ones have ended by then.
+func TestFirstStreamsAreNoMeasureOfLongOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, answerSequence(pacedEvents(3, 10*time.Millisecond)))
+		f.setTimeouts(t, 20*time.Second)
+		request := call("/draft/")
+		request.MaxOutputTokens = 300
+		const before = 10
+		for range before {
+			is.Equal(f.serve(request).refusal, nil)
+		}
+		killed := f.startShutdown()
+		time.Sleep(3 * time.Second)
+		got := f.serve(request)
+		is.True(got.refusal != nil)
+		is.Equal(len(f.fakeTargets.forwarded()), before)
+		time.Sleep(time.Until(killed))
+	})
+}
+
+// Guards against a second send that the process may not outlast: the decision on arrival does
+// not hold for what is sent after a refusal by a target.
+func TestRetryThatMayOutlastTheProcessIsNotSent(t *testing.T) {
+	for _, path := range []string{"/file/", "/status/", "/draft/"} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, answerSequence(answerAfter(graceTime-lameDuck-100*time.Millisecond, refuse), ok))
+				f.setTimeouts(t, 20*time.Second)
+				killed := f.startShutdown()
+				time.Sleep(lameDuck - time.Second)
+				got := f.serve(call(path))
+				is.True(got.refusal != nil)
+				is.Equal(got.refusal.Outcome, saddlegateway.OutcomeNotRun)
+				is.Equal(len(f.fakeTargets.forwarded()), 1)
+				time.Sleep(time.Until(killed))
+			})
+		})
+	}
+}
+
+// Guards against a stream being ended before the process is: its caller can use each event.
+func TestStreamInProgressGoesOnUntilTheProcessIsKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const pause = 50 * time.Millisecond
+		const events = int((graceTime - 100*time.Millisecond) / pause)
+		f := newFixture(t, answerSequence(pacedEvents(events, pause)))
+		f.setTimeouts(t, 20*time.Second)
+		killed := f.startShutdown()
+		got := f.serve(call("/draft/"))
+		is.True(!got.aborted)
+		is.Equal(got.body.String(), eventStream(0, events-1))
+		is.True(time.Until(killed) < 200*time.Millisecond)
+		time.Sleep(time.Until(killed))
+	})
+}
+
+// Guards against an answer being cut that begins when the process is about to be killed: its
+// caller gets a refusal, unless the answer is there as a whole.
+func TestAnswerThatWouldBeCutDoesNotBegin(t *testing.T) {
+	const late = graceTime - 200*time.Millisecond
+	for _, c := range []struct {
+		name, path string
+		answer     answerFunc
+		whole      bool
+	}{
+		{"plain", "/file/", answerAfter(late, ok), true},
+		{"plain, long", "/file/", answerAfter(late, func(fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+			return okReply(strings.Repeat("x", 1<<20)), nil
+		}), false},
+		{"stream", "/once/", answerAfter(late, answerAll), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, answerSequence(c.answer)) // does not heed its context
+				f.setTimeouts(t, 20*time.Second)
+				killed := f.startShutdown()
+				got := f.serve(call(c.path))
+				is.Equal(got.refusal == nil, c.whole)
+				is.True(!got.aborted)
+				if !c.whole {
+					is.Equal(got.refusal.Outcome, saddlegateway.OutcomeUnknown)
+					is.Equal(got.status, 0)
+				}
+				time.Sleep(time.Until(killed))
+			})
+		})
+	}
+}
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -18,15 +18,6 @@
 	// how long a request avoids an engine that refused the request.
 	avoidFailedFor = 10 * time.Second
 	avoidFullFor   = 200 * time.Millisecond
-	// plannedTokenInterval is the time per token used to estimate whether a stream ends
-	// before a shutdown. It is about a third longer than the usual interval.
-	plannedTokenInterval = 17 * time.Millisecond
-	// shutdownMargin is the time between the estimated end of a stream and the end of
-	// the process.
-	shutdownMargin = 300 * time.Millisecond
-	// shutdownRetryAfter is the retry delay while the process is shutting down. The retry
-	// reaches another process.
-	shutdownRetryAfter = 20 * time.Millisecond
 	// noCapacityRetryAfter is the retry delay when no chain has capacity; streams end
 	// within seconds. noChainRetryAfter is the retry delay when the engines do not cover
 	// all layers; a lost engine is replaced within seconds.
@@ -40,7 +31,7 @@
 	j.sequence.start(j.lastEventID)
 	j.cfg.Fleet.RecordDemand(time.Now(), j.pool.Group)
 	if j.mayOutlastProcess(time.Now()) {
-		j.refuse(Refusal{Code: fireflysaddle.CodeLeaving, Message: "the process is shutting down and may stop before the stream ends", RetryAfter: shutdownRetryAfter})
+		j.refuseLeaving()
 		return
 	}
 	for {
@@ -58,6 +49,11 @@
 			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
 			return
 		}
+		if j.mayOutlastProcess(time.Now()) { // the same
+			release()
+			j.refuseLeaving()
+			return
+		}
 		if !j.reserveSend(ctx) {
 			release()
 			j.failCall(ctx, fireflysaddle.CodeTargetFailed, "no retry is left", noCapacityRetryAfter)
@@ -91,17 +87,6 @@
 	return j.awaitChain(ctx)
 }
 
-// mayOutlastProcess reports whether the stream may take longer than the time left until
-// the process is killed.
-func (j *job) mayOutlastProcess(now time.Time) bool {
-	killAt := j.shutdownAt.Load()
-	if killAt == 0 {
-		return false
-	}
-	maxDuration := time.Duration(j.call.MaxOutputTokens) * plannedTokenInterval
-	return now.Add(maxDuration + shutdownMargin).After(time.Unix(0, killAt))
-}
-
 // tryStream sends the call to the head of one chain and relays the events. It reports
 // whether the call has ended and, if it has not, why the attempt failed.
 func (j *job) tryStream(ctx context.Context, chain saddlefleet.Chain) (ended bool, failure string) {
--- a/internal/direct/saddlegateway/stream_test.go
+++ b/internal/direct/saddlegateway/stream_test.go
@@ -168,7 +168,8 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(t, answerSequence(answerRest))
-			f.gateway.SetShutdownDeadline(time.Now().Add(c.timeLeft))
+			now := time.Now()
+			f.gateway.StartShutdown(now, now, now.Add(c.timeLeft))
 			got := f.serve(call("/draft/"))
 			is.Equal(got.refusal != nil, c.refused)
 			if c.refused {
