Tests: an answer that is cut at any byte is not taken as whole

Another operator reports that a target which stops in the middle of its answer's header and closes gave callers a 200 with an empty or short body, framed as whole. This does not happen here: http.ReadResponse passes on a last line without its end, but takes a header only after its empty line, also where that last line is made of blanks or is a CR, is folded, or where lines end with LF only.

--- a/internal/direct/saddlehttpclient/fuzz_test.go
+++ b/internal/direct/saddlehttpclient/fuzz_test.go
@@ -1,10 +1,13 @@
 package saddlehttpclient_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,25 +29,11 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, answer []byte) {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = lis.Close() }()
-		go func() {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			defer func() { _ = conn.Close() }()
-			_, _ = conn.Read(make([]byte, 4<<10))
-			_, _ = conn.Write(answer)
-		}()
 		client, cleanup := saddlehttpclient.New()
 		defer func() { _ = cleanup() }()
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
-		resp, err := client.Do(ctx, time.Now(), request(lis.Addr().String(), "one"))
+		resp, err := client.Do(ctx, time.Now(), request(startBytes(t, answer), "one"))
 		if err == nil {
 			checkBody(t, resp)
 		}
@@ -54,6 +43,82 @@
 	})
 }
 
+// startBytes starts a target that answers one request with arbitrary bytes and closes the
+// connection.
+func startBytes(t *testing.T, answer []byte) (address string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		conn, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Read(make([]byte, 4<<10))
+		_, _ = conn.Write(answer)
+	}()
+	return lis.Addr().String()
+}
+
+// FuzzCutAnswer sends a request to targets that answer with arbitrary bytes, the second one with
+// more of them. What is taken of the first answer must stay the same: if more bytes change a
+// header or a body that does not end with its connection, it was not complete.
+func FuzzCutAnswer(f *testing.F) {
+	for _, c := range cutCases() {
+		for _, cut := range []int{len(c.before) + len(c.head) - 1, len(c.before) + len(c.head), len(c.bytes())} {
+			f.Add([]byte(c.bytes()[:cut]), []byte(c.bytes()[cut:]+"\r\n"))
+		}
+	}
+	f.Fuzz(func(t *testing.T, first, rest []byte) {
+		cut, err := readAnswer(t, first)
+		if err != nil {
+			return
+		}
+		whole, err := readAnswer(t, slices.Concat(first, rest))
+		if err != nil {
+			t.Fatalf("%q and then %q: a header that was taken is no header: %v", first, rest, err)
+		}
+		if cut.status != whole.status || !reflect.DeepEqual(cut.header, whole.header) {
+			t.Errorf("%q and then %q: the header was not complete", first, rest)
+		}
+		if cut.bodyErr == nil && !cut.endsWithConnection && (whole.bodyErr != nil || !bytes.Equal(cut.body, whole.body)) {
+			t.Errorf("%q and then %q: the body was not complete", first, rest)
+		}
+	})
+}
+
+// takenAnswer is what a client takes of an answer.
+type takenAnswer struct {
+	status             string
+	header             http.Header
+	body               []byte
+	bodyErr            error
+	endsWithConnection bool
+}
+
+// readAnswer returns what a client takes of arbitrary bytes after which the connection is closed.
+func readAnswer(t *testing.T, answer []byte) (takenAnswer, error) {
+	t.Helper()
+	client, cleanup := saddlehttpclient.New()
+	defer func() { _ = cleanup() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	resp, err := client.Do(ctx, time.Now(), request(startBytes(t, answer), "one"))
+	if err != nil {
+		return takenAnswer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return takenAnswer{
+		status: resp.Status, header: resp.Header, body: body, bodyErr: err,
+		endsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+	}, nil
+}
+
 // checkBody reads a body and checks that its length is the announced one unless there is an
 // error.
 func checkBody(t *testing.T, resp *http.Response) {
