A field that marks the end of a body is evaluated, or the answer is none

Callers got a 200 with part of a body, or with the sizes of its chunks in it, framed by us as whole: from a target that writes "Content-Length : 9" or "Transfer-Encoding : chunked" with a blank before the colon, or Transfer-Encoding with the status line of HTTP/1.0.

Cause: http.ReadResponse accepts both and passes over the field (the name with the blank is another name; the field of HTTP/1.0 is removed). The body then ends with its connection, wherever that is cut, or after a length that counts the chunks' sizes. We set Content-Length from what was read.

The client now reads the header's own bytes once more, which it keeps within their bound, and gives an error of the target for such a field (RFC 9112, sections 5.1 and 6.1): 502, or another attempt where the route allows it. This covers all calls to targets of the gateway and of control; answers without such a field are taken as before.

--- a/internal/direct/saddlehttpclient/boundedreader.go
+++ b/internal/direct/saddlehttpclient/boundedreader.go
@@ -10,10 +10,22 @@
 const unbounded = math.MaxInt64
 
 // boundedReader returns a *HeaderTooLongError instead of reading more than a number of
-// bytes.
+// bytes. It keeps what it reads within a bound.
 type boundedReader struct {
 	reader    io.Reader
 	remaining int64
+	kept      []byte
+}
+
+// bound begins to bound and to keep what is read.
+func (b *boundedReader) bound(n int64) { b.remaining, b.kept = n, b.kept[:0] }
+
+// unbound ends what bound began.
+func (b *boundedReader) unbound() {
+	b.remaining = unbounded
+	if cap(b.kept) > readBufferBytes {
+		b.kept = nil // idle connections hold little memory
+	}
 }
 
 // Read implements io.Reader.
@@ -24,6 +36,7 @@
 	n, err := b.reader.Read(p[:min(int64(len(p)), b.remaining)])
 	if b.remaining != unbounded {
 		b.remaining -= int64(n)
+		b.kept = append(b.kept, p[:n]...)
 	}
 	return n, err
 }
--- a/internal/direct/saddlehttpclient/client.go
+++ b/internal/direct/saddlehttpclient/client.go
@@ -159,10 +159,10 @@
 func receive(cn *conn, r Request) (*http.Response, error) {
 	firstAnswer := !cn.used
 	cn.used = true
-	cn.bounds.remaining = maxHeaderBytes
-	defer func() { cn.bounds.remaining = unbounded }()
+	cn.bounds.bound(maxHeaderBytes)
+	defer cn.bounds.unbound()
 	for strayAnswers := 0; ; {
-		resp, err := http.ReadResponse(cn.reader, r.HTTP)
+		resp, err := cn.readAnswer(r.HTTP)
 		switch {
 		case err != nil && cn.bounds.remaining <= 0: // the error may be about a line that was cut off
 			return nil, &HeaderTooLongError{Limit: maxHeaderBytes}
--- a/internal/direct/saddlehttpclient/conn.go
+++ b/internal/direct/saddlehttpclient/conn.go
@@ -31,6 +31,21 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(bounds, readBufferBytes), bounds: bounds, idleTimeout: defaultIdleTimeout}
 }
 
+// readAnswer reads the header of an answer, which has been bounded. A field that marks the end
+// of the body but is not evaluated is an error, because the body would be taken as whole
+// wherever the connection ends.
+func (c *conn) readAnswer(r *http.Request) (*http.Response, error) {
+	start := len(c.bounds.kept) - c.reader.Buffered()
+	resp, err := http.ReadResponse(c.reader, r)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkFraming(c.bounds.kept[start:len(c.bounds.kept)-c.reader.Buffered()], resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
 // usable reports whether an idle connection is still open and nothing has arrived on
 // it. Bytes that arrive while no request is in progress belong to no request.
 func (c *conn) usable() bool {
