A reset that only the writer of the request sees ends the answer

Callers could get an answer as whole that was reset: one without a length or chunks, from a target that answers before it has read a large body, whose connection is reset while the rest of that body is being written.

Cause: the system reports a reset once per connection, to the call that comes first. A body of more than 16 KiB is written in the background; if that write gets the reset, reads return the end of the connection as after an orderly close, and that is the end of such a body.

At the end of such a body the client now ends the writing, if it goes on, and looks at its error. A time-out by that, or EPIPE, which the system gives after the other end's orderly close, leaves the answer whole; any other error is that of the body. http.Request.Write wraps the error in one that does not unwrap, so the writer keeps it.

--- a/internal/direct/saddlehttpclient/body.go
+++ b/internal/direct/saddlehttpclient/body.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"os"
+	"syscall"
 	"time"
 )
 
@@ -16,19 +18,44 @@
 	stopCancel func() bool  // stops the end of the context from closing conn; false: conn is closed already
 	written    <-chan error // yields the error of writing the request, nil on success
 	closeAfter bool         // the target announced that it closes the connection
+	endsByConn bool         // the end of the connection is the end of the body
 	unread     int64        // bytes of the body that have not been read; negative: unknown
 	atEOF      bool
+	failure    error // found at the end of the body
 	closed     bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
+	if b.failure != nil {
+		return 0, b.failure
+	}
 	n, err := b.reader.Read(p)
 	b.unread -= int64(n)
-	b.atEOF = b.atEOF || errors.Is(err, io.EOF)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.endsByConn && !b.atEOF {
+		if b.failure = b.writeFailure(); b.failure != nil {
+			return n, b.failure
+		}
+	}
+	b.atEOF = true
 	return n, err
 }
 
+// writeFailure returns the error with which the connection ended, if the writing of the request
+// met it: the system reports it once, and reads then end as after an orderly close. After an
+// orderly close, writing is ended here or has failed with EPIPE.
+func (b *body) writeFailure() error {
+	_ = b.conn.SetWriteDeadline(time.Now())
+	err := <-b.written
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	return err
+}
+
 // Close implements io.Closer. It returns the connection for reuse only if the exchange
 // is complete and no further bytes have arrived. A rest of the body counts as read if it
 // has arrived and its length is known.
--- a/internal/direct/saddlehttpclient/client.go
+++ b/internal/direct/saddlehttpclient/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -89,7 +90,11 @@
 		return nil, &fireflysaddle.TargetError{Target: fireflysaddle.TargetID(r.Address), Err: err}
 	}
 	cn.updateIdleTimeout(resp.Header)
-	resp.Body = &body{reader: resp.Body, client: c, conn: cn, address: r.Address, stopCancel: stop, written: written, closeAfter: resp.Close, unread: resp.ContentLength}
+	resp.Body = &body{
+		reader: resp.Body, client: c, conn: cn, address: r.Address, stopCancel: stop, written: written,
+		closeAfter: resp.Close, endsByConn: resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		unread: resp.ContentLength,
+	}
 	return resp, nil
 }
 
@@ -140,7 +145,11 @@
 	}
 	done := make(chan error, 1)
 	if len(r.Body) > maxBufferedBody {
-		go func() { done <- r.HTTP.Write(cn) }()
+		go func() {
+			out := &errorKeeper{writer: cn}
+			err := r.HTTP.Write(out)
+			done <- cmp.Or(out.err, err)
+		}()
 		return done, nil
 	}
 	var out bytes.Buffer
