A failed read of an answer's body fails again

The second read of a body whose first read met a reset returned the end of the body, because the system reports a reset once. Callers of ours stop at the first error, so none got such a body as whole; the error stays now.

TestAnswerThatEndsWhileBodyIsWritten/reset, which reads twice, failed for this once beside other work, where the reader met the reset before the writer did.

--- a/internal/direct/saddlehttpclient/body.go
+++ b/internal/direct/saddlehttpclient/body.go
@@ -17,11 +17,11 @@
 	address    string
 	stopCancel func() bool  // stops the end of the context from closing conn; false: conn is closed already
 	written    <-chan error // yields the error of writing the request, nil on success
-	closeAfter bool         // the target announced that it closes the connection
+	closeAfter bool         // the connection is not to be reused
 	endsByConn bool         // the end of the connection is the end of the body
 	unread     int64        // bytes of the body that have not been read; negative: unknown
 	atEOF      bool
-	failure    error // found at the end of the body
+	failure    error // of the last read; the system reports the end of a connection once
 	closed     bool
 }
 
@@ -32,13 +32,16 @@
 	}
 	n, err := b.reader.Read(p)
 	b.unread -= int64(n)
-	if !errors.Is(err, io.EOF) {
-		return n, err
+	switch {
+	case err == nil:
+		return n, nil
+	case !errors.Is(err, io.EOF):
+		b.failure = err
+	case b.endsByConn && !b.atEOF:
+		b.failure = b.writeFailure()
 	}
-	if b.endsByConn && !b.atEOF {
-		if b.failure = b.writeFailure(); b.failure != nil {
-			return n, b.failure
-		}
+	if b.failure != nil {
+		return n, b.failure
 	}
 	b.atEOF = true
 	return n, err
