Test of cut answers: a signal of one request does not end the next

A request whose answer ends in silence is given up when the target signals that all is sent. A client that refuses an invalid answer sooner left that signal to the next request, which then ended before its connection was open: seen once in a row of TestAnswerCutAtAnyByteIsNotWhole.

--- a/internal/direct/saddlehttpclient/cutanswer_test.go
+++ b/internal/direct/saddlehttpclient/cutanswer_test.go
@@ -212,10 +212,16 @@
 		r.HTTP.Method = method
 	}
 	if end == endSilent {
+		sent := make(chan struct{})
 		go func() {
-			<-c.silent
-			cancel()
+			defer close(sent)
+			select {
+			case <-c.silent:
+				cancel()
+			case <-ctx.Done():
+			}
 		}()
+		defer func() { <-sent }() // the client may give up an invalid answer sooner
 	}
 	resp, err := client.Do(ctx, time.Now(), r)
 	if err != nil {
