Agents call services with the client that the gateway uses

A service behind an agent could give callers part of a body as whole in the two ways mended before at the gateway: a length or chunks marked in a way that net/http passes over, and an answer without a length whose reset only the writer of the request sees.

Cause: the adapter used the client of net/http, which has both, and offers neither the bytes of a header nor, in time, the error of a write. It now uses saddlehttpclient, with a new connection for each request, which is closed after the answer (Request.Close is obeyed). That client sends once by itself, so the adapter's precautions against repeats by net/http go.

The adapter to engines keeps its client: its answers are JSON that ends by itself, or are answered by their header.

--- a/internal/direct/saddlehttpclient/client.go
+++ b/internal/direct/saddlehttpclient/client.go
@@ -92,7 +92,7 @@
 	cn.updateIdleTimeout(resp.Header)
 	resp.Body = &body{
 		reader: resp.Body, client: c, conn: cn, address: r.Address, stopCancel: stop, written: written,
-		closeAfter: resp.Close, endsByConn: resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		closeAfter: resp.Close || r.HTTP.Close, endsByConn: resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 		unread: resp.ContentLength,
 	}
 	return resp, nil
--- a/internal/target/saddleservice/service.go
+++ b/internal/target/saddleservice/service.go
@@ -1,23 +1,21 @@
 package saddleservice
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlehttpclient"
 )
 
 const (
 	// MaxAnswerBytes is the largest answer body that is forwarded; a larger one is an
 	// error.
 	MaxAnswerBytes = 16 << 20
-	maxHeaderBytes = 64 << 10
 	// RequestHeader carries the request ID to the service.
 	RequestHeader = "X-Request-Id"
 )
@@ -26,46 +24,33 @@
 type Service struct {
 	target  fireflysaddle.TargetID
 	address string
-	client  *http.Client
+	client  *saddlehttpclient.Client
 }
 
 // New returns an adapter to the service at an address, and a function that
-// closes its idle connections. Connections are not reused: if the service closed
+// closes its connections. Connections are not reused: if the service closed
 // an idle connection while a request was being sent on it, the adapter could not
 // tell whether the request was run.
 func New(target fireflysaddle.TargetID, address string) (*Service, func()) {
-	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
-	client := &http.Client{
-		Transport:     transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-	return &Service{target: target, address: address, client: client}, transport.CloseIdleConnections
+	client, cleanup := saddlehttpclient.New()
+	return &Service{target: target, address: address, client: client}, func() { _ = cleanup() }
 }
 
-// Call sends a request once. The body cannot be rewound, so the HTTP client
-// never retries the request by itself.
+// Call sends a request once. Redirects are not followed.
 func (s *Service) Call(ctx context.Context, c fireflysaddle.Call) (fireflysaddle.Answer, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
-	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+s.address+c.Path, io.NopCloser(bytes.NewReader(c.Body)))
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+s.address+c.Path, nil)
 	if err != nil {
 		return fireflysaddle.Answer{}, &fireflysaddle.NotSentError{Address: s.address, Err: err}
 	}
-	req.ContentLength = int64(len(c.Body))
-	if len(c.Body) == 0 {
-		// Without a body net/http may retry a request that failed on a reused connection,
-		// if the method is idempotent or an Idempotency-Key is set. It does not retry
-		// here, because no connection is reused and no Idempotency-Key is set.
-		req.Body = nil
-	}
+	req.Close = true
 	req.Header.Set(RequestHeader, string(c.Request))
 	if c.ContentType != "" {
 		req.Header.Set("Content-Type", c.ContentType)
 	}
-	resp, err := s.client.Do(req)
-	if err != nil && !connected.Load() {
-		return fireflysaddle.Answer{}, &fireflysaddle.NotSentError{Address: s.address, Err: err}
+	resp, err := s.client.Do(ctx, time.Now(), saddlehttpclient.Request{Address: s.address, HTTP: req, Body: c.Body, NewConn: true})
+	var notSent *fireflysaddle.NotSentError
+	if errors.As(err, &notSent) {
+		return fireflysaddle.Answer{}, err
 	}
 	if err != nil {
 		return fireflysaddle.Answer{}, s.targetError(err)
