An answer with a status below 100 is none

A caller's connection ended without an answer, and a panic was logged, when a target answered with a status such as 000 or 020: http.ReadResponse takes any three characters that strconv.Atoi reads, and WriteHeader panics below 100. The panic also passed by the release of the request's place at the target (read in the code, not measured).

The client gives an error of the target for such a status: 502, or another attempt where the route allows it.

TestStatusThatIsNoneIsABadAnswer (EOF in place of 502) and the five rows of TestStatusBelow100IsNoAnswer failed before and pass. go test -race of saddlehttpclient passes, and of platform the tests of cut answers, of statuses and of Forward.

--- a/internal/direct/saddlehttpclient/conn.go
+++ b/internal/direct/saddlehttpclient/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,6 +41,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if resp.StatusCode < http.StatusContinue { // net/http reads such a status, but does not write it
+		return nil, fmt.Errorf("answer with the status %q", resp.Status)
+	}
 	if err := checkFraming(c.bounds.kept[start:len(c.bounds.kept)-c.reader.Buffered()], resp); err != nil {
 		return nil, err
 	}
