The answer to HEAD states no length that the target did not state

Callers of HEAD got Content-Length: 0 where the target's answer had chunks or neither chunks nor a length, as though the body were empty. The gateway stated the length of the body that it had read, which HEAD does not have. It states none now.

Two of three rows of TestAnswerToHeadStatesNoLengthOfItsOwn failed before and pass. go test -race of saddlegateway passes, and TestEveryEndOfAnAnswer.

--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -159,7 +159,8 @@
 // sendAnswer sends a target's answer to the caller. body is the part of its body that
 // has already been read.
 func (j *job) sendAnswer(reply *fireflysaddle.Reply, body []byte) {
-	if reply.Length < 0 && len(body) < bufferedAnswerBytes {
+	// The length of an answer to HEAD is that of a body that is not sent.
+	if reply.Length < 0 && len(body) < bufferedAnswerBytes && j.call.Method != http.MethodHead {
 		reply.Length = int64(len(body))
 	}
 	j.headerSent = true
