Store: close the log segment when the store cannot be opened

Change: OpenFS closes the segment when it returns an error.

The memory disk can now refuse kinds of operations and counts open files.

--- a/internal/control/saddlestore/store.go
+++ b/internal/control/saddlestore/store.go
@@ -72,6 +72,9 @@
 	s := &Store{fs: fs, segmentLimit: segmentLimit}
 	snapshot, err := s.load()
 	if err != nil {
+		if s.file != nil {
+			_ = s.file.Close()
+		}
 		return nil, Loaded{}, nil, err
 	}
 	loaded := Loaded{Hard: s.hard, Snapshot: snapshot, Entries: append([]*saddlewire.LogEntry(nil), s.entries...)}
--- a/internal/standin/saddledisk/memory.go
+++ b/internal/standin/saddledisk/memory.go
@@ -19,9 +19,13 @@
 	syncedFiles map[string]*fileContent // file names as of the last SyncFolder
 
 	operations int
-	failFrom   int // number of the first operation that fails; all later ones fail too; 0: none
+	failFrom   int         // number of the first operation that fails; all later ones fail too; 0: none
+	failKinds  []Operation // kinds of operations that fail; empty: all
+	failures   int         // operations that failed since FailFrom
 	failure    error
 	tornWrite  bool // if the first failing operation is a write, it writes the first half of its data
+
+	openHandles int // files that are open
 }
 
 type fileContent struct {
@@ -58,15 +62,23 @@
 func (m *Memory) Operations() int { return m.operations }
 
 // FailFrom makes the operation with the given number and all later ones fail with
-// the given error. Operations are numbered from 1 since New or Reboot; with 0,
-// none fails. With tornWrite, the first failing operation writes the first half of
-// its data if it is a write.
-func (m *Memory) FailFrom(operation int, failure error, tornWrite bool) {
+// the given error, or only those of the given kinds if there are any. Operations are
+// numbered from 1 since New or Reboot; with 0, none fails. With tornWrite, the first
+// failing operation writes the first half of its data if it is a write.
+func (m *Memory) FailFrom(operation int, failure error, tornWrite bool, kinds ...Operation) {
 	m.failFrom = operation
+	m.failKinds = kinds
+	m.failures = 0
 	m.failure = failure
 	m.tornWrite = tornWrite
 }
 
+// Failures returns the number of operations that failed since the last call of FailFrom.
+func (m *Memory) Failures() int { return m.failures }
+
+// OpenHandles returns the number of files that were opened and not closed.
+func (m *Memory) OpenHandles() int { return m.openHandles }
+
 // Content returns a copy of a file's content.
 func (m *Memory) Content(name string) []byte { return slices.Clone(m.files[name].data) }
 
@@ -78,9 +90,10 @@
 // fails.
 func (m *Memory) DeleteFile(name string) { delete(m.files, name) }
 
-func (m *Memory) beginOperation() error {
+func (m *Memory) beginOperation(kind Operation) error {
 	m.operations++
-	if m.failFrom > 0 && m.operations >= m.failFrom {
+	if m.failFrom > 0 && m.operations >= m.failFrom && (len(m.failKinds) == 0 || slices.Contains(m.failKinds, kind)) {
+		m.failures++
 		return m.failure
 	}
 	return nil
@@ -102,28 +115,28 @@
 
 // Create creates or truncates a file.
 func (m *Memory) Create(name string) (saddlestore.File, error) {
-	if err := m.beginOperation(); err != nil {
+	if err := m.beginOperation(Create); err != nil {
 		return nil, err
 	}
 	c := &fileContent{}
 	m.files[name] = c
-	return &handle{fs: m, fileContent: c}, nil
+	return m.open(c), nil
 }
 
 // Open truncates a file to a size in bytes and opens it for appending. Its name is that
 // of the method of saddlestore.FS.
 func (m *Memory) Open(name string, size int64) (saddlestore.File, error) {
-	if err := m.beginOperation(); err != nil {
+	if err := m.beginOperation(Truncate); err != nil {
 		return nil, err
 	}
 	c := m.files[name]
 	c.data = slices.Clone(c.data[:size])
-	return &handle{fs: m, fileContent: c}, nil
+	return m.open(c), nil
 }
 
 // Rename renames a file.
 func (m *Memory) Rename(from, to string) error {
-	if err := m.beginOperation(); err != nil {
+	if err := m.beginOperation(Rename); err != nil {
 		return err
 	}
 	m.files[to] = m.files[from]
@@ -133,7 +146,7 @@
 
 // Remove removes a file.
 func (m *Memory) Remove(name string) error {
-	if err := m.beginOperation(); err != nil {
+	if err := m.beginOperation(Remove); err != nil {
 		return err
 	}
 	delete(m.files, name)
@@ -142,21 +155,27 @@
 
 // SyncFolder makes the current set of file names durable.
 func (m *Memory) SyncFolder() error {
-	if err := m.beginOperation(); err != nil {
+	if err := m.beginOperation(SyncFolder); err != nil {
 		return err
 	}
 	m.syncedFiles = maps.Clone(m.files)
 	return nil
 }
 
+func (m *Memory) open(c *fileContent) *handle {
+	m.openHandles++
+	return &handle{fs: m, fileContent: c}
+}
+
 type handle struct {
 	fs          *Memory
 	fileContent *fileContent
+	closed      bool
 }
 
 func (h *handle) Write(p []byte) (int, error) {
-	if err := h.fs.beginOperation(); err != nil {
-		if h.fs.tornWrite && h.fs.operations == h.fs.failFrom {
+	if err := h.fs.beginOperation(Write); err != nil {
+		if h.fs.tornWrite && h.fs.failures == 1 {
 			h.fileContent.data = append(h.fileContent.data, p[:len(p)/2]...)
 		}
 		return 0, err
@@ -166,11 +185,17 @@
 }
 
 func (h *handle) Sync() error {
-	if err := h.fs.beginOperation(); err != nil {
+	if err := h.fs.beginOperation(Sync); err != nil {
 		return err
 	}
 	h.fileContent.synced = slices.Clone(h.fileContent.data)
 	return nil
 }
 
-func (h *handle) Close() error { return nil }
+func (h *handle) Close() error {
+	if !h.closed {
+		h.closed = true
+		h.fs.openHandles--
+	}
+	return nil
+}
