Tests: full disks in turn do not stop changes

These tests show it:

TestRegistrationsAreSavedOnceThereIsRoom and the two tests of saddleidentity cover the files beside the log.

--- a/internal/control/saddlecontrol/disk_test.go
+++ b/internal/control/saddlecontrol/disk_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"os"
+	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -12,8 +14,10 @@
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleclient"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlecontrol"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleregistry"
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestore"
 	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddledisk"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddleprocess"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -102,3 +106,27 @@
 	is.NoErr(err)
 	stop()
 }
+
+// A disk that refuses the registry file does not stop the replica, and the registrations are
+// saved once there is room.
+func TestRegistrationsAreSavedOnceThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	cfg := config(t)
+	cfg.RegistryFile = filepath.Join(t.TempDir(), "registrations")
+	cfg.UnregisterTimeout = waitTimeout
+	refused := cfg.RegistryFile + ".new"
+	is.NoErr(os.Mkdir(refused, 0o700)) // no file of this name can be created
+	s, _ := runServer(t, cfg)
+	is.NoErr(s.Register(waitContext(t), &saddlewire.Registration{Id: "target-1", Group: "group", Address: "127.0.0.1:1", Incarnation: 1}))
+	time.Sleep(1500 * time.Millisecond) // at least one attempt to save them
+	_, err := os.Stat(cfg.RegistryFile)
+	is.True(errors.Is(err, os.ErrNotExist))
+	is.NoErr(os.Remove(refused))
+	saddleprocess.Await(t, "the registrations to be saved", waitTimeout, func() error {
+		saved, err := saddleregistry.Load(cfg.RegistryFile)
+		if err == nil && len(saved.GetRegistrations()) != 1 {
+			return errors.New("they are not saved")
+		}
+		return err
+	})
+}
--- a/internal/control/saddleidentity/identity_test.go
+++ b/internal/control/saddleidentity/identity_test.go
@@ -80,3 +80,40 @@
 	_, err := saddleidentity.Open(start, config(filepath.Join(file, "data"), true))
 	is.True(err != nil)
 }
+
+// A disk that refuses a new identity leaves the old one in place, so that the renewal is repeated
+// until there is room.
+func TestRefusedIdentityIsRenewedOnceThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	first, err := saddleidentity.Open(start, config(dir, true))
+	is.NoErr(err)
+	refused := filepath.Join(dir, "identity.json.new")
+	is.NoErr(os.Mkdir(refused, 0o700)) // no file of this name can be created
+	for range 2 {
+		_, err = saddleidentity.Renew(start, config(dir, false))
+		is.True(err != nil)
+		again, err := saddleidentity.Open(start, config(dir, false))
+		is.NoErr(err)
+		is.Equal(again, first)
+	}
+	is.NoErr(os.Remove(refused))
+	next, err := saddleidentity.Renew(start, config(dir, false))
+	is.NoErr(err)
+	is.True(next.Join && next.ID != first.ID)
+}
+
+// A disk that refuses the first identity does not keep the replica from getting one once there is
+// room.
+func TestFirstIdentityIsStoredOnceThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	refused := filepath.Join(dir, "identity.json.new")
+	is.NoErr(os.Mkdir(refused, 0o700)) // no file of this name can be created
+	_, err := saddleidentity.Open(start, config(dir, true))
+	is.True(err != nil)
+	is.NoErr(os.Remove(refused))
+	id, err := saddleidentity.Open(start, config(dir, true))
+	is.NoErr(err)
+	is.Equal(len(id.Members), 3)
+}
--- a/internal/control/saddlereplica/simulator_test.go
+++ b/internal/control/saddlereplica/simulator_test.go
@@ -33,6 +33,9 @@
 	maxDelay      time.Duration
 	lateRate      float64 // fraction of messages delayed by up to maxLateDelay
 
+	desiredVoters int           // number of voters that the group maintains, 0: its membership does not change by itself
+	replaceAfter  time.Duration // time without replies after which a replica may be replaced
+
 	committed    map[uint64]string // committed entries, by index
 	ackedChanges []ackedChange
 	violations   []string // violated invariants
