Store: do not take entries whose sync failed as durable

What operators would see: the syncs of three replicas fail in turn, as on full disks with delayed allocation, and each replica goes on once there is room. At the next power failure acknowledged entries are gone, the logs are reported as corrupt, each replica is reopened for ever without success, and every change is refused while all processes run.

Cause: after a failed sync the bytes can still be read, and a later sync of the file succeeds without writing them, as in the page cache of Linux. The reopened store read them, synced the file, and the replica counted the entries as stored. Class of fault: a state in memory is taken for the one on the disk after an error.

Change: after its first error the store removes the bytes after the last successful sync. Nobody relies on them, because their sync did not succeed.

Tests: the memory disk now keeps bytes whose sync failed readable, but not durable. TestFullDiskAtEveryOperationLosesNothing failed before in the rows 'syncs' and 'everything' (corrupt record after a power failure), and TestPowerFailureAfterFailedSyncsInTurnLosesNothing found no leader.

--- a/internal/control/saddlereplica/fulldisk_test.go
+++ b/internal/control/saddlereplica/fulldisk_test.go
@@ -209,3 +209,21 @@
 	l.acked = max(l.acked, version)
 	l.sim.recordAcked(result.GetIndex())
 }
+
+// A power failure loses nothing that was acknowledged after the syncs of all replicas failed in
+// turn: entries whose sync failed do not count as durable once the store is open again.
+func TestPowerFailureAfterFailedSyncsInTurnLosesNothing(t *testing.T) {
+	is := is.New(t)
+	sim := newGroup(t, 1)
+	for revision, n := range slices.Clone(sim.nodes) {
+		n.disk.FailFrom(n.disk.Operations()+1, syscall.ENOSPC, false, saddledisk.Sync)
+		sim.submitChanges(uint64(revision), uint64(revision)+1)
+		n.disk.FailFrom(0, nil, false)
+		is.True(sim.runUntil(recoveryLimit, sim.complete))
+	}
+	changes := sim.leader().state.Templates()[0].GetRevision()
+	sim.restartWithSyncedData()
+	is.True(sim.runUntil(recoveryLimit, sim.complete))
+	is.Equal(sim.leader().state.Templates()[0].GetRevision(), changes)
+	sim.reportViolations()
+}
--- a/internal/control/saddlestore/store.go
+++ b/internal/control/saddlestore/store.go
@@ -23,6 +23,7 @@
 	fs            FS
 	segmentLimit  int64  // bytes after which a new segment is started
 	err           error  // first write error; all later writes fail with it
+	unsynced      bool   // after an error, the current segment may still hold bytes that were not synced
 	segmentNumber uint64 // number of the current segment
 	file          File   // the current segment, open for appending
 	size          int64  // bytes written to the current segment
@@ -42,8 +43,9 @@
 }
 
 // Open opens the store in a data folder and creates the folder if needed. The
-// returned function closes the files and releases the lock. The error is a
-// *CorruptionError if synced data cannot be read, and an *InUseError if another
+// returned function closes the files and releases the lock. If it fails, as it may on a full
+// disk, the store is still open, and the function has to be called again before the store is
+// opened anew. The error of Open is a *CorruptionError if synced data cannot be read, and an *InUseError if another
 // process has the folder open.
 func Open(dir string) (*Store, Loaded, func() error, error) {
 	if err := os.MkdirAll(dir, dirPerm); err != nil {
@@ -59,9 +61,11 @@
 		return nil, Loaded{}, nil, eris.Wrapf(err, "open data folder %s", dir)
 	}
 	cleanup := func() error {
-		err := closeFile()
+		if err := closeFile(); err != nil {
+			return err
+		}
 		_ = lock.Close()
-		return err
+		return nil
 	}
 	return s, loaded, cleanup, nil
 }
@@ -78,7 +82,7 @@
 		return nil, Loaded{}, nil, err
 	}
 	loaded := Loaded{Hard: s.hard, Snapshot: snapshot, Entries: append([]*saddlewire.LogEntry(nil), s.entries...)}
-	return s, loaded, func() error { return s.file.Close() }, nil
+	return s, loaded, s.close, nil
 }
 
 // Append writes log entries. They replace all stored entries from the index of the
@@ -140,10 +144,37 @@
 func (s *Store) recordError(err error) error {
 	if err != nil && s.err == nil {
 		s.err = err
+		s.unsynced = true
+		_ = s.discardUnsynced() // close tries again
 	}
 	return err
 }
 
+// discardUnsynced removes the bytes that were written after the last sync. After a failed write
+// or sync they may not be on the disk, but could still be read, and a later sync would succeed
+// without writing them. Nobody relies on them yet.
+func (s *Store) discardUnsynced() error {
+	name := segmentName(s.segmentNumber)
+	file, err := s.fs.Open(name, s.synced)
+	if err != nil {
+		return eris.Wrapf(err, "truncate %s", name)
+	}
+	s.unsynced = false
+	return file.Close()
+}
+
+// close closes the current segment. It fails while the disk refuses to discard bytes after a
+// failed write.
+func (s *Store) close() error {
+	if s.unsynced {
+		if err := s.discardUnsynced(); err != nil {
+			return err
+		}
+	}
+	_ = s.file.Close() // nothing is lost by an error, because all that counts was synced
+	return nil
+}
+
 // mirrorEntry adds an entry to the copy of the log in memory, which the next
 // checkpoint segment is written from. It replaces all entries from its index on.
 // Entries that the snapshot covers are ignored.
--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -189,13 +189,27 @@
 	}
 	defer func() {
 		g.server.Store(nil)
-		_ = cleanup()
+		g.closeReplica(ctx, cleanup)
 	}()
 	g.process.log.Info().Str("replica", id.ID).Bool("join", id.Join).Strs("contacts", g.contacts).Msg("control replica opened")
 	g.server.Store(s)
 	return s.Run(ctx)
 }
 
+// closeReplica calls the cleanup function of a replica until it succeeds or the context ends.
+func (g *groupReplica) closeReplica(ctx context.Context, cleanup func() error) {
+	for {
+		err := cleanup()
+		if err == nil {
+			return
+		}
+		g.process.log.Warn().Err(err).Msg("control replica cannot be closed; retrying")
+		if !sleep(ctx, reopenDelay) {
+			return
+		}
+	}
+}
+
 // leave lets the open replica leave its group if the group does not need it.
 func (g *groupReplica) leave(ctx context.Context) {
 	s := g.server.Load()
--- a/internal/standin/saddledisk/memory.go
+++ b/internal/standin/saddledisk/memory.go
@@ -31,8 +31,14 @@
 type fileContent struct {
 	data   []byte
 	synced []byte // data as of the last Sync
+	// unwritten is the part of data that a failed Sync did not write. It can still be read, but
+	// a later Sync does not make it durable, as in the page cache of Linux.
+	unwritten span
 }
 
+// span is a part of a file, from its first byte up to the byte before its end.
+type span struct{ start, end int }
+
 // New returns an empty disk.
 func New() *Memory {
 	return &Memory{files: map[string]*fileContent{}, syncedFiles: map[string]*fileContent{}, failure: ErrCrash}
@@ -131,6 +137,7 @@
 	}
 	c := m.files[name]
 	c.data = slices.Clone(c.data[:size])
+	c.unwritten.end = min(c.unwritten.end, int(size))
 	return m.open(c), nil
 }
 
@@ -185,10 +192,18 @@
 }
 
 func (h *handle) Sync() error {
+	c := h.fileContent
 	if err := h.fs.beginOperation(Sync); err != nil {
+		if c.unwritten.start >= c.unwritten.end {
+			c.unwritten.start = len(c.synced)
+		}
+		c.unwritten.end = len(c.data)
 		return err
 	}
-	h.fileContent.synced = slices.Clone(h.fileContent.data)
+	c.synced = slices.Clone(c.data)
+	if c.unwritten.start < c.unwritten.end {
+		clear(c.synced[c.unwritten.start:c.unwritten.end])
+	}
 	return nil
 }
 
