Control: compact the log by its size, too

What operators see: after some 500 changes of a configuration of 9,000 routes, at once on all replicas, every change is refused for good while all processes run: the disks of 64 MB are full of the log.

All replicas hold the same log, so all disks fill at the same entry, and compacting needs room. Class of fault: a limit in entries for what is bounded in bytes.

The memory disk now has a capacity.

--- a/internal/control/saddlecontrol/commands.go
+++ b/internal/control/saddlecontrol/commands.go
@@ -67,12 +67,14 @@
 	}
 	c.state = state
 	c.applied = s.GetIndex()
+	c.appliedBytes = 0
 	c.lastSnapshot = s.GetIndex()
 	return nil
 }
 
 func (c *core) applyEntry(now time.Time, e *saddlewire.LogEntry) {
 	c.applied = e.GetIndex()
+	c.appliedBytes += int64(len(e.GetData()))
 	result := c.applyCommand(e)
 	p, ok := c.pending[e.GetIndex()]
 	if !ok {
@@ -102,10 +104,10 @@
 }
 
 // snapshotIfDue stores a snapshot of the applied state and compacts the log up to the
-// index of the snapshot. It does nothing until SnapshotEvery entries have been applied
-// since the previous snapshot.
+// index of the snapshot. It does nothing until SnapshotEvery entries, or commands of
+// snapshotBytes, have been applied since the previous snapshot.
 func (c *core) snapshotIfDue() error {
-	if c.applied-c.lastSnapshot < uint64(c.cfg.SnapshotEvery) {
+	if c.applied-c.lastSnapshot < uint64(c.cfg.SnapshotEvery) && c.appliedBytes < snapshotBytes {
 		return nil
 	}
 	data, err := c.state.Encode()
@@ -120,6 +122,7 @@
 		return err
 	}
 	c.replica.Compact(s)
+	c.appliedBytes = 0
 	c.lastSnapshot = c.applied
 	countSnapshots.Add(1)
 	return nil
--- a/internal/control/saddlecontrol/core.go
+++ b/internal/control/saddlecontrol/core.go
@@ -28,6 +28,11 @@
 	maxSweepInterval = 250 * time.Millisecond // longest time between checks for expired members and registrations
 )
 
+// snapshotBytes is the size in bytes of the commands between snapshots, whatever their number.
+// With one segment between snapshots, the log and the next checkpoint take a third of a disk of
+// 64 MB, the smallest that replicas have.
+const snapshotBytes = saddlestore.SegmentBytes
+
 // core owns all control state. Its methods run on one goroutine.
 type core struct {
 	cfg        Config
@@ -52,6 +57,7 @@
 	started     time.Time // start time, with a monotonic clock reading
 
 	applied      uint64
+	appliedBytes int64 // size of the commands applied since the latest snapshot
 	lastSnapshot uint64
 	prevRole     saddlereplica.Role
 	prevTerm     uint64
--- a/internal/standin/saddledisk/memory.go
+++ b/internal/standin/saddledisk/memory.go
@@ -5,6 +5,7 @@
 	"io/fs"
 	"maps"
 	"slices"
+	"syscall"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlestore"
 )
@@ -25,6 +26,7 @@
 	failure    error
 	tornWrite  bool // if the first failing operation is a write, it writes the first half of its data
 
+	capacity    int // bytes that the files hold at most, 0: any number
 	openHandles int // files that are open
 }
 
@@ -82,6 +84,22 @@
 // Failures returns the number of operations that failed since the last call of FailFrom.
 func (m *Memory) Failures() int { return m.failures }
 
+// SetCapacity makes writes fail with ENOSPC where the files would hold more than the given
+// number of bytes. A write that fails writes as much as fits.
+func (m *Memory) SetCapacity(bytes int) { m.capacity = bytes }
+
+// room returns the number of bytes that fit, at most the wanted number.
+func (m *Memory) room(want int) int {
+	if m.capacity == 0 {
+		return want
+	}
+	used := 0
+	for _, c := range m.files {
+		used += len(c.data)
+	}
+	return max(0, min(want, m.capacity-used))
+}
+
 // OpenHandles returns the number of files that were opened and not closed.
 func (m *Memory) OpenHandles() int { return m.openHandles }
 
@@ -187,8 +205,12 @@
 		}
 		return 0, err
 	}
-	h.fileContent.data = append(h.fileContent.data, p...)
-	return len(p), nil
+	n := h.fs.room(len(p))
+	h.fileContent.data = append(h.fileContent.data, p[:n]...)
+	if n < len(p) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
 }
 
 func (h *handle) Sync() error {
