--- a/internal/control/saddlereplica/fulldisk_test.go
+++ b/internal/control/saddlereplica/fulldisk_test.go
@@ -16,7 +16,7 @@
 
 const (
 	fullTime       = 3 * time.Second        // time that a disk is full
-	roomTime       = time.Second            // time between two full disks
+	longRoomTime   = time.Second            // time between two full disks, enough to catch up
 	joinInterval   = 300 * time.Millisecond // as in the control daemon
 	changeInterval = 50 * time.Millisecond  // time between two changes; a snapshot is due every 2 s
 	ackLimit       = 4 * time.Second        // longest time without an acknowledged change, a few elections
@@ -56,20 +56,22 @@
 	for _, group := range []struct {
 		replicas, desired int
 		refused           []string
-		steps             int // operations of the store, one after the other, at which the disks run full
+		steps             int           // operations of the store, one after the other, at which the disks run full
+		roomTime          time.Duration // time between two full disks
 	}{
-		{replicas: 3, refused: slices.Sorted(maps.Keys(refusals)), steps: 4},
-		{replicas: 3, desired: 3, refused: []string{"everything", "bytes"}, steps: 2},
-		{replicas: 5, refused: []string{"everything", "bytes"}, steps: 2},
-		{replicas: 5, desired: 5, refused: []string{"everything", "bytes"}, steps: 2},
-		{replicas: 6, desired: 5, refused: []string{"everything", "bytes"}, steps: 2}, // a silent voter is surplus
+		{replicas: 3, refused: slices.Sorted(maps.Keys(refusals)), steps: 4, roomTime: longRoomTime},
+		{replicas: 3, refused: []string{"everything", "bytes"}, steps: 2}, // the next disk runs full as the last one has room again
+		{replicas: 3, desired: 3, refused: []string{"everything", "bytes"}, steps: 2, roomTime: longRoomTime},
+		{replicas: 5, refused: []string{"everything", "bytes"}, steps: 2, roomTime: longRoomTime},
+		{replicas: 5, desired: 5, refused: []string{"everything", "bytes"}, steps: 2, roomTime: longRoomTime},
+		{replicas: 6, desired: 5, refused: []string{"everything", "bytes"}, steps: 2, roomTime: longRoomTime}, // a silent voter is surplus
 	} {
 		for order, nodes := range fullDiskOrders {
 			for _, refused := range group.refused {
-				t.Run(fmt.Sprintf("%d replicas, %d desired, %s, %s", group.replicas, group.desired, order, refused), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%d replicas, %d desired, %s apart, %s, %s", group.replicas, group.desired, group.roomTime, order, refused), func(t *testing.T) {
 					t.Parallel()
 					for step := range group.steps {
-						playFullDisks(t, uint64(step), group.replicas, group.desired, nodes, refusals[refused])
+						playFullDisks(t, uint64(step), group.replicas, group.desired, group.roomTime, nodes, refusals[refused])
 					}
 				})
 			}
@@ -77,7 +79,10 @@
 	}
 }
 
-func playFullDisks(t *testing.T, seed uint64, replicas, desired int, order func(*node, []*node) []*node, kinds []saddledisk.Operation) {
+func playFullDisks(
+	t *testing.T, seed uint64, replicas, desired int, roomTime time.Duration,
+	order func(*node, []*node) []*node, kinds []saddledisk.Operation,
+) {
 	t.Helper()
 	is := is.New(t)
 	sim := newSimulation(t, seed)
@@ -92,7 +97,7 @@
 	}
 	sim.waitFor("a leader", func() bool { return sim.leader() != nil })
 	l := sim.addLoad()
-	sim.runFor(roomTime)
+	sim.runFor(longRoomTime)
 	leader := sim.leader()
 	var others []*node
 	for _, n := range sim.nodes {
@@ -101,22 +106,22 @@
 		}
 	}
 	for _, n := range order(leader, others) {
+		is.True(sim.runUntil(ackLimit, func() bool { return sim.leader() != nil }))
 		led := sim.leader()
-		is.True(led != nil) // the group has a leader while all disks have room
 		if n == nil {
 			n = led
 		}
 		term := led.replica.Term()
 		n.disk.FailFrom(n.disk.Operations()+1+int(seed), syscall.ENOSPC, seed%2 == 1, kinds...)
 		sim.runFor(fullTime)
-		n.disk.FailFrom(0, nil, false)
-		sim.runFor(roomTime)
-		is.True(sim.leader() != nil)
+		is.True(sim.runUntil(ackLimit, func() bool { return sim.leader() != nil })) // the others have a leader
 		raised := sim.leader().replica.Term() - term
 		if n != led {
 			is.Equal(raised, uint64(0)) // a follower with a full disk does not cause an election
 		}
 		is.True(raised <= maxElections)
+		n.disk.FailFrom(0, nil, false)
+		sim.runFor(roomTime)
 	}
 	is.True(sim.runUntil(recoveryLimit, sim.complete))
 	is.True(l.longestPause <= ackLimit)
