A suspected attempt goes on until another one is accepted

What callers would see: LOST, still, where the chain that was reserved for a suspected stream refuses it.

Cause: a reserved chain and a paid retry do not make the next attempt certain. Only its accepted answer does.

Change: the next attempt is sent while the present one goes on, and takes over once its target begins to answer; a refusal leaves the present one as it is. Beside it, from the same review: a retry is paid before a chain is looked for, so that failed searches leave no trace in limits; engines are avoided only until their time; reset reports of a busy engine are no loss; late probes do not confirm a loss, only the head's word does; a head that does not know the request may have sent the rest, which may be unread; an answer that is being passed on is not ended by the limit on slow attempts; sends are bounded on all paths; a grant that is awaited does not delay the end of an answer.

Not mended: a slow target of a repeatable plain request is left for a reserved target that then refuses (502), and one whose deadline leaves no time for another.

--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -248,20 +248,6 @@
 	}
 }
 
-// confirmingFailures is the number of failures in succession after which an engine counts as
-// lost although nothing refuses connections there. A report and two probes that are late
-// outlast most times for which an entry is held up.
-const confirmingFailures = 3
-
-// Lost reports whether the loss of the engine at an address is confirmed: it has ended, or it
-// has failed several times in succession.
-func (f *Fleet) Lost(address string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	t, ok := f.byAddress[address]
-	return ok && (t.ended || (t.unresponsive && t.consecutiveFailures >= confirmingFailures))
-}
-
 // RecordProgress records that events passed through an engine while its probe remained
 // unanswered: it is slow to answer, but it works.
 func (f *Fleet) RecordProgress(now time.Time, probed Target) {
--- a/internal/direct/saddlegateway/attemptlimit.go
+++ b/internal/direct/saddlegateway/attemptlimit.go
@@ -21,8 +21,9 @@
 // attemptLimit ends a slow attempt at a plain request once another attempt is certain.
 type attemptLimit struct {
 	job        *job
-	ctx        context.Context
-	cancel     context.CancelCauseFunc
+	ctx        context.Context // ends when the attempt needs no limit any more
+	end        context.CancelFunc
+	cancel     context.CancelCauseFunc // ends the attempt
 	exclusions exclusions
 	startTime  time.Time
 	timer      *time.Timer
@@ -34,10 +35,11 @@
 // limitAttempt limits the present attempt, which began at now, if another one may follow. stop
 // ends the limit.
 func (j *job) limitAttempt(ctx context.Context, now time.Time, cancel context.CancelCauseFunc) (stop func()) {
-	if !j.route.Retryable() || j.route.MaxAttempts <= j.runs+1 || j.route.FirstByteObjective <= 0 {
+	if !j.route.Retryable() || j.route.MaxAttempts <= j.runs+1 || j.sends >= maxSends || j.route.FirstByteObjective <= 0 {
 		return func() {}
 	}
-	l := &attemptLimit{job: j, ctx: ctx, cancel: cancel, exclusions: exclusions{targets: slices.Clone(j.triedTargets)}, startTime: now}
+	l := &attemptLimit{job: j, cancel: cancel, exclusions: exclusions{targets: slices.Clone(j.triedTargets)}, startTime: now}
+	l.ctx, l.end = context.WithCancel(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.timer = time.AfterFunc(slowAttemptFactor*j.route.FirstByteObjective, l.check)
@@ -52,15 +54,18 @@
 		return
 	}
 	now := time.Now()
-	if !l.job.secureNextAttempt(l.ctx, now, l.exclusions) {
+	next, ok := l.job.secureNextAttempt(l.ctx, now, l.exclusions)
+	if !ok {
 		l.timer.Reset(secureInterval)
 		return
 	}
+	l.job.next.Store(next)
 	l.job.logEvent(zerolog.InfoLevel).Int64("elapsed_ms", now.Sub(l.startTime).Milliseconds()).Msg("slow attempt ended: another target is tried")
 	l.cancel(context.DeadlineExceeded)
 }
 
 func (l *attemptLimit) stop() {
+	l.end()
 	l.timer.Stop()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -64,10 +64,13 @@
 }
 
 // avoidedAddresses returns the addresses that are excluded at present.
-func (j *job) avoidedAddresses(now time.Time) []string {
+func (j *job) avoidedAddresses(now time.Time) []string { return unexpired(now, j.avoidUntil) }
+
+// unexpired returns the addresses whose time has not come.
+func unexpired(now time.Time, until map[string]time.Time) []string {
 	var out []string
-	for address, until := range j.avoidUntil {
-		if now.Before(until) {
+	for address, t := range until {
+		if now.Before(t) {
 			out = append(out, address)
 		}
 	}
@@ -116,9 +119,12 @@
 	return true
 }
 
-// prepayRetry deducts a retry from the budget before the current attempt is aborted. It
-// reports whether the budget allowed it.
+// prepayRetry deducts a retry from the budget before the current attempt is aborted, unless
+// one was deducted before. It reports whether the budget allowed it.
 func (j *job) prepayRetry(ctx context.Context) bool {
+	if j.retryPrepaid.Load() {
+		return true
+	}
 	granted := j.takeRetry(ctx, j.pool.Group)
 	if granted {
 		j.retryPrepaid.Store(true)
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -122,6 +122,9 @@
 		}
 		return false, "answer truncated: " + err.Error()
 	}
+	if stopLimit(); ctx.Err() != nil && len(body) == bufferedAnswerBytes {
+		return false, "answer ended after its first part"
+	}
 	j.cfg.Fleet.MarkWorking(time.Now(), target.Address)
 	j.recordHarmless()
 	if j.shouldRetryStatus(reply.Status) {
--- a/internal/direct/saddlegateway/relay.go
+++ b/internal/direct/saddlegateway/relay.go
@@ -72,6 +72,7 @@
 				j.endDisconnected()
 				return true, ""
 			}
+			watch.recordDelivery(j.lastEventID)
 		}
 		if err != nil {
 			return j.endStream(reply)
--- a/internal/direct/saddlegateway/reroute.go
+++ b/internal/direct/saddlegateway/reroute.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,10 +31,11 @@
 // chain and no engine of the chain is excluded.
 //
 // If the attempt is not rerouted, there are four cases:
-//   - It is aborted if its head has certainly ended or does not have the request.
+//   - It is aborted if its head has certainly ended, unless events arrive that the head had
+//     sent before.
 //   - It is aborted if the loss is confirmed, another attempt may follow and the retry budget
 //     allows it: the capacity that it holds is of use to the next attempt.
-//   - It is aborted once another attempt is certain, if the engine is only suspected.
+//   - It is aborted once another attempt is accepted, if the engine is only suspected.
 //   - Otherwise it goes on, and the reroute is attempted again: a spare engine may take over
 //     the lost layers, and an engine that only seems to be lost may go on.
 func (w *watchdog) handleEngineLoss(address string, loss engineLoss) (settled bool) {
@@ -49,65 +49,61 @@
 		w.scheduleCheck(w.job.stallSilence())
 		return true
 	}
-	head := w.chain.Load().Head
+	head := w.chain.Load().Head.Address
 	err := errHeadLost
-	if address != head.Address {
+	if address != head {
 		err = w.reroute(address)
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		countRerouted.Add(1)
 		w.job.logEvent(zerolog.InfoLevel).Str("engine", address).Int64("silent_ms", silence.Milliseconds()).
 			Strs("chain", w.chain.Load().Addresses()).Msg("chain rerouted")
 		w.scheduleCheck(firstEventCheck)
-		return true
-	}
-	over := isUnknownRequest(err) || (loss == lossCertain && address == head.Address)
-	if !w.replaceAttempt(time.Now(), cmp.Or(address, head.Address), loss) && !over {
-		if !w.waiting {
-			w.waiting = true
-			w.job.logEvent(zerolog.InfoLevel).Err(err).Str("engine", address).Int("loss", int(loss)).Int64("silent_ms", silence.Milliseconds()).
-				Int64("check_late_ms", delay.Milliseconds()).Bool("attempts_left", w.mayRetry).Msg("attempt goes on without a lost engine")
-		}
-		w.scheduleCheck(rerouteInterval)
+	case w.challenger == nil && address == head && w.headEnded(loss):
+		w.abort(address, delay, fmt.Errorf("engine %s lost: %w", address, err))
+	case loss >= lossConfirmed && address != head && w.mayChallenge() && w.job.prepayRetry(w.ctx):
+		w.abort(address, delay, fmt.Errorf("engine %s lost: %w", address, err))
+	default:
+		w.goOnWithout(cmp.Or(address, head), loss, delay, err)
 		return false
 	}
-	w.abort(address, delay, fmt.Errorf("engine %s lost: %w", address, err))
 	return true
 }
 
-// replaceAttempt reports whether another attempt is to continue the stream after the loss of
-// the engine at an address. It then has deducted the retry from the budget. It must be called
-// with chainMu held.
-func (w *watchdog) replaceAttempt(now time.Time, address string, loss engineLoss) bool {
-	return w.secureNextAttempt(now, address) || (loss >= lossConfirmed && w.mayRetry && w.job.prepayRetry(w.ctx))
+// headEnded reports whether the head has certainly ended and no event has arrived since that was
+// found. What the head sent before its end may have been unread then.
+func (w *watchdog) headEnded(loss engineLoss) bool {
+	last := w.lastEvent.Load()
+	if w.endSeen && w.endEvent == last {
+		return true
+	}
+	if loss == lossCertain {
+		w.endSeen, w.endEvent = true, last
+	}
+	return false
+}
+
+// goOnWithout lets the attempt go on after the loss of the engine at an address, and challenges
+// it if the route and the budget allow that.
+func (w *watchdog) goOnWithout(address string, loss engineLoss, delay time.Duration, err error) {
+	if !w.waiting {
+		w.waiting = true
+		w.job.logEvent(zerolog.InfoLevel).Err(err).Str("engine", address).Stringer("loss", loss).Int64("silent_ms", w.silence().Milliseconds()).
+			Int64("check_late_ms", delay.Milliseconds()).Bool("attempts_left", w.mayRetry).Msg("attempt goes on without a lost engine")
+	}
+	w.challenge(time.Now(), delay, address, fmt.Errorf("engine %s suspected: %w", address, err))
+	w.scheduleCheck(rerouteInterval)
 }
 
 // lossOf returns how sure the loss of the engine at an address is.
 func (w *watchdog) lossOf(address string) engineLoss {
-	switch {
-	case w.job.cfg.Fleet.Ended(address):
+	if w.job.cfg.Fleet.Ended(address) {
 		return lossCertain
-	case w.job.cfg.Fleet.Lost(address):
-		return lossConfirmed
 	}
 	return lossSuspected
 }
 
-// secureNextAttempt reports whether another attempt can continue the stream at once without
-// the engine at an address. It then has reserved a chain and a retry for that attempt. It must
-// be called with chainMu held.
-func (w *watchdog) secureNextAttempt(now time.Time, without string) bool {
-	out := w.exclusions
-	out.engines = slices.Concat(out.engines, []string{without})
-	return w.mayRetry && w.job.secureNextAttempt(w.ctx, now, out)
-}
-
-// isUnknownRequest reports whether the head answered that it does not have the request.
-func isUnknownRequest(err error) bool {
-	var refused *fireflysaddle.OrderError
-	return errors.As(err, &refused) && refused.Status == fireflysaddle.OrderNotFound
-}
-
 var (
 	errNoReplacement = errors.New("no other engines have capacity for the lost layers")
 	errHeadLost      = errors.New("the head of a chain cannot be replaced")
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -68,9 +68,12 @@
 // time left until the process is killed. During the lame-duck period calls that can be
 // continued elsewhere are judged by how long they usually take, because most would be refused
 // in vain otherwise. An answer that has begun goes on in any case.
-func (j *job) mayOutlastProcess(now time.Time) bool {
+func (j *job) mayOutlastProcess(now time.Time) bool { return !j.headerSent && j.outlastsProcess(now) }
+
+// outlastsProcess is mayOutlastProcess for a call whose answer has not begun.
+func (j *job) outlastsProcess(now time.Time) bool {
 	s := j.shutdown.Load()
-	if s == nil || j.headerSent {
+	if s == nil {
 		return false
 	}
 	left := s.killAt.Sub(now) - shutdownMargin
--- a/internal/direct/saddlegateway/shutdown_test.go
+++ b/internal/direct/saddlegateway/shutdown_test.go
@@ -197,6 +197,9 @@
 				is := is.New(t)
 				f := newFixture(t, answerSequence(answerAfter(graceTime-lameDuck-100*time.Millisecond, refuse), ok))
 				f.setTimeouts(t, 20*time.Second)
+				for _, route := range f.gateway.State().Routing.Routes {
+					route.EventGapObjective = graceTime // its callers wait for the first target
+				}
 				killed := f.startShutdown()
 				time.Sleep(lameDuck - time.Second)
 				got := f.serve(call(path))
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -36,37 +36,25 @@
 	}
 	defer j.releaseNextAttempt()
 	for {
-		if refusal := j.quarantineRefusal(time.Now()); refusal != nil {
-			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
-			return
-		}
-		chain, release, refusal := j.pickChain(ctx)
+		next, refusal := j.pickChain(ctx)
 		if refusal != nil {
 			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
 			return
 		}
-		if refusal := j.quarantineRefusal(time.Now()); refusal != nil { // it may have waited for a chain
-			release()
-			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
-			return
-		}
-		if j.mayOutlastProcess(time.Now()) { // the same
-			release()
-			j.refuseLeaving()
+		if next.accepted == nil && !j.maySend(ctx) {
+			next.release()
 			return
 		}
-		if !j.reserveSend(ctx) {
-			release()
-			j.failCall(ctx, fireflysaddle.CodeTargetFailed, "no retry is left", noCapacityRetryAfter)
-			return
-		}
-		ended, failure := j.tryStream(ctx, chain)
-		release()
+		ended, failure := j.tryStream(ctx, next)
+		next.release()
 		if ended {
 			return
 		}
 		j.logFraming(j.logEvent(zerolog.InfoLevel)).Strs("chain", j.chainAddresses).Str("reason", failure).Int("runs", j.runs).
 			Str("fingerprint", j.fingerprint()).Int("events", j.eventsSent).Int("attempt_events", j.attemptEvents).Strs("traits", traitNames(j.traits())).Str("last_event", j.lastEventID).Strs("avoid", j.avoidedAddresses(time.Now())).Msg("attempt failed")
+		if j.next.Load() != nil { // it has begun already
+			continue
+		}
 		if ctx.Err() != nil || (j.runs > 0 && (!j.route.Retryable() || j.runs >= j.route.MaxAttempts)) {
 			j.failCall(ctx, fireflysaddle.CodeTargetFailed, failure, noCapacityRetryAfter)
 			return
@@ -74,42 +62,64 @@
 	}
 }
 
+// maySend reports whether the call, which may have waited for a chain, is to be sent. If it is
+// not, it has been refused.
+func (j *job) maySend(ctx context.Context) bool {
+	if refusal := j.quarantineRefusal(time.Now()); refusal != nil {
+		j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
+		return false
+	}
+	if j.mayOutlastProcess(time.Now()) {
+		j.refuseLeaving()
+		return false
+	}
+	if !j.reserveSend(ctx) {
+		j.failCall(ctx, fireflysaddle.CodeTargetFailed, "no retry is left", noCapacityRetryAfter)
+		return false
+	}
+	return true
+}
+
 // pickChain selects a chain, or a single target for a plain service, unless one is reserved.
 // It waits for a chain with capacity until the caller has had no event for capacityWait.
-func (j *job) pickChain(ctx context.Context) (saddlefleet.Chain, func(), *Refusal) {
+func (j *job) pickChain(ctx context.Context) (nextAttempt, *Refusal) {
 	if next, ok := j.takeNextAttempt(); ok {
-		return next.chain, next.release, nil
+		return next, nil
+	}
+	if refusal := j.quarantineRefusal(time.Now()); refusal != nil {
+		return nextAttempt{}, refusal
 	}
 	if j.pool.Model == nil {
 		t, release, ok := j.pickTarget(time.Now())
 		if !ok {
-			return saddlefleet.Chain{}, nil, &Refusal{Code: fireflysaddle.CodeNoTarget, Message: "no target is available", RetryAfter: j.targetsRetryAfter(time.Now())}
+			return nextAttempt{}, &Refusal{Code: fireflysaddle.CodeNoTarget, Message: "no target is available", RetryAfter: j.targetsRetryAfter(time.Now())}
 		}
-		return saddlefleet.Chain{Head: t}, release, nil
+		return nextAttempt{chain: saddlefleet.Chain{Head: t}, release: release}, nil
 	}
-	return j.awaitChain(ctx)
+	chain, release, refusal := j.awaitChain(ctx)
+	return nextAttempt{chain: chain, release: release}, refusal
 }
 
-// tryStream sends the call to the head of one chain and relays the events. It reports
-// whether the call has ended and, if it has not, why the attempt failed.
-func (j *job) tryStream(ctx context.Context, chain saddlefleet.Chain) (ended bool, failure string) {
-	now := time.Now()
+// tryStream sends the call to the head of one chain, unless that has been done, and relays the
+// events. It reports whether the call has ended and, if it has not, why the attempt failed.
+func (j *job) tryStream(parent context.Context, next nextAttempt) (ended bool, failure string) {
+	now, chain := time.Now(), next.chain
 	f := j.newForward(now, chain.Head)
 	f.Chain = chain.Parts
 	f.LastEventID = j.lastEventID
 	j.chainAddresses, j.attemptAddress, j.attemptLifetime, j.attemptEvents = chain.Addresses(), chain.Head.Address, chain.Head.Lifetime(), 0
 	j.attemptSentAt = now
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := next.attemptContext(parent)
 	defer cancel(nil)
-	watch := j.startWatchdog(ctx, cancel, chain)
+	watch := j.startWatchdog(parent, ctx, cancel, chain, f)
 	defer func() {
-		j.chainAddresses = watch.stop().Addresses()
+		cancel(nil) // ends a call for which the watchdog waits
+		j.chainAddresses = watch.stop(ended).Addresses()
 		if address := watch.faultyAddress.Load(); address != nil {
 			j.avoidEngine(time.Now(), *address, avoidFailedFor)
 		}
 	}()
-	reply, err := j.cfg.Forwarder.Forward(ctx, f)
-	j.recordNotice(time.Now(), now, chain.Head, reply, err)
+	reply, err := j.sendStream(ctx, next, f)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = &fireflysaddle.TargetError{Target: chain.Head.ID, Err: cause}
@@ -126,18 +136,32 @@
 	if reply.NotRun {
 		return false, j.recordRefusal(reply)
 	}
-	j.runs++
+	if next.accepted == nil { // otherwise it was counted when it was accepted
+		j.runs++
+	}
 	j.framing, j.partialBytes = reply.Framing.String(), 0
 	if reply.Status != http.StatusOK {
 		return j.handleErrorStatus(reply)
 	}
 	if !isEventStream(reply.Header) {
+		watch.stop(true) // the body is no sequence of events
 		return j.relayBody(reply)
 	}
 	reply.Length = -1 // the events of a further attempt may have another length
 	return j.relay(ctx, reply, watch)
 }
 
+// sendStream returns the answer of an attempt that was accepted, or sends the call.
+func (j *job) sendStream(ctx context.Context, next nextAttempt, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+	if next.accepted != nil {
+		j.attemptSentAt = next.accepted.sentAt
+		return next.accepted.reply, nil
+	}
+	reply, err := j.cfg.Forwarder.Forward(ctx, f)
+	j.recordNotice(time.Now(), j.attemptSentAt, next.chain.Head, reply, err)
+	return reply, err
+}
+
 // recordRefusal records that an engine of the chain refused the call without running it.
 // The call avoids that engine for avoidFullFor. It returns the reason.
 func (j *job) recordRefusal(reply *fireflysaddle.Reply) string {
--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
 )
 
@@ -53,18 +55,30 @@
 	faultyAddress atomic.Pointer[string] // address of the engine that caused the abort; nil: none
 	chainMu       sync.Mutex             // held while the chain is rerouted
 	mayRetry      bool                   // another attempt may follow this one
-	exclusions    exclusions             // of the attempt after this one
+	parent        context.Context        // of the call
+	forward       fireflysaddle.Forward  // of this attempt
+	deliveredID   atomic.Pointer[string] // identifier of the last event that the caller received in this attempt; nil: none
+	waitedBefore  time.Duration          // time that the caller had waited for an event when the attempt began
+	sendsLeft     int
+	answerBegun   bool // an earlier attempt has begun the answer to the caller
 
 	rerouteRefused atomic.Bool // the head has not accepted the current chain
 	stopped        bool        // guarded by chainMu: the attempt has ended and the capacity of its chain is released
 	waiting        bool        // guarded by chainMu: waiting for an engine that takes over lost layers
+	endSeen        bool        // guarded by chainMu: the head was found to have ended
+	endEvent       int64       // guarded by chainMu: lastEvent at that time
+
+	exclusions  exclusions  // guarded by chainMu: of the attempt after this one
+	challenger  *challenger // guarded by chainMu: attempt that is to replace this one; nil: none
+	sends, runs int         // guarded by chainMu: challengers sent, and those that may have run
 }
 
-// startWatchdog starts to monitor an attempt.
-func (j *job) startWatchdog(ctx context.Context, cancel context.CancelCauseFunc, chain saddlefleet.Chain) *watchdog {
-	w := &watchdog{job: j, ctx: ctx, cancel: cancel, startTime: time.Now()}
-	w.mayRetry = j.route.Retryable() && j.runs+1 < j.route.MaxAttempts && j.sends < maxSends
-	w.exclusions = exclusions{targets: slices.Clone(j.triedTargets), engines: j.avoidedAddresses(w.startTime), heads: slices.Clone(j.failedHeads)}
+// startWatchdog starts to monitor an attempt at a call with the context parent. ctx is the
+// context of the attempt, which cancel ends.
+func (j *job) startWatchdog(parent, ctx context.Context, cancel context.CancelCauseFunc, chain saddlefleet.Chain, f fireflysaddle.Forward) *watchdog {
+	w := &watchdog{job: j, parent: parent, ctx: ctx, cancel: cancel, forward: f, startTime: time.Now(), waitedBefore: j.sinceLastEvent(), sendsLeft: maxSends - j.sends, answerBegun: j.headerSent}
+	w.mayRetry = j.route.Retryable() && j.runs+1 < j.route.MaxAttempts && w.sendsLeft > 0
+	w.exclusions = exclusions{targets: slices.Clone(j.triedTargets), engines: maps.Clone(j.avoidUntil), heads: slices.Clone(j.failedHeads)}
 	w.chain.Store(&chain)
 	w.timer = time.AfterFunc(idleTimer, w.check)
 	w.scheduleCheck(firstEventCheck) // check reads w.timer
@@ -83,6 +97,9 @@
 	w.scheduleCheck(w.job.usualPause.atLeast(minEventGapCheck, eventGapFactor))
 }
 
+// recordDelivery records the identifier of the last event that the caller has received.
+func (w *watchdog) recordDelivery(id string) { w.deliveredID.Store(&id) }
+
 // lastEventTime returns the time of the last event, or the start of the attempt.
 func (w *watchdog) lastEventTime() time.Time {
 	return w.startTime.Add(time.Duration(w.lastEvent.Load()))
@@ -100,14 +117,28 @@
 	return time.Since(w.startTime) - time.Duration(w.checkDue.Load())
 }
 
-// stop ends the monitoring and returns the current chain.
-func (w *watchdog) stop() saddlefleet.Chain {
+// stop ends the monitoring and returns the current chain. A challenge in progress is ended if
+// the call has ended; otherwise stop waits for its outcome.
+func (w *watchdog) stop(ended bool) saddlefleet.Chain {
 	w.timer.Stop()
 	w.chainMu.Lock()
-	defer w.chainMu.Unlock()
+	chain, first, c := *w.chain.Load(), !w.stopped, w.challenger
 	w.stopped = true
-	chain := *w.chain.Load()
+	w.chainMu.Unlock()
+	if !first {
+		return chain
+	}
 	w.job.attemptIndex.remove(w, chain)
+	if c != nil {
+		if ended {
+			c.next.accepted.cancel(nil)
+		}
+		<-c.done
+	}
+	w.chainMu.Lock()
+	defer w.chainMu.Unlock()
+	w.job.runs += w.runs
+	w.job.sends += w.sends
 	return chain
 }
 
@@ -130,7 +161,7 @@
 // not possible, the head is asked whether it waits for the engine, which confirms the loss.
 //
 // A target's silence is no evidence that its answer will not come. An attempt is therefore
-// aborted only for a loss that is certain or confirmed, or once another attempt is certain.
+// aborted only for a loss that is certain or confirmed, or once another attempt is accepted.
 func (w *watchdog) check() {
 	if w.ctx.Err() != nil {
 		return
@@ -150,13 +181,17 @@
 }
 
 // checkSilent finds out why there is no event although no engine of the chain is excluded. If
-// the silence has lasted for retrySilence, another attempt continues the stream if there is
-// one. Otherwise the fleet probes those engines of the chain whose streams have all received
+// the silence has lasted for retrySilence, another attempt continues the stream if it is
+// accepted. The fleet probes those engines of the chain whose streams have all received
 // no event recently, and the head is asked for a report. If it does not report and no stream
 // that passes through it has had an event since, it counts as down.
 func (w *watchdog) checkSilent(now time.Time, delay time.Duration, chain *saddlefleet.Chain) {
-	if w.silence() > w.retrySilence() && !w.job.slowCentres.anySlow(now, chain.Centres) && w.retryElsewhere(now, delay) {
-		return
+	if w.callerWait() > w.retrySilence() && !w.job.slowCentres.anySlow(now, chain.Centres) {
+		w.chainMu.Lock()
+		if !w.stopped && w.ctx.Err() == nil {
+			w.challenge(now, delay, chain.Head.Address, errSilent)
+		}
+		w.chainMu.Unlock()
 	}
 	if len(chain.Parts) == 0 {
 		w.scheduleCheck(recheckInterval)
@@ -169,10 +204,16 @@
 	if w.ctx.Err() != nil {
 		return
 	}
+	certain := errors.Is(report.err, syscall.ECONNREFUSED)
+	if report.err != nil && !certain && !errors.Is(report.err, context.DeadlineExceeded) { // a busy engine resets connections
+		w.job.cfg.Fleet.RequestProbe(time.Now(), chain.Head.Address)
+		w.scheduleCheck(recheckInterval)
+		return
+	}
 	if report.err != nil && !w.job.attemptIndex.activeSince(report.requestedAt, chain.Head.Address) {
 		w.job.cfg.Fleet.MarkDown(time.Now(), chain.Head.Address, "report request failed: "+report.err.Error())
 		loss := w.lossOf(chain.Head.Address)
-		if errors.Is(report.err, syscall.ECONNREFUSED) {
+		if certain {
 			loss = lossCertain
 		}
 		w.handleEngineLoss(chain.Head.Address, loss)
@@ -215,15 +256,10 @@
 	return time.Duration(retryPatience * float64(w.job.route.CallerPatience()))
 }
 
-// retryElsewhere aborts a silent attempt if another one is certain, and reports whether it
-// did.
-func (w *watchdog) retryElsewhere(now time.Time, delay time.Duration) bool {
-	w.chainMu.Lock()
-	defer w.chainMu.Unlock()
-	head := w.chain.Load().Head
-	if w.stopped || w.ctx.Err() != nil || !w.secureNextAttempt(now, head.Address) {
-		return false
+// callerWait returns the time since the caller received an event.
+func (w *watchdog) callerWait() time.Duration {
+	if w.hasEvent.Load() {
+		return w.silence()
 	}
-	w.abort(head.Address, delay, errSilent)
-	return true
+	return w.silence() + w.waitedBefore
 }
