--- a/internal/direct/saddlegateway/shutdown_test.go
+++ b/internal/direct/saddlegateway/shutdown_test.go
@@ -78,6 +78,7 @@
 		{"no answer, stream", "/once/", func(f *fixture, _ *saddlegateway.Call) { f.fakeTargets.silent = true }},
 		{"part of an answer, non-idempotent", "/file/", func(*fixture, *saddlegateway.Call) {}},
 		{"part of an answer, idempotent", "/status/", func(*fixture, *saddlegateway.Call) {}},
+		{"no answer, stream of a plain service", "/feed/", func(f *fixture, _ *saddlegateway.Call) { f.fakeTargets.silent = true }},
 		{"no event", "/draft/", func(*fixture, *saddlegateway.Call) {}},
 		{"no capacity", "/draft/", func(_ *fixture, c *saddlegateway.Call) { c.PromptTokens = 1 << 30 }},
 		{"no configuration", "/file/", func(f *fixture, _ *saddlegateway.Call) { f.setRouting(nil, 0) }},
@@ -191,7 +192,7 @@
 // Guards against a second send that the process may not outlast: the decision on arrival does
 // not hold for what is sent after a refusal by a target.
 func TestRetryThatMayOutlastTheProcessIsNotSent(t *testing.T) {
-	for _, path := range []string{"/file/", "/status/", "/draft/"} {
+	for _, path := range []string{"/file/", "/status/", "/draft/", "/feed/"} {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
