--- a/internal/control/saddlecontrol/fulldisks_test.go
+++ b/internal/control/saddlecontrol/fulldisks_test.go
@@ -92,7 +92,7 @@
 
 // Each replica commits changes again, over its own API and connections, after the disks of all
 // replicas were full in turn, each twice, with changes and snapshots due all the while. While one
-// disk is full, the others go on.
+// disk is full, the others continue.
 func TestReplicasCommitAgainAfterFullDisksInTurn(t *testing.T) {
 	group := startGroup(t)
 	ctx, cancel := context.WithCancel(waitContext(t))
--- a/internal/control/saddlecontrol/server.go
+++ b/internal/control/saddlecontrol/server.go
@@ -26,7 +26,7 @@
 
 // New opens the data folder and the listener. The returned function closes them and the
 // connections to other replicas. If it fails, as it may on a full disk, it has to be called again
-// before the data folder is opened anew.
+// before the data folder is reopened.
 func New(now time.Time, cfg Config) (*Server, func() error, error) {
 	store, loaded, closeStore, err := openStore(cfg)
 	if err != nil {
--- a/internal/control/saddlestore/store.go
+++ b/internal/control/saddlestore/store.go
@@ -44,9 +44,9 @@
 
 // Open opens the store in a data folder and creates the folder if needed. The
 // returned function closes the files and releases the lock. If it fails, as it may on a full
-// disk, the store is still open, and the function has to be called again before the store is
-// opened anew. The error of Open is a *CorruptionError if synced data cannot be read, and an *InUseError if another
-// process has the folder open.
+// disk, the store is still open, and the function must be called again before the next Open.
+// The error of Open is a *CorruptionError if synced data cannot be read, and an *InUseError if
+// another process has the folder open.
 func Open(dir string) (*Store, Loaded, func() error, error) {
 	if err := os.MkdirAll(dir, dirPerm); err != nil {
 		return nil, Loaded{}, nil, eris.Wrapf(err, "create data folder %s", dir)
--- a/internal/direct/saddlegateway/challenger_test.go
+++ b/internal/direct/saddlegateway/hedge_test.go
@@ -19,7 +19,7 @@
 
 // Guards against a stream that is cut because the chains that are to continue it refuse it,
 // while its own target is only silent.
-func TestRefusedChallengerLeavesTheAttemptAsItIs(t *testing.T) {
+func TestRefusedHedgeLeavesTheAttemptAsItIs(t *testing.T) {
 	for _, refusing := range []string{"engine-b-2", "engine-b-0"} {
 		t.Run(refusing, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -54,9 +54,9 @@
 	})
 }
 
-// Guards against "not run" being said of a stream whose challenger was accepted, and against
+// Guards against "not run" being said of a stream whose hedge was accepted, and against
 // more runs than the route allows.
-func TestAcceptedChallengerCountsAsARun(t *testing.T) {
+func TestAcceptedHedgeCountsAsARun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFixture(t, func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
--- a/internal/direct/saddlegateway/reroute.go
+++ b/internal/direct/saddlegateway/reroute.go
@@ -36,8 +36,8 @@
 //   - It is aborted if the loss is confirmed, another attempt may follow and the retry budget
 //     allows it: the capacity that it holds is of use to the next attempt.
 //   - It is aborted once another attempt is accepted, if the engine is only suspected.
-//   - Otherwise it goes on, and the reroute is attempted again: a spare engine may take over
-//     the lost layers, and an engine that only seems to be lost may go on.
+//   - Otherwise it continues, and the reroute is attempted again: a spare engine may take over
+//     the lost layers, and an engine that only seems to be lost may send events again.
 func (w *watchdog) handleEngineLoss(address string, loss engineLoss) (settled bool) {
 	w.chainMu.Lock()
 	defer w.chainMu.Unlock()
@@ -60,12 +60,12 @@
 		w.job.logEvent(zerolog.InfoLevel).Str("engine", address).Int64("silent_ms", silence.Milliseconds()).
 			Strs("chain", w.chain.Load().Addresses()).Msg("chain rerouted")
 		w.scheduleCheck(firstEventCheck)
-	case w.challenger == nil && address == head && w.headEnded(loss):
+	case w.hedge == nil && address == head && w.headEnded(loss):
 		w.abort(address, delay, fmt.Errorf("engine %s lost: %w", address, err))
-	case loss >= lossConfirmed && address != head && w.mayChallenge() && w.job.prepayRetry(w.ctx):
+	case loss >= lossConfirmed && address != head && w.mayHedge() && w.job.prepayRetry(w.ctx):
 		w.abort(address, delay, fmt.Errorf("engine %s lost: %w", address, err))
 	default:
-		w.goOnWithout(cmp.Or(address, head), loss, delay, err)
+		w.continueWithout(cmp.Or(address, head), loss, delay, err)
 		return false
 	}
 	return true
@@ -84,15 +84,15 @@
 	return false
 }
 
-// goOnWithout lets the attempt go on after the loss of the engine at an address, and challenges
-// it if the route and the budget allow that.
-func (w *watchdog) goOnWithout(address string, loss engineLoss, delay time.Duration, err error) {
+// continueWithout lets the attempt continue after the loss of the engine at an address, and
+// hedges it if the route and the budget allow that.
+func (w *watchdog) continueWithout(address string, loss engineLoss, delay time.Duration, err error) {
 	if !w.waiting {
 		w.waiting = true
 		w.job.logEvent(zerolog.InfoLevel).Err(err).Str("engine", address).Stringer("loss", loss).Int64("silent_ms", w.silence().Milliseconds()).
-			Int64("check_late_ms", delay.Milliseconds()).Bool("attempts_left", w.mayRetry).Msg("attempt goes on without a lost engine")
+			Int64("check_late_ms", delay.Milliseconds()).Bool("attempts_left", w.mayRetry).Msg("attempt continues without a lost engine")
 	}
-	w.challenge(time.Now(), delay, address, fmt.Errorf("engine %s suspected: %w", address, err))
+	w.startHedge(time.Now(), delay, address, fmt.Errorf("engine %s suspected: %w", address, err))
 	w.scheduleCheck(rerouteInterval)
 }
 
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -56,7 +56,7 @@
 }
 
 // claimAnswer reports whether an answer may begin that takes some time. From then on the
-// call goes on until the process is killed, because a refusal can no longer be sent.
+// call continues until the process is killed, because a refusal can no longer be sent.
 func (j *job) claimAnswer() bool { return j.headerSent || j.stopEnding() }
 
 // isProcessEnding reports whether a context has ended because the process is about to.
@@ -67,7 +67,7 @@
 // mayOutlastProcess reports whether the call, if it is sent now, may take longer than the
 // time left until the process is killed. During the lame-duck period calls that can be
 // continued elsewhere are judged by how long they usually take, because most would be refused
-// in vain otherwise. An answer that has begun goes on in any case.
+// in vain otherwise. An answer that has begun continues in any case.
 func (j *job) mayOutlastProcess(now time.Time) bool { return !j.headerSent && j.outlastsProcess(now) }
 
 // outlastsProcess is mayOutlastProcess for a call whose answer has not begun.
--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -68,9 +68,9 @@
 	endSeen        bool        // guarded by chainMu: the head was found to have ended
 	endEvent       int64       // guarded by chainMu: lastEvent at that time
 
-	exclusions  exclusions  // guarded by chainMu: of the attempt after this one
-	challenger  *challenger // guarded by chainMu: attempt that is to replace this one; nil: none
-	sends, runs int         // guarded by chainMu: challengers sent, and those that may have run
+	exclusions  exclusions // guarded by chainMu: of the attempt after this one
+	hedge       *hedge     // guarded by chainMu: attempt that is to replace this one; nil: none
+	sends, runs int        // guarded by chainMu: hedges sent, and those that may have run
 }
 
 // startWatchdog starts to monitor an attempt at a call with the context parent. ctx is the
@@ -117,12 +117,12 @@
 	return time.Since(w.startTime) - time.Duration(w.checkDue.Load())
 }
 
-// stop ends the monitoring and returns the current chain. A challenge in progress is ended if
+// stop ends the monitoring and returns the current chain. A hedge in progress is ended if
 // the call has ended; otherwise stop waits for its outcome.
 func (w *watchdog) stop(ended bool) saddlefleet.Chain {
 	w.timer.Stop()
 	w.chainMu.Lock()
-	chain, first, c := *w.chain.Load(), !w.stopped, w.challenger
+	chain, first, c := *w.chain.Load(), !w.stopped, w.hedge
 	w.stopped = true
 	w.chainMu.Unlock()
 	if !first {
@@ -189,7 +189,7 @@
 	if w.callerWait() > w.retrySilence() && !w.job.slowCentres.anySlow(now, chain.Centres) {
 		w.chainMu.Lock()
 		if !w.stopped && w.ctx.Err() == nil {
-			w.challenge(now, delay, chain.Head.Address, errSilent)
+			w.startHedge(now, delay, chain.Head.Address, errSilent)
 		}
 		w.chainMu.Unlock()
 	}
