Keep starting processes from occupying a free address

What was seen: tests that start processes failed now and then on a busy machine with "bind: address already in use": the relay of TestSilentControlConnectionsAreRedialled, TestFrozenAgentNeitherLosesNor- RepeatsFiling and another.

Cause: FreeAddress listened on a port to see whether it is free, and closed the listener. A process that another goroutine started meanwhile had a copy of the listener, because close-on-exec takes effect only when the process executes its program. Until then the copy kept listening. A relay, which listens at once, then failed. A daemon failed if the copy lasted until the daemon had started; on a busy machine this can take hundreds of milliseconds.

Now FreeAddress holds syscall.ForkLock from the creation to the close of its socket. No process is started meanwhile, so there is no copy. The socket is bound by system calls, because net.Listen takes ForkLock itself on some systems. An error other than "address already in use" is now returned; until now each error counted as a port in use.

--- a/internal/standin/saddlestandin/address.go
+++ b/internal/standin/saddlestandin/address.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 )
 
 const (
@@ -36,14 +37,38 @@
 				return "", err
 			}
 		}
-		address := loopback(portAllocator.next)
+		port := portAllocator.next
 		portAllocator.next++
-		lis, err := net.Listen("tcp", address)
-		if err != nil {
+		err := tryBind(port)
+		if errors.Is(err, syscall.EADDRINUSE) {
 			continue // another program uses the port
 		}
-		return address, lis.Close()
+		if err != nil {
+			return "", err
+		}
+		return loopback(port), nil
+	}
+}
+
+// tryBind binds a socket to a loopback port and closes it. It fails if something
+// listens on the port.
+func tryBind(port int) error {
+	// A process that is being started holds copies of this process's sockets until it
+	// executes its program, so a copy could occupy the port after the socket is closed.
+	// While ForkLock is held, no process is started.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	// Not net.Listen, which locks ForkLock itself on some systems.
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		return os.NewSyscallError("socket", err)
+	}
+	defer func() { _ = syscall.Close(socket) }()
+	// Like net.Listen, allow ports of closed connections.
+	if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return os.NewSyscallError("setsockopt", err)
 	}
+	return os.NewSyscallError("bind", syscall.Bind(socket, &syscall.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}))
 }
 
 // lockPortBlock locks a block by listening on its first port.
