--- a/internal/direct/saddlegateway/hedge.go
+++ b/internal/direct/saddlegateway/hedge.go
@@ -17,13 +17,13 @@
 	watchdog *watchdog
 	next     *nextAttempt
 	forward  fireflysaddle.Forward
-	cause    error         // why the other attempt is to be replaced
+	cause    error         // why the present attempt is to be replaced
 	delay    time.Duration // how late the check was that found the cause
 	done     chan struct{} // closed once the hedge is accepted or has failed
 }
 
-// mayHedge reports whether another attempt may follow and no hedge is in progress or may have run. It must be
-// called with chainMu held.
+// mayHedge reports whether another attempt may follow, and no hedge is in progress or may have
+// run. It must be called with chainMu held.
 func (w *watchdog) mayHedge() bool {
 	return w.mayRetry && w.hedge == nil && w.runs == 0 && w.sends < w.sendsLeft
 }
