--- a/internal/direct/saddlegateway/hedge_test.go
+++ b/internal/direct/saddlegateway/hedge_test.go
@@ -109,7 +109,7 @@
 }
 
 // An engine that refused the request for lack of room is avoided for a short time only, also
-// by a stream that falls silent after that.
+// by a stream that has no event after that.
 func TestEngineThatRefusedIsUsedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
