Logs say what a stopping gateway accepts and what it cuts

A process that is killed left no line about the answers that it cut, and none said why a request was accepted during the shutdown. No decision changes.

--- a/internal/direct/saddlegateway/counters.go
+++ b/internal/direct/saddlegateway/counters.go
@@ -16,6 +16,7 @@
 	countAnswered        = expvar.NewInt("gateway_answered_total")
 	countRefused         = expvar.NewInt("gateway_refused_total")
 	countAborted         = expvar.NewInt("gateway_broken_off_total")
+	countUnfinished      = expvar.NewInt("gateway_unfinished_total")
 	countQuarantined     = expvar.NewInt("gateway_quarantined_total")
 	countDisconnected    = expvar.NewInt("gateway_callers_gone_total")
 	countWaited          = expvar.NewInt("gateway_waited_total")
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -29,6 +29,7 @@
 	deadline      time.Time
 
 	stopEnding      func() bool                 // see claimAnswer
+	answerClaimed   atomic.Bool                 // claimAnswer has returned true
 	retryPrepaid    atomic.Bool                 // the next retry has already been deducted from the budget
 	next            atomic.Pointer[nextAttempt] // nil: none is reserved
 	sends           int                         // sends so far
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
@@ -49,15 +51,33 @@
 func (j *job) endWithProcess(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	j.stopEnding = context.AfterFunc(j.ending, func() { cancel(errProcessEnding) })
+	stopWarning := context.AfterFunc(j.ending, j.warnOfCut)
 	return ctx, func() {
+		stopWarning()
 		j.stopEnding()
 		cancel(nil)
 	}
 }
 
+// warnOfCut logs an answer that has begun when the process is about to be killed. A process that is
+// killed leaves no other line about the answers that it cuts.
+func (j *job) warnOfCut() {
+	if j.answerClaimed.Load() {
+		countUnfinished.Add(1)
+		j.logEvent(zerolog.WarnLevel).Dur("left", shutdownMargin).Msg("answer in progress as the process is about to be killed")
+	}
+}
+
 // claimAnswer reports whether an answer may begin that takes some time. From then on the
 // call continues until the process is killed, because a refusal can no longer be sent.
-func (j *job) claimAnswer() bool { return j.headerSent || j.stopEnding() }
+func (j *job) claimAnswer() bool {
+	if j.headerSent {
+		return true
+	}
+	claimed := j.stopEnding()
+	j.answerClaimed.Store(claimed)
+	return claimed
+}
 
 // isProcessEnding reports whether a context has ended because the process is about to.
 func isProcessEnding(ctx context.Context) bool {
@@ -80,7 +100,11 @@
 	if j.deadline.Sub(now) <= left {
 		return false
 	}
-	return j.expectedDuration(now, now.Before(s.lameDuckEnd) && j.route.Retryable()) > left
+	expected := j.expectedDuration(now, now.Before(s.lameDuckEnd) && j.route.Retryable())
+	j.logEvent(zerolog.InfoLevel).Int64("expected_ms", expected.Milliseconds()).Int64("left_ms", left.Milliseconds()).
+		Int("max_tokens", j.call.MaxOutputTokens).Int("token_hint", j.call.OutputTokensHint).Bool("refused", expected > left).
+		Msg("expected duration compared with the time until the process is killed")
+	return expected > left
 }
 
 // expectedDuration returns how long the call may take if it is sent now. If it may be cut, the
