--- /dev/null
+++ b/internal/direct/saddlegateway/stoppingstreams_test.go
@@ -0,0 +1,124 @@
+package saddlegateway_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlegateway"
+)
+
+const (
+	eventPause  = 42 * time.Millisecond
+	eventTokens = 2
+	meanEvents  = 86
+	mostEvents  = 215
+	// estimateSpread is the standard deviation of the logarithm of callers' estimates.
+	estimateSpread = 0.5
+	// ampleFactor is how many times the estimated duration must fit into the time left, so
+	// that a request is to be served: nine in ten estimates are exceeded less than twofold.
+	ampleFactor = 4
+)
+
+// draft is a stream of a length that its caller can only estimate.
+type draft struct {
+	events int
+	hint   int // tokens
+}
+
+func drawDraft(r *rand.Rand) draft {
+	events := min(mostEvents, max(1, int(meanEvents*math.Exp(0.8*r.NormFloat64()-0.3))))
+	return draft{events, max(1, int(float64(events*eventTokens)*math.Exp(estimateSpread*r.NormFloat64())))}
+}
+
+// call returns the request for a draft. Its body states the number of events.
+func (d draft) call(n int) *saddlegateway.Call {
+	c := call("/draft/")
+	c.ID = fireflysaddle.RequestID(fmt.Sprint("r", n))
+	c.MaxOutputTokens, c.OutputTokensHint, c.Body = mostEvents*eventTokens, d.hint, fmt.Append(nil, d.events)
+	return c
+}
+
+// answerDrafts answers with the number of events in the body.
+func answerDrafts(_ int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+	events, err := strconv.Atoi(string(f.Body))
+	if err != nil {
+		return nil, err
+	}
+	return pacedEvents(events, eventPause)(f)
+}
+
+// draftResult is what became of a draft that reached a stopping gateway.
+type draftResult struct {
+	ample  bool          // much more than the estimated duration was left
+	waited time.Duration // until the end of the answer
+	got    *fakeResponder
+	whole  bool
+}
+
+// Guards against streams of unknown length that reach a stopping gateway being cut when it is
+// killed, and against most of them being refused: callers estimate the length.
+func TestStreamsThatReachAStoppingGatewayEndWholeOrAreRefusedAtOnce(t *testing.T) {
+	const (
+		perSecond   = 9
+		mostResults = 100
+	)
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := rand.New(rand.NewPCG(seed, 43))
+				f := newFixture(t, answerDrafts)
+				f.setTimeouts(t, 20*time.Second)
+				for n := range 400 { // in a steady state when the shutdown begins
+					go f.serve(drawDraft(r).call(n))
+					time.Sleep(time.Second / perSecond)
+				}
+				killed := f.startShutdown()
+				results := make(chan draftResult, mostResults)
+				sent := 0
+				for ; time.Until(killed) > graceTime-lameDuck; time.Sleep(time.Second / perSecond) {
+					d, arrived := drawDraft(r), time.Now()
+					ample := time.Duration(ampleFactor*d.hint/eventTokens)*eventPause < time.Until(killed)
+					sent++
+					n := sent
+					go func() {
+						got := f.serve(d.call(-n))
+						results <- draftResult{ample, time.Since(arrived), got, !got.aborted && got.body.String() == eventStream(0, d.events-1)}
+					}()
+				}
+				time.Sleep(time.Until(killed) - time.Millisecond)
+				synctest.Wait()
+				ended := len(results)
+				time.Sleep(mostEvents * eventPause) // what is cut by the kill ends here
+				close(results)
+				refused, cut, refusedWithAmpleTime := 0, sent-ended, 0
+				for d := range results {
+					switch {
+					case d.got.refusal == nil:
+						is.True(d.whole)
+					case d.ample:
+						refusedWithAmpleTime++
+						fallthrough
+					default:
+						refused++
+						is.Equal(d.got.refusal.Code, fireflysaddle.CodeLeaving)
+						is.Equal(d.got.refusal.Outcome, saddlegateway.OutcomeNotRun)
+						is.Equal(d.waited, time.Duration(0)) // at once
+					}
+				}
+				if cut > 0 || refusedWithAmpleTime > 0 || refused == sent {
+					t.Errorf("of %d streams %d were cut, %d refused, %d of these although their estimate fits %d times: want none cut and short ones served",
+						sent, cut, refused, refusedWithAmpleTime, ampleFactor)
+				}
+			})
+		})
+	}
+}
