A gateway that is told to stop closes the connections between requests at once

Streams that they sent on open connections after SIGTERM were accepted by the stopping gateway and cut at the kill.

Cause: connections between requests stayed open until the lame-duck period ended. The balancer takes a stopping gateway out within 1 s to 2 s, but cannot move what comes on open connections.

Change: they are closed when the gateway is told to stop, and later ones as soon as their answer has ended.

--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -241,9 +241,9 @@
 			return
 		}
 		g.shuttingDown.Store(true)
-		ingress.DisableKeepAlives()
+		ingress.Drain()
 		g.startShutdown(time.Now())
-		g.process.log.Info().Dur("lame_duck", g.settings.Load().LameDuck.Std()).Msg("shutting down: reporting not ready, still accepting requests for the lame-duck period")
+		g.process.log.Info().Dur("lame_duck", g.settings.Load().LameDuck.Std()).Msg("shutting down: reporting not ready, closing connections between requests, still accepting new ones for the lame-duck period")
 		sleep(ctx, g.settings.Load().LameDuck.Std())
 		stopServing()
 	}()
