A stopping gateway judges streams by their callers' estimates

Beside planned stops, streams that a gateway had accepted after SIGTERM were cut at the kill in the middle of the answer.

Cause: in the lame-duck period a stream that may be resumed was held against the time that 9 of 10 streams do not exceed for each token that its caller allows.

Change: durations are kept for each token that the caller estimates, as a distribution in place of a value that moves by a step with each call. In the lame-duck period the time must suffice for 49 of 50 streams. A process that has measured fewer than 100 takes four times the estimate.

--- a/internal/direct/saddlegateway/usualduration.go
+++ b/internal/direct/saddlegateway/durationestimator.go
@@ -16,64 +16,68 @@
 	maxOutputUnits = 1_000_000
 )
 
+// outputSize is what the caller of a stream says about its length.
+type outputSize int
+
+const (
+	sizeUnknown   outputSize = iota
+	sizeLimited              // at most how many tokens
+	sizeEstimated            // about how many tokens
+)
+
 // callClass is a class of calls that take about equally long, streams in proportion to their
 // tokens.
 type callClass struct {
 	group fireflysaddle.Group
 	kind  saddlerouting.Kind
-	sized bool // streams only: the caller states the number of output tokens
+	size  outputSize // sizeUnknown for plain calls
 }
 
 func (j *job) class() callClass {
-	return callClass{
-		group: j.pool.Group, kind: j.route.Kind,
-		sized: j.route.Kind == saddlerouting.Streaming && j.call.MaxOutputTokens > 0,
+	c := callClass{group: j.pool.Group, kind: j.route.Kind}
+	switch {
+	case j.route.Kind != saddlerouting.Streaming:
+	case j.call.OutputTokensHint > 0:
+		c.size = sizeEstimated
+	case j.call.MaxOutputTokens > 0:
+		c.size = sizeLimited
 	}
+	return c
 }
 
-// outputUnits returns the number of parts into which the duration of an answer is divided.
-func outputUnits(maxOutputTokens int) int { return min(max(1, maxOutputTokens), maxOutputUnits) }
+// outputUnits returns the number of parts into which the duration of an answer is divided: the
+// tokens that the caller estimates or allows.
+func (j *job) outputUnits() int {
+	units := j.call.MaxOutputTokens
+	if hint := j.call.OutputTokensHint; hint > 0 && (units <= 0 || hint < units) {
+		units = hint
+	}
+	return min(max(1, units), maxOutputUnits)
+}
 
 // classDurations are the durations of one class of calls.
 type classDurations struct {
 	recorded int
-	first    durationQuantiles // from the send to the first event, or to the whole answer of a plain call
-	unit     durationQuantiles // from the first event to the last one, divided by the output units
-}
-
-// estimate returns the part of the durations that f selects for a number of output units.
-func (c *classDurations) estimate(units int, f func(*durationQuantiles) time.Duration) time.Duration {
-	return f(&c.first) + time.Duration(units)*f(&c.unit)
+	first    durationHistogram // from the send to the first event, or to the whole answer of a plain call
+	unit     durationHistogram // from the first event to the last one, divided by the output units
 }
 
-// durationEstimator holds how long calls usually take. It is safe for concurrent use.
+// durationEstimator holds how long calls take. It is safe for concurrent use.
 type durationEstimator struct {
 	mu      sync.Mutex
 	classes map[callClass]*classDurations
 }
 
-// usual returns the duration that 9 of 10 calls of a class do not exceed. It returns
-// initial if none was recorded.
-func (e *durationEstimator) usual(class callClass, units int, initial time.Duration) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	c := e.classes[class]
-	if c == nil {
-		return initial
-	}
-	return c.estimate(units, func(q *durationQuantiles) time.Duration { return q.usual.value })
-}
-
-// long returns the duration that 19 of 20 calls of a class do not exceed. It is at least
-// initial until enoughDurations were recorded.
-func (e *durationEstimator) long(class callClass, units int, initial time.Duration) time.Duration {
+// estimate returns the duration that a share of the calls of a class does not exceed. It is at
+// least initial until enoughDurations were recorded.
+func (e *durationEstimator) estimate(class callClass, units int, share float64, initial time.Duration) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c := e.classes[class]
 	if c == nil {
 		return initial
 	}
-	d := c.estimate(units, func(q *durationQuantiles) time.Duration { return q.long.value })
+	d := c.first.quantile(share) + time.Duration(units)*c.unit.quantile(share)
 	if c.recorded < enoughDurations {
 		return max(d, initial)
 	}
@@ -94,9 +98,10 @@
 }
 
 // recordDuration records how long the call took since it was last sent. answered is set if
-// the answer is whole.
+// the answer is whole. The rest of a stream that its caller resumes is shorter than the tokens
+// that the caller states.
 func (j *job) recordDuration(now time.Time, answered bool) {
-	if j.runs == 0 || (j.eventsSent > 0 && j.firstByteAt.Before(j.attemptSentAt)) { // its first events are of another attempt
+	if j.runs == 0 || j.call.LastEventID != "" || (j.eventsSent > 0 && j.firstByteAt.Before(j.attemptSentAt)) { // its first events are of another attempt
 		return
 	}
 	j.durations.update(j.class(), func(c *classDurations) {
@@ -105,6 +110,6 @@
 			return
 		}
 		c.first.record(j.firstByteAt.Sub(j.attemptSentAt), true)
-		c.unit.record(j.lastEventAt.Sub(j.firstByteAt)/time.Duration(outputUnits(j.call.MaxOutputTokens)), answered)
+		c.unit.record(j.lastEventAt.Sub(j.firstByteAt)/time.Duration(j.outputUnits()), answered)
 	})
 }
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -20,11 +20,18 @@
 	// shutdownRetryAfter is the retry delay while the process is shutting down. The retry
 	// reaches another process.
 	shutdownRetryAfter = 20 * time.Millisecond
-	// plannedTokenInterval is the time per token of streams before any was measured. It is
-	// about a third longer than the usual interval.
+	// plannedTokenInterval is the time per token of streams until enough were measured.
 	plannedTokenInterval = 17 * time.Millisecond
-	// cautionFactor is the duration for which time must be left, as a multiple of one that few
-	// calls exceed, if the call must not be cut. Its caller loses little by going elsewhere.
+	// plannedEstimateFactor is how many times the estimate of their callers the length of
+	// streams is taken to be until enough were measured.
+	plannedEstimateFactor = 4
+	// longShare is the share of calls that take no longer than what counts as long, and rareShare
+	// that of the calls that take no longer than what is rarely exceeded.
+	longShare = 0.95
+	rareShare = 0.98
+	// cautionFactor is the duration for which time must be left, as a multiple of a long one,
+	// after the lame-duck period, and for calls that cannot be continued elsewhere. Their
+	// callers lose little by going elsewhere.
 	cautionFactor = 2
 )
 
@@ -86,8 +93,8 @@
 
 // mayOutlastProcess reports whether the call, if it is sent now, may take longer than the
 // time left until the process is killed. During the lame-duck period calls that can be
-// continued elsewhere are judged by how long they usually take, because most would be refused
-// in vain otherwise. An answer that has begun continues in any case.
+// continued elsewhere need less time, because the balancer still sends calls then and most
+// would be refused in vain otherwise. An answer that has begun continues in any case.
 func (j *job) mayOutlastProcess(now time.Time) bool { return !j.headerSent && j.outlastsProcess(now) }
 
 // outlastsProcess is mayOutlastProcess for a call whose answer has not begun.
@@ -100,25 +107,34 @@
 	if j.deadline.Sub(now) <= left {
 		return false
 	}
-	expected := j.expectedDuration(now, now.Before(s.lameDuckEnd) && j.route.Retryable())
+	expected := j.expectedDuration(now, !now.Before(s.lameDuckEnd) || !j.route.Retryable())
 	j.logEvent(zerolog.InfoLevel).Int64("expected_ms", expected.Milliseconds()).Int64("left_ms", left.Milliseconds()).
 		Int("max_tokens", j.call.MaxOutputTokens).Int("token_hint", j.call.OutputTokensHint).Bool("refused", expected > left).
 		Msg("expected duration compared with the time until the process is killed")
 	return expected > left
 }
 
-// expectedDuration returns how long the call may take if it is sent now. If it may be cut, the
-// usual duration counts; otherwise one that hardly any call exceeds.
-func (j *job) expectedDuration(now time.Time, mayBeCut bool) time.Duration {
-	class, units := j.class(), outputUnits(j.call.MaxOutputTokens)
-	initial := j.route.FirstByteObjective + time.Duration(units)*plannedTokenInterval
-	if j.route.FirstByteObjective <= 0 || (class.kind == saddlerouting.Streaming && !class.sized) {
-		initial = j.deadline.Sub(now)
+// expectedDuration returns how long the call may take if it is sent now: a duration that is
+// rarely exceeded, or a multiple of a long one if cautious is set.
+func (j *job) expectedDuration(now time.Time, cautious bool) time.Duration {
+	class, units := j.class(), j.outputUnits()
+	if cautious {
+		return cautionFactor * j.durations.estimate(class, units, longShare, j.plannedDuration(now))
 	}
-	if mayBeCut {
-		return j.durations.usual(class, units, initial)
+	return j.durations.estimate(class, units, rareShare, j.plannedDuration(now))
+}
+
+// plannedDuration returns how long the call is taken to last until enough were measured.
+func (j *job) plannedDuration(now time.Time) time.Duration {
+	tokens := j.call.MaxOutputTokens
+	if hint := min(j.call.OutputTokensHint, maxOutputUnits); hint > 0 && (tokens <= 0 || hint < tokens/plannedEstimateFactor) {
+		tokens = plannedEstimateFactor * hint
+	}
+	tokens = min(tokens, maxOutputUnits)
+	if j.route.FirstByteObjective <= 0 || (j.route.Kind == saddlerouting.Streaming && tokens <= 0) {
+		return j.deadline.Sub(now)
 	}
-	return cautionFactor * j.durations.long(class, units, initial)
+	return j.route.FirstByteObjective + time.Duration(tokens)*plannedTokenInterval
 }
 
 // refuseLeaving refuses the call because the process is shutting down.
