Callers who come back to the same stopping gateway return later

Cause: each refusal said to return after 20 ms.

Change: a stopping gateway recognizes the callers that come back. If at least half of those that had the time to return do so, it tells further ones to return at the end of the lame-duck period, when the balancer has taken it out. Not before, because elsewhere callers that return at once are served in time.

The test failed before: callers were told to return after 20 ms.

--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -178,7 +178,7 @@
 func (j *job) failCall(ctx context.Context, code fireflysaddle.Code, message string, retryAfter time.Duration) {
 	switch {
 	case isProcessEnding(ctx):
-		j.refuseLeaving()
+		j.refuseLeaving(time.Now())
 	case errors.Is(ctx.Err(), context.Canceled):
 		j.endDisconnected()
 	case j.runs == 0:
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -36,7 +36,7 @@
 			return
 		}
 		if j.mayOutlastProcess(time.Now()) {
-			j.refuseLeaving()
+			j.refuseLeaving(time.Now())
 			return
 		}
 		target, release, ok := j.pickTarget(time.Now())
@@ -173,7 +173,7 @@
 		reply.Length = int64(len(body))
 	}
 	if !j.claimAnswer() && len(body) == bufferedAnswerBytes { // the rest would be cut
-		j.refuseLeaving()
+		j.refuseLeaving(time.Now())
 		return
 	}
 	j.headerSent = true
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -18,8 +18,11 @@
 	// milliseconds for that.
 	shutdownMargin = 300 * time.Millisecond
 	// shutdownRetryAfter is the retry delay while the process is shutting down. The retry
-	// reaches another process.
+	// reaches another process, unless the balancer has no other one for this caller.
 	shutdownRetryAfter = 20 * time.Millisecond
+	// maxRetryDelayShare is the largest share of its caller's time that a call that comes back
+	// may wait, so that most of it is left for the answer.
+	maxRetryDelayShare = 1.0 / 3
 	// plannedTokenInterval is the time per token of streams until enough were measured.
 	plannedTokenInterval = 17 * time.Millisecond
 	// plannedEstimateFactor is how many times the estimate of their callers the length of
@@ -43,13 +46,14 @@
 type shutdown struct {
 	lameDuckEnd time.Time
 	killAt      time.Time
+	returning   *returningCalls
 }
 
 // StartShutdown records that the process has been told to stop, when its lame-duck period
 // ends, and when it will be killed. Calls that may last longer are refused from now on, and
 // those that have no answer shortly before the process is killed are refused then.
 func (g *Gateway) StartShutdown(now, lameDuckEnd, killAt time.Time) {
-	g.shutdown.Store(&shutdown{lameDuckEnd: lameDuckEnd, killAt: killAt})
+	g.shutdown.Store(&shutdown{lameDuckEnd: lameDuckEnd, killAt: killAt, returning: newReturningCalls()})
 	time.AfterFunc(killAt.Sub(now)-shutdownMargin, g.end)
 }
 
@@ -138,10 +142,26 @@
 }
 
 // refuseLeaving refuses the call because the process is shutting down.
-func (j *job) refuseLeaving() {
-	r := Refusal{Code: fireflysaddle.CodeLeaving, Message: "the process is shutting down and may end before the answer", RetryAfter: shutdownRetryAfter}
+func (j *job) refuseLeaving(now time.Time) {
+	r := Refusal{Code: fireflysaddle.CodeLeaving, Message: "the process is shutting down and may end before the answer"}
 	if j.runs > 0 {
-		r.Outcome, r.RetryAfter = OutcomeUnknown, 0
+		r.Outcome = OutcomeUnknown
+	} else {
+		r.RetryAfter = j.leavingRetryAfter(now)
 	}
 	j.refuse(r)
 }
+
+// leavingRetryAfter returns when the caller of a call that has not run is to return. If refused
+// callers come back to this process, they are to wait until the lame-duck period is over: by
+// then, the balancer knows that this process is not ready.
+func (j *job) leavingRetryAfter(now time.Time) time.Duration {
+	s := j.shutdown.Load()
+	if s == nil || !s.returning.mostReturn(now, j.fingerprint()) {
+		return shutdownRetryAfter
+	}
+	longest := time.Duration(maxRetryDelayShare * float64(j.deadline.Sub(now)))
+	delay := max(shutdownRetryAfter, min(s.lameDuckEnd.Sub(now), longest))
+	j.logEvent(zerolog.InfoLevel).Int64("retry_after_ms", delay.Milliseconds()).Msg("refused callers come back to this process: retry delayed")
+	return delay
+}
--- a/internal/direct/saddlegateway/stoppingstreams_test.go
+++ b/internal/direct/saddlegateway/stoppingstreams_test.go
@@ -122,3 +122,50 @@
 		})
 	}
 }
+
+// Guards against callers who are refused by the only gateway that the balancer has for them coming
+// back to it at once, and being refused again until they have no retry left.
+func TestCallersWhoReturnToTheStoppingGatewayAreToldToWaitUntilItIsTakenOut(t *testing.T) {
+	const (
+		returnDelay = 100 * time.Millisecond // between a refusal and the next try
+		callers     = 10
+	)
+	for _, c := range []struct {
+		name    string
+		returns int // of three callers come back to this gateway
+		waits   bool
+	}{
+		{"all callers return", 3, true},
+		{"a third of the callers return", 1, false},
+		{"no caller returns", 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, answerDrafts)
+				f.setTimeouts(t, 20*time.Second)
+				killed := f.startShutdown()
+				last := time.Duration(0)
+				for n := range callers {
+					d := draft{mostEvents, mostEvents * eventTokens}
+					request := d.call(n)
+					request.URI = fmt.Sprint("/draft/", n)
+					got := f.serve(request)
+					is.Equal(got.refusal.Outcome, saddlegateway.OutcomeNotRun)
+					last = got.refusal.RetryAfter
+					time.Sleep(returnDelay)
+					if n%3 >= c.returns {
+						continue
+					}
+					got = f.serve(request)
+					is.Equal(got.refusal.Outcome, saddlegateway.OutcomeNotRun)
+				}
+				is.Equal(last > returnDelay, c.waits)
+				if c.waits {
+					is.Equal(last, time.Until(killed)-(graceTime-lameDuck)+returnDelay) // until the end of the lame-duck period
+				}
+				time.Sleep(time.Until(killed))
+			})
+		})
+	}
+}
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -31,7 +31,7 @@
 	j.sequence.start(j.lastEventID)
 	j.cfg.Fleet.RecordDemand(time.Now(), j.pool.Group)
 	if j.mayOutlastProcess(time.Now()) {
-		j.refuseLeaving()
+		j.refuseLeaving(time.Now())
 		return
 	}
 	defer j.releaseNextAttempt()
@@ -70,7 +70,7 @@
 		return false
 	}
 	if j.mayOutlastProcess(time.Now()) {
-		j.refuseLeaving()
+		j.refuseLeaving(time.Now())
 		return false
 	}
 	if !j.reserveSend(ctx) {
