Only events with data are progress of a stream

Cause: the reader returns each block up to an empty line, and the relay took each block for an event. It restarted the first-event check and the silence limit, fed the usual pause, kept the engines of the chain active, was counted, and claimed and began the answer. Nothing bounded the bytes between two events.

Now only a block with data that the caller has not received is progress, as by the standard of event streams a receiver dispatches nothing else. Other blocks are held until the first event, whose attempt's bytes stay as the signature covers them, and passed on as they arrive after that. A target without events is therefore treated as a silent one: another attempt takes over once it is accepted. A body of comments that ends with its connection is no complete stream, and a stream without an event is no success of its engine. An identifier without data no longer makes a further attempt skip events, and a block of "retry:" no longer turns off its checks.

TestOnlyDataMakesAnEvent did not compile, as Event had no HasData.

--- a/internal/direct/saddlegateway/eventsequence.go
+++ b/internal/direct/saddlegateway/eventsequence.go
@@ -15,6 +15,7 @@
 	last        uint64
 	unnumbered  bool // an event had no number as identifier, so nothing can be checked
 	consecutive bool // each event had the number after that of the event before it
+	withoutData bool // the caller has received fields without an event
 }
 
 // start sets the identifier of the last event that the caller already has, if it is a number.
@@ -26,9 +27,6 @@
 
 // record records an event that was sent to the caller.
 func (s *eventSequence) record(e saddlesse.Event) {
-	if !e.HasFields {
-		return
-	}
 	n, err := strconv.ParseUint(e.ID, 10, 64)
 	if err != nil {
 		s.unnumbered = true
@@ -40,9 +38,10 @@
 }
 
 // check returns an error if an event of a further attempt, which the caller has not received,
-// cannot be the next one.
+// cannot be the next one. Fields without an event are no sign of an error in a stream that had
+// some before.
 func (s *eventSequence) check(e saddlesse.Event) error {
-	if s.unnumbered || s.events == 0 || !e.HasFields {
+	if s.unnumbered || s.events == 0 || !e.HasFields || (!e.HasData && s.withoutData) {
 		return nil
 	}
 	n, err := strconv.ParseUint(e.ID, 10, 64)
--- a/internal/direct/saddlegateway/relay.go
+++ b/internal/direct/saddlegateway/relay.go
@@ -47,37 +47,34 @@
 // has failed.
 func (j *job) relay(ctx context.Context, reply *fireflysaddle.Reply, watch *watchdog) (ended bool, failure string) {
 	events := saddlesse.NewReader(reply.Body)
-	further := j.headerSent
-	for received := 0; ; received++ {
+	r := &streamRelay{job: j, reply: reply, watch: watch, further: j.headerSent}
+	for {
 		e, err := events.Next()
-		if errors.Is(err, io.EOF) && received == 0 && reply.Framing == fireflysaddle.FramingClose {
+		if errors.Is(err, io.EOF) && j.attemptEvents == 0 && reply.Framing == fireflysaddle.FramingClose {
 			err = errNoEvent
 		}
-		if err != nil && !errors.Is(err, io.EOF) {
-			return false, j.recordInterruption(ctx, err)
+		if errors.Is(err, io.EOF) {
+			return r.end(e)
 		}
-		watch.recordEvent()
 		if err == nil {
-			j.recordAttemptEvent()
-		}
-		if len(e.Raw) > 0 && !j.alreadyDelivered(e.ID) {
-			if further && err == nil {
-				if seqErr := j.sequence.check(e); seqErr != nil {
-					return false, j.recordInterruption(ctx, seqErr)
-				}
-			}
-			if err := j.writeEvent(reply, e); errors.Is(err, errProcessEnding) {
-				return false, err.Error()
-			} else if err != nil {
-				j.endDisconnected()
-				return true, ""
-			}
-			watch.recordDelivery(j.lastEventID)
+			err = r.receive(e)
 		}
 		if err != nil {
-			return j.endStream(reply)
+			return false, j.recordInterruption(ctx, err)
 		}
+		if err := r.deliver(e, events.Buffered()); err != nil {
+			return j.endUndelivered(err)
+		}
+	}
+}
+
+// endUndelivered ends an attempt whose events cannot be sent to the caller.
+func (j *job) endUndelivered(err error) (ended bool, failure string) {
+	if errors.Is(err, errProcessEnding) {
+		return false, err.Error()
 	}
+	j.endDisconnected()
+	return true, ""
 }
 
 // recordInterruption records that a stream ended before its end was reached, as a fault of
@@ -105,40 +102,15 @@
 			return true, ""
 		}
 	}
-	j.cfg.Fleet.MarkWorking(time.Now(), j.attemptAddress)
+	if j.attemptEvents > 0 {
+		j.cfg.Fleet.MarkWorking(time.Now(), j.attemptAddress)
+	}
 	j.recordHarmless()
 	countAnswered.Add(1)
 	j.recordEnd("answered", "", "")
 	return true, ""
 }
 
-func (j *job) writeEvent(reply *fireflysaddle.Reply, e saddlesse.Event) error {
-	if !j.headerSent {
-		if !j.claimAnswer() {
-			return errProcessEnding
-		}
-		j.headerSent = true
-		j.firstByteAt = time.Now()
-		if err := j.responder.Begin(reply); err != nil {
-			return err
-		}
-	}
-	if err := j.responder.Write(e.Raw); err != nil {
-		return err
-	}
-	now := time.Now()
-	if j.eventsSent > 0 {
-		j.longestPause = max(j.longestPause, now.Sub(j.lastEventAt))
-	}
-	j.eventsSent++
-	j.lastEventAt = now
-	j.sequence.record(e)
-	if e.ID != "" {
-		j.lastEventID = e.ID
-	}
-	return nil
-}
-
 // alreadyDelivered reports whether the caller has already received the event with an
 // identifier. The check is needed because a further attempt may repeat events. Events
 // without a numeric identifier never count as delivered.
--- /dev/null
+++ b/internal/direct/saddlegateway/streamrelay.go
@@ -0,0 +1,132 @@
+package saddlegateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlesse"
+)
+
+// streamRelay sends the events of one attempt to the caller. Only an event that the caller
+// has not received is progress: comments, empty lines and other blocks without data are passed
+// on, but begin no answer and leave the attempt as silent as it is.
+type streamRelay struct {
+	*job
+	reply   *fireflysaddle.Reply
+	watch   *watchdog
+	further bool // an earlier attempt has begun the answer to the caller
+	ids     attemptIDs
+	rest    eventless
+}
+
+// receive records a block. It returns an error if the target sends too much without an event, or
+// if the block does not continue the stream.
+func (r *streamRelay) receive(e saddlesse.Event) error {
+	repeated := r.alreadyDelivered(e.ID)
+	switch advances := e.HasData && r.ids.advance(e.ID); {
+	case e.HasData && !repeated:
+		r.rest.bytes = 0
+		r.watch.recordEvent()
+		r.recordAttemptEvent()
+	case advances: // an event that an earlier attempt has sent
+		r.recordAttemptEvent()
+	default:
+		if err := r.rest.count(len(e.Raw)); err != nil {
+			return err
+		}
+	}
+	if r.further && !repeated {
+		return r.sequence.check(e)
+	}
+	return nil
+}
+
+// deliver sends a block to the caller, unless the caller has received it. A block without data
+// is held until the answer has begun, and while further bytes have arrived.
+func (r *streamRelay) deliver(e saddlesse.Event, buffered bool) error {
+	switch {
+	case r.alreadyDelivered(e.ID):
+		return nil
+	case e.HasData:
+		if err := r.writeEvent(e); err != nil {
+			return err
+		}
+		r.watch.recordDelivery(r.lastEventID)
+		return nil
+	}
+	if r.rest.hold(e); !r.headerSent || buffered {
+		return nil
+	}
+	return r.writeHeld()
+}
+
+// end sends what is left at the end of the body to the caller, and ends the call.
+func (r *streamRelay) end(e saddlesse.Event) (ended bool, failure string) {
+	if r.watch.hasEvent.Load() {
+		r.watch.recordEvent()
+	}
+	r.rest.hold(e)
+	if err := r.writeHeld(); err != nil {
+		return r.endUndelivered(err)
+	}
+	return r.endStream(r.reply)
+}
+
+// writeEvent sends an event to the caller, after what is held before it.
+func (r *streamRelay) writeEvent(e saddlesse.Event) error {
+	raw := e.Raw
+	if len(r.rest.held) > 0 {
+		raw = slices.Concat(r.rest.held, e.Raw)
+	}
+	if err := r.write(raw); err != nil {
+		return err
+	}
+	now := time.Now()
+	if r.eventsSent > 0 {
+		r.longestPause = max(r.longestPause, now.Sub(r.lastEventAt))
+	} else {
+		r.firstByteAt = now
+	}
+	r.eventsSent++
+	r.lastEventAt = now
+	r.recordHeldSent()
+	r.sequence.record(e)
+	if e.ID != "" {
+		r.lastEventID = e.ID
+	}
+	return nil
+}
+
+// writeHeld sends what is held to the caller.
+func (r *streamRelay) writeHeld() error {
+	if len(r.rest.held) == 0 {
+		return nil
+	}
+	if err := r.write(r.rest.held); err != nil {
+		return err
+	}
+	r.recordHeldSent()
+	return nil
+}
+
+// recordHeldSent records that the caller has received what was held.
+func (r *streamRelay) recordHeldSent() {
+	if r.rest.release() {
+		r.sequence.withoutData = true
+	}
+}
+
+// write sends part of a stream to the caller, and begins the answer if it has not begun.
+func (r *streamRelay) write(raw []byte) error {
+	if !r.headerSent {
+		if !r.claimAnswer() {
+			return errProcessEnding
+		}
+		r.headerSent = true
+		if err := r.responder.Begin(r.reply); err != nil {
+			return err
+		}
+	}
+	return r.responder.Write(raw)
+}
--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -86,7 +86,7 @@
 	return w
 }
 
-// recordEvent records the arrival of an event and restarts the timer.
+// recordEvent records the arrival of an event, or of the end after one, and restarts the timer.
 func (w *watchdog) recordEvent() {
 	elapsed := int64(time.Since(w.startTime))
 	pause := time.Duration(elapsed - w.lastEvent.Swap(elapsed))
--- a/internal/direct/saddlesse/reader.go
+++ b/internal/direct/saddlesse/reader.go
@@ -14,11 +14,13 @@
 // maxEventBytes bounds an event. Events hold the text of a few tokens.
 const maxEventBytes = 256 << 10
 
-// Event is one event as received. Raw is only valid until the next call of Next.
+// Event is one block of lines as received. Only a block with data dispatches an event at its
+// receiver. Raw is only valid until the next call of Next.
 type Event struct {
 	Raw       []byte // including the empty line that ends the event
 	ID        string // empty: none
-	HasFields bool   // false: the event consists of comments
+	HasFields bool   // false: the block consists of comments, or of its empty line
+	HasData   bool
 }
 
 // Reader reads events, whose lines end with LF, CRLF or CR. It is not safe for concurrent
@@ -27,15 +29,22 @@
 	buffered *bufio.Reader
 	raw      []byte
 	afterCR  bool // the previous line ended with CR, and the next byte may be the LF that belongs to it
+	started  bool // a line has been read
 }
 
+// Buffered reports whether bytes after the last event have arrived and were not returned yet.
+func (r *Reader) Buffered() bool { return r.buffered.Buffered() > 0 }
+
 // NewReader returns a Reader of the events in body.
 func NewReader(body io.Reader) *Reader {
 	return &Reader{buffered: bufio.NewReaderSize(body, readBufferBytes)}
 }
 
 var (
+	byteOrderMark = []byte("\uFEFF")
 	idField       = []byte("id:")
+	dataField     = []byte("data:")
+	dataName      = []byte("data")
 	commentPrefix = []byte(":")
 )
 
@@ -52,6 +61,10 @@
 	eventStart := len(r.raw)
 	for {
 		line, err := r.readLine()
+		if !r.started {
+			line = bytes.TrimPrefix(line, byteOrderMark)
+			r.started = true
+		}
 		switch {
 		case errors.Is(err, io.EOF) && complete && len(line) == 0:
 			return Event{Raw: r.raw}, io.EOF
@@ -68,6 +81,7 @@
 			continue
 		}
 		complete = false
+		e.HasData = e.HasData || bytes.HasPrefix(line, dataField) || bytes.Equal(line, dataName)
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			e.ID = string(bytes.TrimSpace(id))
 		}
--- a/internal/direct/saddlesse/reader_test.go
+++ b/internal/direct/saddlesse/reader_test.go
@@ -122,3 +122,33 @@
 		})
 	}
 }
+
+// Guards against comments, empty lines and other fields being taken for events: a receiver
+// dispatches a block only if it has data.
+func TestOnlyDataMakesAnEvent(t *testing.T) {
+	for block, hasData := range map[string]bool{
+		"\n":                         false,
+		": ping\n\n":                 false,
+		"id: 1\n\n":                  false,
+		"event: ping\nretry: 3\n\n":  false,
+		"foo: x\n\n":                 false,
+		"database: x\n\n":            false,
+		" data: x\n\n":               false,
+		"Data: x\n\n":                false,
+		"data: x\n\n":                true,
+		"data:x\r\n\r\n":             true,
+		"data\r\r":                   true,
+		"data:\n\n":                  true,
+		": ping\nid: 1\ndata: x\n\n": true,
+		"data: x\nfoo: x\n\n":        true,
+		"\uFEFFdata: x\n\n":          true, // a byte order mark may precede a stream
+	} {
+		t.Run(block, func(t *testing.T) {
+			is := is.New(t)
+			e, err := saddlesse.NewReader(strings.NewReader(block)).Next()
+			is.NoErr(err)
+			is.Equal(string(e.Raw), block)
+			is.Equal(e.HasData, hasData)
+		})
+	}
+}
