Answer the calls in progress before a control process stops

What callers saw: an operator whose configuration had been read as a whole by a control process that was then stopped got neither an acknowledgement nor a refusal; its connection was closed. So did targets with a heartbeat or an unregister call, and callers whose call was still arriving.

Cause: the HTTP API ended with http.Server.Close, which closes connections whatever happens on them. The replica that the calls need ended with the same context, so that they would have been refused otherwise.

The replica, its placer and its subscriber end after the API.

--- a/internal/daemon/saddledaemon/replica.go
+++ b/internal/daemon/saddledaemon/replica.go
@@ -74,8 +74,11 @@
 	return s.Ready()
 }
 
-// run runs the replica, its API, its placer and its subscriber until the context ends.
-func (g *groupReplica) run(ctx context.Context) error {
+// run runs the replica, its API, its placer and its subscriber until the context ends. The API
+// ends first, because the calls in progress need the replica.
+func (g *groupReplica) run(apiCtx context.Context) error {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(apiCtx))
+	defer cancel()
 	client, closeClient := platform.NewClient()
 	defer func() { _ = closeClient() }()
 	placer := saddleplacer.New(saddleplacer.Config{
@@ -91,15 +94,20 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = g.subscriber.Run(ctx) })
 	wg.Go(func() { placer.Run(ctx) })
-	if g.settings.API != "" {
-		wg.Go(func() { serveWithRetry(ctx, g.process.log, g.settings.API, api) })
-	}
+	wg.Go(func() {
+		defer cancel()
+		if g.settings.API != "" {
+			serveWithRetry(apiCtx, g.process.log, g.settings.API, api)
+		}
+		<-apiCtx.Done()
+	})
 	g.reopenAfterFailures(ctx)
 	wg.Wait()
 	return nil
 }
 
-// apiServer is an API that serves on an address until the context ends.
+// apiServer is an API that serves on an address until the context ends and the calls in progress
+// have been answered.
 type apiServer interface {
 	Serve(ctx context.Context, address string) error
 }
