Close connections with the answers of an entry that stops

What callers saw: an entry to agents that had been told to stop left the connections of its callers open after each answer. They sent the next request on a connection that is closed at the end of the lame-duck time, and some crossed the close.

Cause: only the gateway lets the answers during its shutdown close their connections; the entry to agents left the end of its connections to net/http.

An answer whose header is written after the stop signal now says that its connection is closed, whether its request came before or after the signal.

--- a/internal/entry/saddleentry/server.go
+++ b/internal/entry/saddleentry/server.go
@@ -176,6 +176,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HTTPErrorHandler = handleError
+	e.Pre(s.closeConnections)
 	e.Use(middleware.Recover())
 	e.Use(readBody(s.cfg.BodyLimit))
 	e.POST("/v1/chat/completions", s.handleChat)
@@ -187,6 +188,19 @@
 	return e
 }
 
+// closeConnections makes the answers that begin during the shutdown close their connections, so
+// that callers send no further request on a connection that is about to be closed.
+func (s *Server) closeConnections(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			if s.stopping.Load() {
+				c.Response().Header().Set(echo.HeaderConnection, "close")
+			}
+		})
+		return next(c)
+	}
+}
+
 // refuseAnnouncement rejects the announcement of a target: only the target's local
 // agent can limit the requests in progress there, check the fencing tokens of its
 // orders and drain it.
