--- a/internal/entry/saddleentry/shutdown_test.go
+++ b/internal/entry/saddleentry/shutdown_test.go
@@ -73,6 +73,40 @@
 	return resp.Close
 }
 
+// Guards against a request being dropped without an answer because a part of it was read before
+// the entry closed its listener.
+func TestRequestThatArrivesWhileTheEntryStopsIsAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		kept   bool
+		before int // bytes that are sent before the stop
+	}{
+		"new connection, part of the header before":  {false, 30},
+		"kept connection, part of the header before": {true, 30},
+		"kept connection, part of the body before":   {true, len(wholeRequest) - 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := startStoppableEntry(t)
+			conn, answers := e.connect(t)
+			if c.kept {
+				_, err := io.WriteString(conn, wholeRequest)
+				is.NoErr(err)
+				is.True(!awaitRefusal(t, answers))
+			}
+			_, err := io.WriteString(conn, wholeRequest[:c.before])
+			is.NoErr(err)
+			time.Sleep(settleTime)
+			close(e.stop)
+			time.Sleep(shortLameDuck + settleTime)
+			_, err = io.WriteString(conn, wholeRequest[c.before:])
+			is.NoErr(err)
+			awaitRefusal(t, answers)
+			is.NoErr(<-e.ended)
+		})
+	}
+}
+
 // Guards against an answer during the lame-duck time that leaves its caller to send another
 // request on a connection that is about to be closed.
 func TestAnswerDuringTheLameDuckTimeClosesItsConnection(t *testing.T) {
