Callers of a data centre whose entries all leave return when these are taken out

Cause: a refused caller was told to return at once, though the balancer sends it to the entries of its data centre while it takes one of them for ready, and all of these were stopping.

Change: the entry knows from control which other entries of its data centre are leaving. If all are, callers are told to return when the lame-duck periods of all are over. An entry that is told to stop sends a heartbeat at once.

TestCallersOfADataCentreWhoseGatewaysAllLeaveReturnWhenTheyAreTakenOut does not compile on the code before, which knows nothing of the other entries.

--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -89,6 +89,8 @@
 		g.subscriber.SendHeartbeats()
 	})
 	g.gateway = saddlegateway.New(saddlegateway.Config{
+		Node:          settings.Node,
+		Centre:        settings.Centre,
 		Forwarder:     client,
 		Fleet:         g.fleet,
 		Limits:        gatewayLimits(settings),
@@ -241,8 +243,9 @@
 			return
 		}
 		g.shuttingDown.Store(true)
-		ingress.Drain()
 		g.startShutdown(time.Now())
+		ingress.Drain()
+		g.subscriber.SendHeartbeats() // the other entries are to know
 		g.process.log.Info().Dur("lame_duck", g.settings.Load().LameDuck.Std()).Msg("shutting down: reporting not ready, closing connections between requests, still accepting new ones for the lame-duck period")
 		sleep(ctx, g.settings.Load().LameDuck.Std())
 		stopServing()
--- a/internal/daemon/saddledaemon/gatewayrouting.go
+++ b/internal/daemon/saddledaemon/gatewayrouting.go
@@ -19,6 +19,7 @@
 func (g *gateway) updateView(v *saddleview.View) {
 	g.fleet.Update(time.Now(), v)
 	g.gateway.UpdateQuarantines(time.Now(), v)
+	g.gateway.UpdateMembers(time.Now(), v)
 	if v.RoutingVersion > g.currentRouting().GetVersion() {
 		select {
 		case g.fetchRequests <- struct{}{}:
--- a/internal/direct/saddlegateway/config.go
+++ b/internal/direct/saddlegateway/config.go
@@ -13,6 +13,8 @@
 
 // Config holds the settings and dependencies of a Gateway.
 type Config struct {
+	Node      string // of this entry
+	Centre    string // of this entry
 	Forwarder fireflysaddle.Forwarder
 	Fleet     *saddlefleet.Fleet
 	Limits    Limits // until SetLimits is called
--- a/internal/direct/saddlegateway/fixture_test.go
+++ b/internal/direct/saddlegateway/fixture_test.go
@@ -218,7 +218,7 @@
 	f := &fixture{fakeTargets: s, builder: saddleview.NewBuilder(), now: start}
 	f.fleet = saddlefleet.New("entry-1", "a", zerolog.Nop(), func(address string, ended bool) { f.gateway.HandleEngineDown(address, ended) })
 	f.gateway = saddlegateway.New(saddlegateway.Config{
-		Forwarder: s, Fleet: f.fleet, Log: zerolog.New(&f.log),
+		Node: "entry-1", Centre: "a", Forwarder: s, Fleet: f.fleet, Log: zerolog.New(&f.log),
 		Limits: saddlegateway.Limits{KeyLease: 4 * time.Second, RetryShare: 0.2, RetryReserve: 100},
 		GrantRetries: func(_ context.Context, _ fireflysaddle.Group, want, limit int) int {
 			if f.grantRetries == nil {
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -47,6 +47,7 @@
 	slowCentres   slowCentreDetector
 	usualPause    pauseEstimator
 	blames        *saddleblame.Tracker
+	peers         peers
 	endChecks     map[string]time.Time // latest checks whether targets have ended, by address
 }
 
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -44,6 +44,7 @@
 
 // shutdown is a planned end of the process.
 type shutdown struct {
+	lameDuck    time.Duration
 	lameDuckEnd time.Time
 	killAt      time.Time
 	returning   *returningCalls
@@ -53,7 +54,7 @@
 // ends, and when it will be killed. Calls that may last longer are refused from now on, and
 // those that have no answer shortly before the process is killed are refused then.
 func (g *Gateway) StartShutdown(now, lameDuckEnd, killAt time.Time) {
-	g.shutdown.Store(&shutdown{lameDuckEnd: lameDuckEnd, killAt: killAt, returning: newReturningCalls()})
+	g.shutdown.Store(&shutdown{lameDuck: lameDuckEnd.Sub(now), lameDuckEnd: lameDuckEnd, killAt: killAt, returning: newReturningCalls()})
 	time.AfterFunc(killAt.Sub(now)-shutdownMargin, g.end)
 }
 
@@ -152,16 +153,32 @@
 	j.refuse(r)
 }
 
-// leavingRetryAfter returns when the caller of a call that has not run is to return. If refused
-// callers come back to this process, they are to wait until the lame-duck period is over: by
-// then, the balancer knows that this process is not ready.
+// leavingRetryAfter returns when the caller of a call that has not run is to return: at once,
+// because another entry can serve it, or when the balancer has taken out this entry and those that
+// would refuse the call like this one. That is the case at the end of their lame-duck periods.
 func (j *job) leavingRetryAfter(now time.Time) time.Duration {
 	s := j.shutdown.Load()
-	if s == nil || !s.returning.mostReturn(now, j.fingerprint()) {
+	if s == nil {
+		return shutdownRetryAfter
+	}
+	end := s.lameDuckEnd
+	last, alone := j.peers.allLeaving()
+	switch {
+	case alone:
+		end = latest(end, last.Add(s.lameDuck))
+	case !s.returning.mostReturn(now, j.fingerprint()):
 		return shutdownRetryAfter
 	}
 	longest := time.Duration(maxRetryDelayShare * float64(j.deadline.Sub(now)))
-	delay := max(shutdownRetryAfter, min(s.lameDuckEnd.Sub(now), longest))
-	j.logEvent(zerolog.InfoLevel).Int64("retry_after_ms", delay.Milliseconds()).Msg("refused callers come back to this process: retry delayed")
+	delay := max(shutdownRetryAfter, min(end.Sub(now), longest))
+	j.logEvent(zerolog.InfoLevel).Bool("others_leaving", alone).Int64("retry_after_ms", delay.Milliseconds()).
+		Msg("no other entry would serve the refused call yet: retry delayed")
 	return delay
 }
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/internal/direct/saddlegateway/stoppingstreams_test.go
+++ b/internal/direct/saddlegateway/stoppingstreams_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlegateway"
+	"github.com/fireflysaddle/fireflysaddle/internal/node/saddleview"
+	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
 const (
@@ -169,3 +171,50 @@
 		})
 	}
 }
+
+// Guards against callers being sent from one stopping gateway of a data centre to the next one,
+// which refuses them as well.
+func TestCallersOfADataCentreWhoseGatewaysAllLeaveReturnWhenTheyAreTakenOut(t *testing.T) {
+	const laterBy = time.Second // the other gateway is told to stop later
+	member := func(role fireflysaddle.Role, centre string, leaving bool) *saddlewire.Member {
+		return &saddlewire.Member{Role: string(role), Centre: centre, Leaving: leaving}
+	}
+	for _, c := range []struct {
+		name    string
+		members map[string]*saddlewire.Member
+		waits   bool
+	}{
+		{"the other one leaves", map[string]*saddlewire.Member{"entry-2": member(fireflysaddle.RoleEntry, "a", true)}, true},
+		{"the other one stays", map[string]*saddlewire.Member{"entry-2": member(fireflysaddle.RoleEntry, "a", false)}, false},
+		{"one of the others stays", map[string]*saddlewire.Member{
+			"entry-2": member(fireflysaddle.RoleEntry, "a", true), "entry-3": member(fireflysaddle.RoleEntry, "a", false),
+		}, false},
+		{"others are elsewhere or no entries", map[string]*saddlewire.Member{
+			"entry-2": member(fireflysaddle.RoleEntry, "a", true), "entry-3": member(fireflysaddle.RoleEntry, "b", false), "control-1": member(fireflysaddle.RoleControl, "a", false),
+		}, true},
+		{"no members are known", nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, answerDrafts)
+				f.setTimeouts(t, 20*time.Second)
+				killed := f.startShutdown()
+				time.Sleep(laterBy)
+				view := &saddleview.View{Members: c.members, MembersVersion: 1}
+				if c.members != nil {
+					c.members["entry-1"] = member(fireflysaddle.RoleEntry, "a", true)
+				}
+				f.gateway.UpdateMembers(time.Now(), view)
+				got := f.serve(draft{mostEvents, mostEvents * eventTokens}.call(1))
+				is.Equal(got.refusal.Outcome, saddlegateway.OutcomeNotRun)
+				if c.waits {
+					is.Equal(got.refusal.RetryAfter, lameDuck) // of the other one
+				} else {
+					is.True(got.refusal.RetryAfter < 100*time.Millisecond)
+				}
+				time.Sleep(time.Until(killed))
+			})
+		})
+	}
+}
