The grace time in force at the stop holds for the whole shutdown

What callers would see: requests in progress cut when a former, shorter grace time was over, though a reload had made it longer.

Cause: the ingress got the time limit of its shutdown when the process started, while requests are accepted by the settings at SIGTERM.

Change: the limit is fixed when the shutdown begins.

--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -61,6 +61,7 @@
 	pool             *saddlelink.Pool
 	client           *platform.Client
 	shuttingDown     atomic.Bool
+	drainTimeout     atomic.Int64 // nanoseconds: shutdownTimeout when the shutdown began; 0: it has not
 	coverageWaitDone atomic.Bool
 	started          time.Time
 	fetchRequests    chan struct{} // signals fetchRoutings that a newer routing configuration exists; capacity 1
@@ -211,8 +212,18 @@
 	return g.settings.Load().ShutdownTimeout.Std()
 }
 
+// drainLimit returns shutdownTimeout by the settings at the beginning of the shutdown: the
+// requests in progress were accepted by them.
+func (g *gateway) drainLimit() time.Duration {
+	if d := time.Duration(g.drainTimeout.Load()); d > 0 {
+		return d
+	}
+	return g.shutdownTimeout()
+}
+
 // startShutdown tells the gateway when the process will end, if that is limited.
 func (g *gateway) startShutdown(now time.Time) {
+	g.drainTimeout.Store(int64(g.shutdownTimeout()))
 	lameDuckEnd := now.Add(g.settings.Load().LameDuck.Std())
 	killAt := lameDuckEnd.Add(g.shutdownTimeout())
 	if grace := g.settings.Load().Grace.Std(); grace > 0 {
@@ -251,5 +262,5 @@
 		stopServing()
 	}()
 	srv := &http.Server{Addr: g.settings.Load().Listen, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
-	return ingress.Serve(serveCtx, srv, g.shutdownTimeout())
+	return ingress.Serve(serveCtx, srv, g.drainLimit)
 }
