Bound the memory of answers in sum

What callers saw: with 1,500 requests at once to three plain targets that sent headers, informational answers or bodies without end, an entry grew to 414 MB resident (report of other operators) where its process is ended at 160 MB, which ends all other requests with it. Sound requests to another service failed or took 1.5 s.

Cause: the bounds of a header, an event and the first part of a body hold for a request each; nothing bounded their sum. A header of short lines took a multiple of its bytes besides: as received, as strings, and as entries of a map and of its copies.

Fix: a budget of the process, a tenth of the setting memory, for what answers hold beyond a base share of 16 KiB each. The answers of one target may hold a quarter of what is free, so that targets that send without end leave room for others. Headers have 64 KiB and count with their multiples. A header or an event for which there is no memory ends its attempt, which counts as run; a body is passed on with what has been read of it. Requests beyond one for each 80 KiB are refused at once as not run. The Go runtime is told three quarters of the memory as its limit.

Why it works: each growth is reserved before it takes place, what is not reserved is bounded by the base shares times the requests admitted, and all of it is returned when the answer ends.

--- a/internal/config/saddlesettings/gateway.go
+++ b/internal/config/saddlesettings/gateway.go
@@ -21,6 +21,9 @@
 	RetryReserve float64 `toml:"retry_reserve"`
 	// MaxPause limits the pause for which a target can ask.
 	MaxPause Duration `toml:"max_pause"`
+	// MemoryMB is the memory of the process in MiB. It bounds the requests in progress and
+	// what is held of the answers of targets.
+	MemoryMB float64 `toml:"memory"`
 }
 
 const (
@@ -32,6 +35,9 @@
 	defaultMaxPause     = 10 * time.Minute
 	minMaxPause         = time.Second
 	maxMaxPause         = 24 * time.Hour
+	defaultMemoryMB     = 160 // the memory of an entry at most sites
+	minMemoryMB         = 16  // what a process without requests takes
+	maxMemoryMB         = 1 << 20
 )
 
 // DefaultGateway returns the default settings of a gateway.
@@ -43,6 +49,7 @@
 		RetryShare:   defaultRetryShare,
 		RetryReserve: defaultRetryReserve,
 		MaxPause:     Duration(defaultMaxPause),
+		MemoryMB:     defaultMemoryMB,
 	}
 }
 
@@ -59,6 +66,9 @@
 		c.add("retry_reserve", s.RetryReserve, "must be from 0 to 1048576")
 	}
 	c.duration("max_pause", s.MaxPause, minMaxPause, maxMaxPause)
+	if !(s.MemoryMB >= minMemoryMB && s.MemoryMB <= maxMemoryMB) {
+		c.add("memory", s.MemoryMB, "must be from 16 to 1048576 MiB")
+	}
 	return c.err()
 }
 
--- a/internal/config/saddlesettings/reload.go
+++ b/internal/config/saddlesettings/reload.go
@@ -14,7 +14,7 @@
 
 // CheckReload returns a *ReloadError if the settings differ from those in force in a key
 // that a running gateway cannot change. The others are the control replicas, the times of
-// the shutdown, the key lease and the limits of retries and pauses.
+// the shutdown, the key lease, the memory and the limits of retries and pauses.
 func (s Gateway) CheckReload(next Gateway) error {
 	var keys []string
 	for _, c := range []struct {
--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/config/saddlesettings"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlebudget"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlegateway"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
@@ -60,6 +61,7 @@
 	subscriber       *saddlesubscriber.Subscriber
 	pool             *saddlelink.Pool
 	client           *platform.Client
+	budget           *saddlebudget.Budget
 	shuttingDown     atomic.Bool
 	coverageWaitDone atomic.Bool
 	started          time.Time
@@ -78,11 +80,13 @@
 	if err != nil {
 		return err
 	}
-	client, closeClient := platform.NewClient()
+	budget, restoreMemory := newBudget(settings)
+	defer restoreMemory()
+	client, closeClient := platform.NewClientWithin(budget)
 	defer func() { _ = closeClient() }()
 	pool, closePool := saddlelink.NewPoolWithNetwork(p.network)
 	defer func() { _ = closePool() }()
-	g := &gateway{process: p, pool: pool, client: client, started: now, fetchRequests: make(chan struct{}, 1)}
+	g := &gateway{process: p, budget: budget, pool: pool, client: client, started: now, fetchRequests: make(chan struct{}, 1)}
 	g.settings.Store(&settings)
 	g.fleet = saddlefleet.New(settings.Node, fireflysaddle.DataCentre(settings.Centre), p.log, func(address string, ended bool) {
 		g.gateway.HandleEngineDown(address, ended)
@@ -93,6 +97,7 @@
 		Fleet:         g.fleet,
 		Limits:        gatewayLimits(settings),
 		GrantRetries:  g.requestRetries,
+		Budget:        budget,
 		BlamesChanged: func() { g.subscriber.SendHeartbeats() },
 		Log:           p.log,
 	})
@@ -151,6 +156,7 @@
 	countSettingsReloads.Add(1)
 	g.settings.Store(&s)
 	g.gateway.SetLimits(gatewayLimits(s))
+	setMemory(g.budget, s)
 	g.subscriber.AddReplicas(s.Attend.Addresses())
 	g.process.setSettings(now, s.Digest())
 	g.subscriber.SendHeartbeats()
--- a/internal/direct/saddlegateway/config.go
+++ b/internal/direct/saddlegateway/config.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlebudget"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
@@ -23,7 +24,10 @@
 	// BlamesChanged is called when control is to learn of traits of requests that are
 	// suspected or have proved harmless; it must not block. nil: nothing is called.
 	BlamesChanged func()
-	Log           zerolog.Logger
+	// Budget bounds the requests in progress and the answers. nil: the gateway has one of its
+	// own.
+	Budget *saddlebudget.Budget
+	Log    zerolog.Logger
 }
 
 // Limits are the settings that SetLimits can replace.
--- a/internal/direct/saddlegateway/fixture_test.go
+++ b/internal/direct/saddlegateway/fixture_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlebudget"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlegateway"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
@@ -213,12 +214,18 @@
 }
 
 func newFixture(t *testing.T, answer func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error)) *fixture {
+	t.Helper()
+	return newFixtureWithin(t, nil, answer)
+}
+
+// newFixtureWithin is newFixture for a gateway with a budget.
+func newFixtureWithin(t *testing.T, budget *saddlebudget.Budget, answer func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error)) *fixture {
 	t.Helper()
 	s := &fakeTargets{answer: answer}
 	f := &fixture{fakeTargets: s, builder: saddleview.NewBuilder(), now: start}
 	f.fleet = saddlefleet.New("entry-1", "a", zerolog.Nop(), func(address string, ended bool) { f.gateway.HandleEngineDown(address, ended) })
 	f.gateway = saddlegateway.New(saddlegateway.Config{
-		Forwarder: s, Fleet: f.fleet, Log: zerolog.New(&f.log),
+		Forwarder: s, Fleet: f.fleet, Budget: budget, Log: zerolog.New(&f.log),
 		Limits: saddlegateway.Limits{KeyLease: 4 * time.Second, RetryShare: 0.2, RetryReserve: 100},
 		GrantRetries: func(_ context.Context, _ fireflysaddle.Group, want, limit int) int {
 			if f.grantRetries == nil {
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddleblame"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlebudget"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
 
@@ -26,6 +27,9 @@
 	// maxSends bounds how often one request is sent, including sends that the target
 	// refused without running it.
 	maxSends = 4
+	// memoryRetryAfter is the retry delay while the memory does not suffice for one more
+	// request. Requests end within seconds.
+	memoryRetryAfter = time.Second
 )
 
 // Gateway forwards calls to targets. It is safe for concurrent use.
@@ -52,6 +56,9 @@
 
 // New returns a gateway without a configuration.
 func New(cfg Config) *Gateway {
+	if cfg.Budget == nil {
+		cfg.Budget = saddlebudget.New(saddlebudget.DefaultMemory)
+	}
 	g := &Gateway{cfg: cfg, stateChanged: make(chan struct{}), retryBudgets: map[fireflysaddle.Group]*retryBudget{}, engineReports: map[string]*sharedReport{}, blames: saddleblame.New(), endChecks: map[string]time.Time{}, durations: durationEstimator{classes: map[callClass]*classDurations{}}}
 	g.ending, g.end = context.WithCancel(context.Background())
 	g.state.Store(&State{})
@@ -82,6 +89,12 @@
 func (g *Gateway) Serve(ctx context.Context, clock func() time.Time, call *Call, w Responder) {
 	j := &job{Gateway: g, call: call, responder: w, startTime: time.Now()}
 	countCalls.Add(1)
+	leave, ok := g.cfg.Budget.Admit()
+	if !ok {
+		j.refuse(Refusal{Code: fireflysaddle.CodeOverloaded, Message: "the memory does not suffice for one more request", RetryAfter: memoryRetryAfter})
+		return
+	}
+	defer leave()
 	ctx, release := j.endWithProcess(ctx)
 	defer release()
 	route, tenant, refusal := j.awaitAdmission(ctx, clock)
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -11,13 +11,14 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlebudget"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
 )
 
 const (
 	// bufferedAnswerBytes is the size up to which an answer is read completely before
 	// its header is sent to the caller, so that another target can be tried if the
-	// answer is truncated.
+	// answer is truncated. It is smaller while there is no memory for more.
 	bufferedAnswerBytes = 256 << 10
 	// targetsFullRetryAfter is the retry delay after all targets of a group were full.
 	// A target runs a request in some tens of milliseconds.
@@ -112,7 +113,8 @@
 	j.runs++
 	j.framing = reply.Framing.String()
 	j.firstByteAt = time.Now()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferedAnswerBytes))
+	part, err := j.readFirst(reply, target.Address)
+	defer part.release()
 	if err != nil {
 		if !isProcessEnding(ctx) {
 			j.cfg.Fleet.RecordFault(time.Now(), target.Address, "answer truncated")
@@ -122,7 +124,7 @@
 		}
 		return false, "answer truncated: " + err.Error()
 	}
-	if stopLimit(); ctx.Err() != nil && len(body) == bufferedAnswerBytes {
+	if stopLimit(); ctx.Err() != nil && !part.Whole {
 		return false, "answer ended after its first part"
 	}
 	j.cfg.Fleet.MarkWorking(time.Now(), target.Address)
@@ -130,13 +132,17 @@
 	if j.shouldRetryStatus(reply.Status) {
 		return false, "target answered " + http.StatusText(reply.Status)
 	}
-	j.sendAnswer(reply, body)
+	j.sendAnswer(reply, part)
 	return true, ""
 }
 
 // recordNoReply records a send that failed with err after the time elapsed, before any
 // answer arrived. It updates the health of the target and returns the reason.
 func (j *job) recordNoReply(address string, elapsed time.Duration, err error) string {
+	var exhausted *saddlebudget.ExhaustedError
+	if errors.As(err, &exhausted) {
+		j.logExhausted(exhausted).Msg("attempt ended: no memory for the header of its answer")
+	}
 	var notSent *fireflysaddle.NotSentError
 	sent := !errors.As(err, &notSent)
 	if sent {
@@ -165,14 +171,14 @@
 	return status >= http.StatusInternalServerError && j.route.Retryable() && j.runs < j.route.MaxAttempts
 }
 
-// sendAnswer sends a target's answer to the caller. body is the part of its body that
+// sendAnswer sends a target's answer to the caller. part is the part of its body that
 // has already been read.
-func (j *job) sendAnswer(reply *fireflysaddle.Reply, body []byte) {
+func (j *job) sendAnswer(reply *fireflysaddle.Reply, part *firstPart) {
 	// The length of an answer to HEAD is that of a body that is not sent.
-	if reply.Length < 0 && len(body) < bufferedAnswerBytes && j.call.Method != http.MethodHead {
-		reply.Length = int64(len(body))
+	if reply.Length < 0 && part.Whole && j.call.Method != http.MethodHead {
+		reply.Length = int64(len(part.Bytes))
 	}
-	if !j.claimAnswer() && len(body) == bufferedAnswerBytes { // the rest would be cut
+	if !j.claimAnswer() && !part.Whole { // the rest would be cut
 		j.refuseLeaving()
 		return
 	}
@@ -181,12 +187,12 @@
 		j.endDisconnected()
 		return
 	}
-	if err := j.responder.Write(body); err != nil {
+	if err := j.responder.Write(part.Bytes); err != nil {
 		j.endDisconnected()
 		return
 	}
-	if len(body) == bufferedAnswerBytes {
-		if err := j.copyRest(reply.Body); err != nil {
+	if !part.Whole {
+		if err := j.copyRest(reply.Body, part.copyBuffer()); err != nil {
 			j.refuse(Refusal{Code: fireflysaddle.CodeTargetFailed, Outcome: OutcomeUnknown, Message: err.Error()})
 			return
 		}
@@ -196,8 +202,7 @@
 }
 
 // copyRest sends the rest of a body to the caller.
-func (j *job) copyRest(in io.Reader) error {
-	buf := make([]byte, 32<<10)
+func (j *job) copyRest(in io.Reader, buf []byte) error {
 	for {
 		n, err := in.Read(buf)
 		if n > 0 {
--- a/internal/direct/saddlegateway/relay.go
+++ b/internal/direct/saddlegateway/relay.go
@@ -30,11 +30,12 @@
 	if j.headerSent {
 		return false, "the rest of the stream has the content type " + reply.Header.Get("Content-Type")
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferedAnswerBytes))
+	part, err := j.readFirst(reply, j.attemptAddress)
+	defer part.release()
 	if err != nil {
 		return false, "answer truncated: " + err.Error()
 	}
-	j.sendAnswer(reply, body)
+	j.sendAnswer(reply, part)
 	return true, ""
 }
 
@@ -46,7 +47,8 @@
 // already received. If an event of a further attempt does not continue the stream, the attempt
 // has failed.
 func (j *job) relay(ctx context.Context, reply *fireflysaddle.Reply, watch *watchdog) (ended bool, failure string) {
-	events := saddlesse.NewReader(reply.Body)
+	events, release := j.newEventReader(reply)
+	defer release()
 	further := j.headerSent
 	for received := 0; ; received++ {
 		e, err := events.Next()
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -182,10 +181,11 @@
 		j.failedHeads = append(j.failedHeads, j.attemptAddress)
 		return false, "target answered " + strconv.Itoa(reply.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferedAnswerBytes))
+	part, err := j.readFirst(reply, j.attemptAddress)
+	defer part.release()
 	if err != nil {
 		return false, "answer truncated: " + err.Error()
 	}
-	j.sendAnswer(reply, body)
+	j.sendAnswer(reply, part)
 	return true, ""
 }
--- a/internal/direct/saddlehttpclient/body.go
+++ b/internal/direct/saddlehttpclient/body.go
@@ -16,6 +16,7 @@
 	conn       *conn
 	address    string
 	stopCancel func() bool  // stops the end of the context from closing conn; false: conn is closed already
+	release    func()       // returns what the header holds
 	written    <-chan error // yields the error of writing the request, nil on success
 	closeAfter bool         // the connection is not to be reused
 	endsByConn bool         // the end of the connection is the end of the body
@@ -67,6 +68,7 @@
 		return nil
 	}
 	b.closed = true
+	b.release()
 	alive := b.stopCancel()
 	if alive && !b.atEOF && b.unread >= 0 && b.unread <= int64(b.conn.reader.Buffered()) {
 		_, _ = io.Copy(io.Discard, b) // cannot block; an error leaves atEOF unset
--- a/internal/direct/saddlehttpclient/client.go
+++ b/internal/direct/saddlehttpclient/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlebudget"
 )
 
 const (
@@ -30,8 +31,9 @@
 	// one connection.
 	maxStrayAnswers = 2
 	// maxHeaderBytes bounds the bytes that are read until the header of an answer is
-	// complete, including informational answers and late answers to earlier requests.
-	maxHeaderBytes = 256 << 10
+	// complete, including informational answers and late answers to earlier requests. Headers
+	// have less than 2 KiB.
+	maxHeaderBytes = 64 << 10
 	// maxBufferedBody is the size up to which a body is written before the answer is
 	// read. Such a body fits into the socket buffers.
 	maxBufferedBody = 16 << 10
@@ -40,14 +42,21 @@
 // Client sends requests to targets. It is safe for concurrent use.
 type Client struct {
 	dialer net.Dialer
+	budget *saddlebudget.Budget
 
 	mu        sync.Mutex
 	idleConns map[string][]*conn // idle connections by the target's address
 }
 
-// New returns a client and a clean-up function that closes the idle connections.
+// New returns a client with a budget of its own and a clean-up function that closes the idle
+// connections.
 func New() (*Client, func() error) {
-	c := &Client{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, idleConns: map[string][]*conn{}}
+	return NewWithin(saddlebudget.New(saddlebudget.DefaultMemory))
+}
+
+// NewWithin is New for a client whose headers count towards a budget that others share.
+func NewWithin(budget *saddlebudget.Budget) (*Client, func() error) {
+	c := &Client{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, budget: budget, idleConns: map[string][]*conn{}}
 	return c, c.close
 }
 
@@ -80,8 +89,10 @@
 		_ = cn.Close()
 		return nil, &fireflysaddle.NotSentError{Address: r.Address, Err: err}
 	}
-	resp, err := receive(cn, r)
+	share, release := c.budget.Open(r.Address)
+	resp, err := receive(cn, r, share)
 	if err != nil {
+		release()
 		stop()
 		_ = cn.Close()
 		if ctx.Err() != nil {
@@ -91,7 +102,7 @@
 	}
 	cn.updateIdleTimeout(resp.Header)
 	resp.Body = &body{
-		reader: resp.Body, client: c, conn: cn, address: r.Address, stopCancel: stop, written: written,
+		reader: resp.Body, client: c, conn: cn, address: r.Address, stopCancel: stop, release: release, written: written,
 		closeAfter: resp.Close || r.HTTP.Close, endsByConn: resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 		unread: resp.ContentLength,
 	}
@@ -164,15 +175,18 @@
 }
 
 // receive reads the header of the answer that belongs to the request. It discards answers
-// to other requests, up to maxStrayAnswers of them. It reads no more than maxHeaderBytes.
-func receive(cn *conn, r Request) (*http.Response, error) {
+// to other requests, up to maxStrayAnswers of them. It reads no more than maxHeaderBytes, and no
+// more than the share may hold.
+func receive(cn *conn, r Request, share *saddlebudget.Share) (*http.Response, error) {
 	firstAnswer := !cn.used
 	cn.used = true
-	cn.bounds.bound(maxHeaderBytes)
+	cn.bounds.bound(maxHeaderBytes, share)
 	defer cn.bounds.unbound()
 	for strayAnswers := 0; ; {
 		resp, err := cn.readAnswer(r.HTTP)
 		switch {
+		case cn.bounds.refused != nil:
+			return nil, cn.bounds.refused
 		case err != nil && cn.bounds.remaining <= 0: // the error may be about a line that was cut off
 			return nil, &HeaderTooLongError{Limit: maxHeaderBytes}
 		case err != nil:
@@ -180,7 +194,7 @@
 		case resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK:
 			continue
 		case r.MatchAnswer == nil || r.MatchAnswer(resp.Header, firstAnswer && strayAnswers == 0):
-			return resp, nil
+			return resp, cn.bounds.charge(len(cn.bounds.kept) - cn.reader.Buffered())
 		}
 		countStrayAnswers.Add(1)
 		if strayAnswers++; strayAnswers > maxStrayAnswers {
--- a/internal/direct/saddlesse/reader.go
+++ b/internal/direct/saddlesse/reader.go
@@ -26,7 +26,9 @@
 type Reader struct {
 	buffered *bufio.Reader
 	raw      []byte
-	afterCR  bool // the previous line ended with CR, and the next byte may be the LF that belongs to it
+	grow     func(n int) error // see SetGrow
+	grown    int               // bytes for which grow was called
+	afterCR  bool              // the previous line ended with CR, and the next byte may be the LF that belongs to it
 }
 
 // NewReader returns a Reader of the events in body.
@@ -87,6 +89,9 @@
 		if err != nil {
 			return r.raw[start:], err
 		}
+		if err := r.growFor(len(buf)); err != nil {
+			return nil, err
+		}
 		end := bytes.IndexAny(buf, "\r\n")
 		if end < 0 {
 			r.appendBuffered(len(buf))
--- a/internal/standin/saddleprocess/process.go
+++ b/internal/standin/saddleprocess/process.go
@@ -88,6 +88,13 @@
 	p.mu.Unlock()
 }
 
+// PID returns the identifier of the process in the operating system.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(sig syscall.Signal) {
 	p.mu.Lock()
