--- a/internal/direct/saddlegateway/relay.go
+++ b/internal/direct/saddlegateway/relay.go
@@ -30,11 +30,12 @@
 	if j.headerSent {
 		return false, "the rest of the stream has the content type " + reply.Header.Get("Content-Type")
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferedAnswerBytes))
+	part, err := j.readFirst(reply, j.attemptAddress)
+	defer part.release()
 	if err != nil {
 		return false, "answer truncated: " + err.Error()
 	}
-	j.sendAnswer(reply, body)
+	j.sendAnswer(reply, part)
 	return true, ""
 }
 
@@ -46,8 +47,9 @@
 // already received. If an event of a further attempt does not continue the stream, the attempt
 // has failed.
 func (j *job) relay(ctx context.Context, reply *fireflysaddle.Reply, watch *watchdog) (ended bool, failure string) {
-	events := saddlesse.NewReader(reply.Body)
-	r := &streamRelay{job: j, reply: reply, watch: watch, further: j.headerSent}
+	events, reserve, release := j.newEventReader(reply)
+	defer release()
+	r := &streamRelay{job: j, reply: reply, watch: watch, further: j.headerSent, reserve: reserve}
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && j.attemptEvents == 0 && reply.Framing == fireflysaddle.FramingClose {
--- a/internal/direct/saddlegateway/streamrelay.go
+++ b/internal/direct/saddlegateway/streamrelay.go
@@ -18,6 +18,10 @@
 	further bool // an earlier attempt has begun the answer to the caller
 	ids     attemptIDs
 	rest    eventless
+	// reserve takes memory for what is held. It is needed before the answer begins only: later
+	// blocks are held no longer than they take to arrive.
+	reserve  func(n int) error
+	reserved int // bytes for which reserve was called
 }
 
 // receive records a block. It returns an error if the target sends too much without an event, or
@@ -35,6 +39,12 @@
 		if err := r.rest.count(len(e.Raw)); err != nil {
 			return err
 		}
+		if growth := r.rest.bytes - r.reserved; growth > 0 && !r.headerSent {
+			if err := r.reserve(growth); err != nil {
+				return err
+			}
+			r.reserved += growth
+		}
 	}
 	if r.further && !repeated {
 		return r.sequence.check(e)
