Quick streams with a large maximum are served by a stopping gateway

The shortest duration is now 10 ns, 10 ms for 1,000,000 tokens; the longest one is still a quarter of an hour.

--- a/internal/direct/saddlegateway/durationhistogram.go
+++ b/internal/direct/saddlegateway/durationhistogram.go
@@ -6,13 +6,14 @@
 )
 
 const (
-	// shortestDuration is the upper end of the first bucket of a durationHistogram.
-	shortestDuration = 10 * time.Microsecond
+	// shortestDuration is the upper end of the first bucket of a durationHistogram. What is
+	// recorded may be a millionth of the duration of a stream.
+	shortestDuration = 10 * time.Nanosecond
 	// bucketGrowth is the ratio of the upper ends of neighbouring buckets: a quantile is at
 	// most a tenth too long.
 	bucketGrowth = 1.1
 	// durationBuckets cover durations up to a quarter of an hour.
-	durationBuckets = 192
+	durationBuckets = 266
 	// durationMemory is the number of durations after which the weight of one has fallen to
 	// 1/e. The duration of calls changes with the load.
 	durationMemory = 2000
--- a/internal/direct/saddlegateway/shutdown_test.go
+++ b/internal/direct/saddlegateway/shutdown_test.go
@@ -263,3 +263,27 @@
 		})
 	}
 }
+
+// Guards against quick streams being refused because their caller allows a very long answer: the
+// duration for each token that it allows is too short to be measured exactly.
+func TestQuickStreamsWithALargeMaximumAreServedDuringTheShutdown(t *testing.T) {
+	for _, maximum := range []int{1, 1000, 200_000, 1_000_000} {
+		t.Run(fmt.Sprint(maximum), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, answerSequence(pacedEvents(5, 20*time.Millisecond)))
+				f.setTimeouts(t, 20*time.Second)
+				request := call("/feed/")
+				request.MaxOutputTokens = maximum
+				for range 200 {
+					is.Equal(f.serve(request).refusal, nil)
+				}
+				killed := f.startShutdown()
+				is.Equal(f.serve(request).refusal, nil)
+				time.Sleep(time.Until(killed) - 2*time.Second)
+				is.Equal(f.serve(request).refusal, nil)
+				time.Sleep(time.Until(killed))
+			})
+		})
+	}
+}
