A stopping entry to agents answers requests that have begun to arrive

What callers saw: a request whose header had arrived in part when the entry closed its listener was closed without an answer, on new and on kept connections.

Cause: the entry left the end of its listener to http.Server.Shutdown. That closes connections whose next request is arriving, and returns without an answer from each header that is read after it. The gateway's ingress had the same fault before.

Change: the ingress's listener moves to internal/link/saddlelistener, and the entry uses it. Connections between requests are closed from the stop signal on, new ones are accepted during the lame-duck time, and then requests that have begun to arrive are answered, until the shutdown timeout. Bytes are counted below TLS, so that net/http still sees the *tls.Conn, and on connections without a socket too. Where only a TLS handshake has arrived, the limit for headers ends the connection.

TestConnectionsWithoutARequestDoNotHoldUpTheShutdown holds what the change must not lose.

TestAnswerDuringTheLameDuckTimeClosesItsConnection sent a request on a connection that was idle at the stop signal, which is closed then now. It sends the request's first byte before the stop instead and asks for the same answer; the idle connection has the test of kept connections.

--- a/internal/entry/saddleentry/server.go
+++ b/internal/entry/saddleentry/server.go
@@ -21,6 +21,7 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleretry"
 	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
 	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelistener"
 	"github.com/fireflysaddle/fireflysaddle/internal/node/saddlesubscriber"
 	"github.com/fireflysaddle/fireflysaddle/internal/target/saddleannounce"
 	"github.com/fireflysaddle/fireflysaddle/internal/trace/saddletimeline"
@@ -37,6 +38,7 @@
 type Server struct {
 	cfg           Config
 	listener      net.Listener
+	callers       *saddlelistener.Listener // the connections of listener
 	subscriber    *saddlesubscriber.Subscriber
 	router        *saddleroute.Router
 	control       *saddleclient.Client
@@ -54,13 +56,18 @@
 // connections to other processes.
 func New(cfg Config) (*Server, func() error, error) {
 	cfg.Network = saddlelink.NetworkOrTCP(cfg.Network)
-	lis, err := cfg.callerNetwork().Listen(cfg.Listen)
+	var callers *saddlelistener.Listener
+	lis, err := saddlelink.ListenWrapped(cfg.callerNetwork(), cfg.Listen, func(lis net.Listener) net.Listener {
+		callers = saddlelistener.New(lis)
+		return callers
+	})
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "listen on %s", cfg.Listen)
 	}
 	s := &Server{
 		cfg:      cfg,
 		listener: lis,
+		callers:  callers,
 		router:   saddleroute.New(saddlechoice.NewLatencyChooser(rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation))))),
 		budget:   saddleretry.NewBudget(saddleretry.DefaultShare, saddleretry.DefaultReserve),
 	}
@@ -92,33 +99,35 @@
 func (s *Server) Run(ctx context.Context, stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	srv := &http.Server{
-		Handler:           s.routes(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
 	var g errgroup.Group
 	g.Go(func() error { return s.subscriber.Run(ctx) })
-	g.Go(func() error {
-		if err := srv.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-			cancel()
-			return eris.Wrap(err, "serve callers")
-		}
-		return nil
-	})
 	g.Go(func() error {
 		defer cancel()
-		select {
-		case <-ctx.Done():
-			return srv.Close()
-		case <-stop:
-			return s.shutdown(ctx, srv)
-		}
+		return s.serveCallers(ctx, stop)
 	})
 	return g.Wait()
 }
 
+func (s *Server) serveCallers(ctx context.Context, stop <-chan struct{}) error {
+	srv := &http.Server{
+		Handler:           s.routes(),
+		ConnState:         s.callers.Observe,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(s.listener) }()
+	select {
+	case err := <-served:
+		return eris.Wrap(err, "serve callers")
+	case <-ctx.Done():
+		return srv.Close()
+	case <-stop:
+		return s.shutdown(ctx, srv, served)
+	}
+}
+
 // Ready returns nil if the entry can serve requests, and otherwise the reason.
 func (s *Server) Ready() error {
 	switch {
@@ -130,14 +139,19 @@
 	return nil
 }
 
-// shutdown reports the entry as not ready, continues to accept requests for the
-// lame-duck time while the load balancer reacts, and then waits for the requests in
-// progress and the background work. ShutdownTimeout limits this wait.
-func (s *Server) shutdown(ctx context.Context, srv *http.Server) error {
+// shutdown reports the entry as not ready, closes the connections between requests, continues
+// to accept new ones for the lame-duck time while the load balancer reacts, and then waits for
+// the requests in progress and the background work. ShutdownTimeout limits this wait.
+func (s *Server) shutdown(ctx context.Context, srv *http.Server, served <-chan error) error {
 	s.stopping.Store(true)
 	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "lame_duck"})
 	s.subscriber.SendHeartbeats()
+	closingCtx, stopClosing := context.WithCancel(ctx)
+	defer stopClosing()
+	go s.callers.CloseUnusedUntil(closingCtx)
 	select {
+	case err := <-served:
+		return eris.Wrap(err, "serve callers")
 	case <-ctx.Done():
 		return srv.Close()
 	case <-time.After(s.cfg.LameDuck):
@@ -147,12 +161,16 @@
 		ctx, cancel = context.WithTimeout(ctx, s.cfg.ShutdownTimeout)
 		defer cancel()
 	}
-	if err := srv.Shutdown(ctx); err != nil {
-		return eris.Wrap(err, "requests still in progress at the shutdown timeout")
+	err := s.listener.Close()
+	if serveErr := <-served; !errors.Is(serveErr, net.ErrClosed) {
+		err = errors.Join(err, serveErr)
+	}
+	if drainErr := s.callers.Drain(ctx); drainErr != nil {
+		return errors.Join(err, eris.Wrap(drainErr, "requests still in progress at the shutdown timeout"))
 	}
 	s.awaitBackground(ctx)
 	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "drain_end"})
-	return nil
+	return err
 }
 
 func (s *Server) member() *saddlewire.Member {
--- a/internal/entry/saddleentry/shutdown_test.go
+++ b/internal/entry/saddleentry/shutdown_test.go
@@ -3,16 +3,21 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleentry"
+	"github.com/fireflysaddle/fireflysaddle/internal/link/saddlelink"
+	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlecert"
 	"github.com/fireflysaddle/fireflysaddle/internal/standin/saddlestandin"
 )
 
@@ -25,22 +30,29 @@
 
 // stoppableEntry is an entry without control replicas, which refuses all requests.
 type stoppableEntry struct {
+	network fireflysaddle.Network
 	address string
 	stop    chan struct{}
 	ended   chan error
 }
 
 func startStoppableEntry(t *testing.T) *stoppableEntry {
+	t.Helper()
+	return startStoppableEntryOn(t, saddlelink.TCP{}, shortLameDuck)
+}
+
+func startStoppableEntryOn(t *testing.T, callers fireflysaddle.Network, lameDuck time.Duration) *stoppableEntry {
 	t.Helper()
 	is := is.New(t)
 	address, err := saddlestandin.FreeAddress()
 	is.NoErr(err)
 	s, cleanup, err := saddleentry.New(saddleentry.Config{
 		Node: "entry-1", Incarnation: 1, Centre: "a", Listen: address, HeartbeatInterval: time.Second, ControlSilenceTimeout: time.Second,
-		CallSilenceTimeout: time.Second, BodyLimit: 1 << 10, MaxTimeout: time.Second, LameDuck: shortLameDuck, ShutdownTimeout: stopTimeout, Log: zerolog.Nop(),
+		CallSilenceTimeout: time.Second, BodyLimit: 1 << 10, MaxTimeout: time.Second, LameDuck: lameDuck, ShutdownTimeout: stopTimeout, Log: zerolog.Nop(),
+		CallerNetwork: callers,
 	})
 	is.NoErr(err)
-	e := &stoppableEntry{address: address, stop: make(chan struct{}), ended: make(chan error, 1)}
+	e := &stoppableEntry{network: callers, address: address, stop: make(chan struct{}), ended: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { e.ended <- s.Run(ctx, e.stop) }()
 	t.Cleanup(func() {
@@ -53,7 +65,7 @@
 func (e *stoppableEntry) connect(t *testing.T) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	is := is.New(t)
-	conn, err := net.Dial("tcp", e.address)
+	conn, err := e.network.Dial(t.Context(), e.address)
 	is.NoErr(err)
 	t.Cleanup(func() { _ = conn.Close() })
 	is.NoErr(conn.SetDeadline(time.Now().Add(stopTimeout)))
@@ -116,10 +128,94 @@
 	_, err := io.WriteString(conn, wholeRequest)
 	is.NoErr(err)
 	is.True(!awaitRefusal(t, answers))
+	_, err = io.WriteString(conn, wholeRequest[:1])
+	is.NoErr(err)
+	time.Sleep(settleTime)
 	close(e.stop)
 	time.Sleep(settleTime)
-	_, err = io.WriteString(conn, wholeRequest)
+	_, err = io.WriteString(conn, wholeRequest[1:])
 	is.NoErr(err)
 	is.True(awaitRefusal(t, answers))
 	is.NoErr(<-e.ended)
 }
+
+// Guards against callers who go on sending on kept connections while the entry is stopping, over
+// TLS too, and against new callers being turned away before the load balancer reacts.
+func TestKeptConnectionsAreClosedBetweenRequestsOnceTheEntryIsStopping(t *testing.T) {
+	for name, callers := range map[string]fireflysaddle.Network{"TCP": saddlelink.TCP{}, "TLS": tlsNetwork(t)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const lameDuck = 3 * time.Second
+			e := startStoppableEntryOn(t, callers, lameDuck)
+			conn, answers := e.connect(t)
+			_, err := io.WriteString(conn, wholeRequest)
+			is.NoErr(err)
+			is.True(!awaitRefusal(t, answers))
+			close(e.stop)
+			stopped := time.Now()
+			_, err = answers.ReadByte()
+			is.True(errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET))
+			is.True(time.Since(stopped) < lameDuck)
+			conn, answers = e.connect(t)
+			_, err = io.WriteString(conn, wholeRequest)
+			is.NoErr(err)
+			is.True(awaitRefusal(t, answers))
+			is.NoErr(<-e.ended)
+		})
+	}
+}
+
+// Guards against a request being dropped without an answer over TLS, where net/http serves
+// another connection than the one whose bytes are followed.
+func TestRequestThatArrivesOverTLSWhileTheEntryStopsIsAnswered(t *testing.T) {
+	for name, kept := range map[string]bool{"new connection": false, "kept connection": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := startStoppableEntryOn(t, tlsNetwork(t), shortLameDuck)
+			conn, answers := e.connect(t)
+			if kept {
+				_, err := io.WriteString(conn, wholeRequest)
+				is.NoErr(err)
+				is.True(!awaitRefusal(t, answers))
+			}
+			_, err := io.WriteString(conn, wholeRequest[:30])
+			is.NoErr(err)
+			time.Sleep(settleTime)
+			close(e.stop)
+			time.Sleep(shortLameDuck + settleTime)
+			_, err = io.WriteString(conn, wholeRequest[30:])
+			is.NoErr(err)
+			awaitRefusal(t, answers)
+			is.NoErr(<-e.ended)
+		})
+	}
+}
+
+// Guards against a shutdown that waits until its timeout for callers who send no request.
+func TestConnectionsWithoutARequestDoNotHoldUpTheShutdown(t *testing.T) {
+	for name, callers := range map[string]fireflysaddle.Network{"TCP": saddlelink.TCP{}, "TLS": tlsNetwork(t)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := startStoppableEntryOn(t, callers, shortLameDuck)
+			_, answers := e.connect(t)
+			time.Sleep(settleTime)
+			close(e.stop)
+			_, err := answers.ReadByte()
+			is.True(errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET))
+			is.NoErr(<-e.ended)
+		})
+	}
+}
+
+func tlsNetwork(t *testing.T) *saddlelink.TLS {
+	t.Helper()
+	is := is.New(t)
+	authority := saddlecert.New(t)
+	cert, key := authority.Issue(t, "entry-1")
+	n, err := saddlelink.NewTLS(cert, key, authority.CertFile)
+	is.NoErr(err)
+	return n
+}
--- a/internal/link/saddlelink/network.go
+++ b/internal/link/saddlelink/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -28,3 +29,21 @@
 	}
 	return n
 }
+
+// ListenWrapped listens on IP:port of a network. wrap gets the listener, which is below TLS if the
+// network is TLS.
+func ListenWrapped(n fireflysaddle.Network, address string, wrap func(net.Listener) net.Listener) (net.Listener, error) {
+	secure, ok := n.(*TLS)
+	if ok {
+		n = TCP{}
+	}
+	lis, err := n.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	lis = wrap(lis)
+	if ok {
+		lis = tls.NewListener(lis, secure.config)
+	}
+	return lis, nil
+}
--- a/platform/callerconn.go
+++ b/internal/link/saddlelistener/conn.go
@@ -1,16 +1,17 @@
-package platform
+package saddlelistener
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// callerConn is a connection of a caller. It knows whether a request has begun to arrive, so
+// conn is a connection of a caller. It knows whether a request has begun to arrive, so
 // that it is closed only between requests.
-type callerConn struct {
-	*net.TCPConn
+type conn struct {
+	net.Conn
 	openedAt time.Time
 
 	mu          sync.Mutex
@@ -21,8 +22,8 @@
 }
 
 // Read reads from the connection. What arrives after closeUnused is not read.
-func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
 	}
@@ -36,16 +37,33 @@
 }
 
 // Write writes to the connection.
-func (c *callerConn) Write(p []byte) (int, error) {
+func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.sinceAnswer = false
 	c.mu.Unlock()
-	return c.TCPConn.Write(p)
+	return c.Conn.Write(p)
+}
+
+// CloseWrite closes the writing side, which net/http does before it closes a connection with
+// unread bytes.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// SetLinger sets what Close does with unsent bytes, on a TCP connection.
+func (c *conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return errors.ErrUnsupported
 }
 
 // beginRequest records that the header of a request has been read. Its bytes may have arrived
 // with the request before it.
-func (c *callerConn) beginRequest() {
+func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inRequest = true
@@ -53,7 +71,7 @@
 
 // endRequest records that a request has been answered. The next one may have begun to arrive
 // since the answer was written.
-func (c *callerConn) endRequest() {
+func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inRequest = c.sinceAnswer
@@ -61,7 +79,7 @@
 
 // closeUnused closes the connection if no request has begun to arrive, read or not. One that is
 // new is left open for unusedConnTimeout.
-func (c *callerConn) closeUnused(now time.Time) {
+func (c *conn) closeUnused(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.inRequest || (!c.used && now.Sub(c.openedAt) < unusedConnTimeout) || c.hasUnread() {
@@ -73,8 +91,12 @@
 
 // hasUnread reports whether bytes have arrived that were not read. A process that is held up
 // reads late.
-func (c *callerConn) hasUnread() bool {
-	raw, err := c.SyscallConn()
+func (c *conn) hasUnread() bool {
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok { // no socket
+		return false
+	}
+	raw, err := sys.SyscallConn()
 	if err != nil { // closed
 		return false
 	}
--- a/platform/callerconns.go
+++ b/internal/link/saddlelistener/listener.go
@@ -1,7 +1,8 @@
-package platform
+package saddlelistener
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -16,40 +17,40 @@
 	drainInterval = 20 * time.Millisecond
 )
 
-// callerConns is a listener that knows the open connections that it has accepted. The
-// shutdown of net/http also closes connections on which a request has been read in part or
-// in full, without an answer.
-type callerConns struct {
+// Listener is a listener that knows the open connections that it has accepted. A TLS listener
+// may wrap it.
+type Listener struct {
 	net.Listener
 
 	mu   sync.Mutex
-	open map[*callerConn]struct{}
+	open map[*conn]struct{}
 }
 
-func newCallerConns(lis net.Listener) *callerConns {
-	return &callerConns{Listener: lis, open: map[*callerConn]struct{}{}}
+// New returns a listener that accepts the connections of another.
+func New(lis net.Listener) *Listener {
+	return &Listener{Listener: lis, open: map[*conn]struct{}{}}
 }
 
 // Accept waits for the next connection.
-func (l *callerConns) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := raw.(*net.TCPConn)
-	if !ok {
-		return raw, nil
-	}
-	c := &callerConn{TCPConn: tcp, openedAt: time.Now()}
+	c := &conn{Conn: raw, openedAt: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = struct{}{}
 	return c, nil
 }
 
-// observe follows the states of the connections.
-func (l *callerConns) observe(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*callerConn)
+// Observe follows the states of the connections. It is to be the ConnState function of the
+// server.
+func (l *Listener) Observe(served net.Conn, state http.ConnState) {
+	if t, ok := served.(*tls.Conn); ok {
+		served = t.NetConn()
+	}
+	c, ok := served.(*conn)
 	if !ok {
 		return
 	}
@@ -66,8 +67,8 @@
 	}
 }
 
-// closeUnusedUntil closes the connections between requests until the context ends.
-func (l *callerConns) closeUnusedUntil(ctx context.Context) {
+// CloseUnusedUntil closes the connections between requests until the context ends.
+func (l *Listener) CloseUnusedUntil(ctx context.Context) {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -79,9 +80,9 @@
 	}
 }
 
-// drain closes the connections between requests and returns when none is left, or when the
-// context ends.
-func (l *callerConns) drain(ctx context.Context) error {
+// Drain closes the connections between requests and returns when none is left, or when the
+// context ends. The listener has to be closed and the server's Serve to have returned.
+func (l *Listener) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for {
@@ -98,7 +99,7 @@
 
 // closeUnused closes the connections between requests. It returns the number of those that
 // net/http still serves.
-func (l *callerConns) closeUnused(now time.Time) int {
+func (l *Listener) closeUnused(now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open {
