Meaningless estimates of some callers do not refuse the streams of others

Cause: one distribution of the duration for each estimated token served all callers, and those estimates reach its upper end.

TestMeaninglessEstimatesOfSomeCallersDoNotRefuseTheStreamsOfOthers failed before: each of the five streams was refused.

--- a/internal/direct/saddlegateway/durationestimator.go
+++ b/internal/direct/saddlegateway/durationestimator.go
@@ -1,6 +1,7 @@
 package saddlegateway
 
 import (
+	"math/bits"
 	"sync"
 	"time"
 
@@ -12,6 +13,8 @@
 	// enoughDurations is the number of durations from which on few are longer than the
 	// estimate. The first ones of a process are those of the shortest streams.
 	enoughDurations = 100
+	// hardlyAnyShare is the share of calls of a magnitude that bounds the estimate of one.
+	hardlyAnyShare = 0.99
 	// maxOutputUnits bounds the number of tokens with which durations are multiplied.
 	maxOutputUnits = 1_000_000
 )
@@ -28,9 +31,20 @@
 // callClass is a class of calls that take about equally long, streams in proportion to their
 // tokens.
 type callClass struct {
-	group fireflysaddle.Group
-	kind  saddlerouting.Kind
-	size  outputSize // sizeUnknown for plain calls
+	group     fireflysaddle.Group
+	kind      saddlerouting.Kind
+	size      outputSize // sizeUnknown for plain calls
+	magnitude int        // of the estimate, see ofMagnitude; 0: all
+}
+
+// ofMagnitude returns the class of the calls whose callers estimate a similar length, within a
+// factor of four. Callers whose estimates are meaningless, such as 1 for all streams, then do not
+// change what is expected of the others.
+func (c callClass) ofMagnitude(units int) callClass {
+	if c.size == sizeEstimated {
+		c.magnitude = 1 + bits.Len(uint(units))/2
+	}
+	return c
 }
 
 func (j *job) class() callClass {
@@ -62,6 +76,12 @@
 	unit     durationHistogram // from the first event to the last one, divided by the output units
 }
 
+// quantile returns the duration that a share of the calls with a number of output units does not
+// exceed.
+func (c *classDurations) quantile(units int, share float64) time.Duration {
+	return c.first.quantile(share) + time.Duration(units)*c.unit.quantile(share)
+}
+
 // durationEstimator holds how long calls take. It is safe for concurrent use.
 type durationEstimator struct {
 	mu      sync.Mutex
@@ -69,7 +89,8 @@
 }
 
 // estimate returns the duration that a share of the calls of a class does not exceed. It is at
-// least initial until enoughDurations were recorded.
+// least initial until enoughDurations were recorded. It is not longer than what hardly any call
+// of the same magnitude takes, because meaningless estimates of some callers spoil that of all.
 func (e *durationEstimator) estimate(class callClass, units int, share float64, initial time.Duration) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -77,17 +98,28 @@
 	if c == nil {
 		return initial
 	}
-	d := c.first.quantile(share) + time.Duration(units)*c.unit.quantile(share)
+	d := c.quantile(units, share)
 	if c.recorded < enoughDurations {
 		return max(d, initial)
 	}
+	if m := e.classes[class.ofMagnitude(units)]; m != nil && m.recorded >= enoughDurations {
+		d = min(d, m.quantile(units, hardlyAnyShare))
+	}
 	return d
 }
 
-// update calls f with the durations of a class.
-func (e *durationEstimator) update(class callClass, f func(c *classDurations)) {
+// update calls f with the durations of a class, and with those of the calls of its magnitude.
+func (e *durationEstimator) update(class callClass, units int, f func(c *classDurations)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.updateClass(class, f)
+	if m := class.ofMagnitude(units); m != class {
+		e.updateClass(m, f)
+	}
+}
+
+// updateClass is update for one class. It must be called with mu held.
+func (e *durationEstimator) updateClass(class callClass, f func(c *classDurations)) {
 	c := e.classes[class]
 	if c == nil {
 		c = &classDurations{}
@@ -104,7 +136,7 @@
 	if j.runs == 0 || j.call.LastEventID != "" || (j.eventsSent > 0 && j.firstByteAt.Before(j.attemptSentAt)) { // its first events are of another attempt
 		return
 	}
-	j.durations.update(j.class(), func(c *classDurations) {
+	j.durations.update(j.class(), j.outputUnits(), func(c *classDurations) {
 		if j.eventsSent == 0 {
 			c.first.record(now.Sub(j.attemptSentAt), answered)
 			return
--- a/internal/direct/saddlegateway/expectedduration.go
+++ b/internal/direct/saddlegateway/expectedduration.go
@@ -27,13 +27,13 @@
 func (j *job) expectedDuration(now time.Time, cautious bool) time.Duration {
 	class, units := j.class(), j.outputUnits()
 	if cautious {
-		return cautionFactor * j.durations.estimate(class, units, longShare, j.plannedDuration(now))
+		return cautionFactor * j.durations.estimate(class, units, longShare, j.defaultDuration(now))
 	}
-	return j.durations.estimate(class, units, rareShare, j.plannedDuration(now))
+	return j.durations.estimate(class, units, rareShare, j.defaultDuration(now))
 }
 
-// plannedDuration returns how long the call is taken to last until enough were measured.
-func (j *job) plannedDuration(now time.Time) time.Duration {
+// defaultDuration returns how long the call is expected to take until enough calls were measured.
+func (j *job) defaultDuration(now time.Time) time.Duration {
 	tokens := j.call.MaxOutputTokens
 	if hint := min(j.call.OutputTokensHint, maxOutputUnits); hint > 0 && (tokens <= 0 || hint < tokens/plannedEstimateFactor) {
 		tokens = plannedEstimateFactor * hint
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
 
 // shutdownMargin is the time before the end of the process at which calls without an
@@ -76,21 +78,33 @@
 // time left until the process is killed. During the lame-duck period calls that can be
 // continued elsewhere need less time, because the balancer still sends calls then and most
 // would be refused in vain otherwise. An answer that has begun continues in any case.
-func (j *job) mayOutlastProcess(now time.Time) bool { return !j.headerSent && j.outlastsProcess(now) }
+func (j *job) mayOutlastProcess(now time.Time) bool {
+	s := j.shutdown.Load()
+	if s == nil || j.headerSent {
+		return false
+	}
+	refused := j.outlastsProcess(now)
+	j.logEvent(zerolog.InfoLevel).Int64("expected_ms", j.expectedDuration(now, s.cautious(now, j.route)).Milliseconds()).
+		Int64("left_ms", s.timeLeft(now).Milliseconds()).Int("max_tokens", j.call.MaxOutputTokens).
+		Int("token_hint", j.call.OutputTokensHint).Bool("refused", refused).
+		Msg("expected duration compared with the time until the process is killed")
+	return refused
+}
 
-// outlastsProcess is mayOutlastProcess for a call whose answer has not begun.
+// timeLeft returns the time in which an answer must end.
+func (s *shutdown) timeLeft(now time.Time) time.Duration { return s.killAt.Sub(now) - shutdownMargin }
+
+// cautious reports whether a call on a route must be almost certain to end in time.
+func (s *shutdown) cautious(now time.Time, route *saddlerouting.Route) bool {
+	return !now.Before(s.lameDuckEnd) || !route.Retryable()
+}
+
+// outlastsProcess is mayOutlastProcess for a call whose answer has not begun, without a log line.
 func (j *job) outlastsProcess(now time.Time) bool {
 	s := j.shutdown.Load()
 	if s == nil {
 		return false
 	}
-	left := s.killAt.Sub(now) - shutdownMargin
-	if j.deadline.Sub(now) <= left {
-		return false
-	}
-	expected := j.expectedDuration(now, !now.Before(s.lameDuckEnd) || !j.route.Retryable())
-	j.logEvent(zerolog.InfoLevel).Int64("expected_ms", expected.Milliseconds()).Int64("left_ms", left.Milliseconds()).
-		Int("max_tokens", j.call.MaxOutputTokens).Int("token_hint", j.call.OutputTokensHint).Bool("refused", expected > left).
-		Msg("expected duration compared with the time until the process is killed")
-	return expected > left
+	left := s.timeLeft(now)
+	return j.deadline.Sub(now) > left && j.expectedDuration(now, s.cautious(now, j.route)) > left
 }
--- a/internal/direct/saddlegateway/stoppingstreams_test.go
+++ b/internal/direct/saddlegateway/stoppingstreams_test.go
@@ -125,6 +125,44 @@
 	}
 }
 
+// Guards against the estimates of some callers, who always state 1, deciding on the streams of
+// others: all would be refused.
+func TestMeaninglessEstimatesOfSomeCallersDoNotRefuseTheStreamsOfOthers(t *testing.T) {
+	const (
+		before         = 2000
+		perSecond      = 9
+		oneIn          = 20 // callers state 1
+		shortestEvents = 8
+	)
+	synctest.Test(t, func(t *testing.T) {
+		r := rand.New(rand.NewPCG(1, 43))
+		f := newFixture(t, answerDrafts)
+		f.setTimeouts(t, 20*time.Second)
+		for n := range before {
+			d := drawDraft(r)
+			if n%oneIn == 0 {
+				d.hint = 1
+			}
+			go f.serve(d.call(n))
+			time.Sleep(time.Second / perSecond)
+		}
+		killed := f.startShutdown()
+		for events := shortestEvents; events < mostEvents; events += shortestEvents {
+			hint := events * eventTokens
+			if time.Duration(ampleFactor*events)*eventPause > time.Until(killed)-time.Second {
+				break
+			}
+			go func() {
+				got := f.serve(draft{events, hint}.call(before + events))
+				if got.refusal != nil {
+					t.Errorf("a stream of %d events was refused", events)
+				}
+			}()
+		}
+		time.Sleep(time.Until(killed) + mostEvents*eventPause) // all have ended
+	})
+}
+
 // Guards against callers who are refused by the only gateway that the balancer has for them coming
 // back to it at once, and being refused again until they have no retry left.
 func TestCallersWhoReturnToTheStoppingGatewayAreToldToWaitUntilItIsTakenOut(t *testing.T) {
