Entries decode a routing configuration in steps

Cause: an entry with a seventh of a core decodes a configuration of 1,360 routes in some 200 ms, in one piece: streams got no events meanwhile.

The chunk and the steps of a pass are decoded as well.

--- a/internal/daemon/saddledaemon/gatewayrouting.go
+++ b/internal/daemon/saddledaemon/gatewayrouting.go
@@ -104,7 +104,7 @@
 			g.process.log.Warn().Err(err).Str("control", address).Msg("could not fetch routing configuration")
 			continue
 		}
-		routing, err := platform.DecodeCompressedRouting(out.GetRouting().GetContent())
+		routing, err := platform.DecodeCompressedRouting(out.GetRouting().GetContent(), pauseDecoding)
 		if err != nil {
 			g.process.log.Error().Err(err).Str("control", address).Uint64("routing", out.GetVersion()).Msg("invalid routing configuration")
 			continue
@@ -115,6 +115,12 @@
 	return false
 }
 
+// decodingPause is the pause between two steps of decoding a routing configuration. A pause
+// lets the runtime look for connections that have become readable; a yield would not.
+const decodingPause = time.Millisecond
+
+func pauseDecoding() { time.Sleep(decodingPause) }
+
 // installRouting replaces the current routing configuration if the given one is newer.
 func (g *gateway) installRouting(routing *saddlerouting.Routing) {
 	g.mu.Lock()
--- a/internal/direct/saddlerouting/model.go
+++ b/internal/direct/saddlerouting/model.go
@@ -14,6 +14,8 @@
 	LoadTime               time.Duration // time in which one engine loads the whole model
 	Step                   time.Duration // time of one decoding step over all layers, at step time factor 1
 	PrefillTokensPerSecond float64       // prompt tokens processed per second over all layers, at prefill factor 1
+	ChunkTokens            int           // prompt tokens that an engine processes at most in one pass; 0 if not known
+	StepsPerPass           int           // decoding steps of one pass, at least 1
 	ActivationBytes        float64       // size in bytes of one token's activations between engines
 	LinkBytesPerSecond     float64       // bytes per second between two data centres, shared by all engines; 0 if not known
 	MeanPromptTokens       int           // mean number of tokens of a prompt
@@ -69,3 +71,14 @@
 	fraction := float64(layers) / float64(max(1, m.Layers))
 	return time.Duration(float64(tokens) / m.PrefillTokensPerSecond * a.PrefillFactor * fraction * float64(time.Second))
 }
+
+// PrefillLimit returns the number of prompt tokens per second that an accelerator processes at
+// most with a number of layers while it decodes, because one pass does both. It is 0 if it is
+// not known.
+func (m *Model) PrefillLimit(a Accelerator, layers int) float64 {
+	if m.ChunkTokens <= 0 || m.PrefillTokensPerSecond <= 0 || layers <= 0 {
+		return 0
+	}
+	pass := time.Duration(max(1, m.StepsPerPass))*m.StepTime(a, layers) + m.PrefillTime(a, layers, m.ChunkTokens)
+	return float64(m.ChunkTokens) / max(pass, time.Nanosecond).Seconds()
+}
