One fast copy with room where callers compete for it

Cause: data centres that can hold the model twice did so whatever the demand.

Change: for a pool whose routes differ in priority, the fastest engines of a data centre hold one copy with as much room as four heads can fill but one, as many layers as each can read prompts for, three further heads and a spare (docs/design/placement.md). Other pools, and data centres that cannot hold two copies, are planned as before.

--- a/internal/direct/saddlefleet/scale_test.go
+++ b/internal/direct/saddlefleet/scale_test.go
@@ -59,7 +59,7 @@
 			u.Members = append(u.Members, &saddlewire.Member{Node: fmt.Sprintf("entry-%s%d", centre, i), Role: "entry", Centre: centre})
 		}
 	}
-	plan := saddleplan.Plan(pool.Model, engines)
+	plan := saddleplan.Plan(pool.Model, engines, saddleplan.GoalCopies)
 	for _, reg := range u.GetRegistrations() {
 		if r, ok := plan[fireflysaddle.TargetID(reg.GetId())]; ok {
 			reg.Layers = []*saddlewire.HeldLayers{{From: uint32(r.From), To: uint32(r.To)}}
--- a/internal/direct/saddlerouting/check.go
+++ b/internal/direct/saddlerouting/check.go
@@ -28,6 +28,7 @@
 		}
 		r.routesByHost[route.Host] = append(r.routesByHost[route.Host], route)
 	}
+	r.rankPools()
 	for _, t := range r.Tenants {
 		for _, key := range t.Keys {
 			if other, ok := r.tenantByKey[key]; ok && other != t {
--- a/internal/direct/saddlerouting/routing.go
+++ b/internal/direct/saddlerouting/routing.go
@@ -22,6 +22,9 @@
 type Pool struct {
 	Group fireflysaddle.Group
 	Model *Model // nil for plain services
+	// Ranked tells that the routes to the group have different priorities: some requests have
+	// to give way to others, because there is not always room for all. Check sets it.
+	Ranked bool
 }
 
 // Tenant holds the routing settings of a workspace: the API keys that identify its
@@ -69,3 +72,19 @@
 	}
 	return r.Version
 }
+
+// rankPools sets Ranked of the pools.
+func (r *Routing) rankPools() {
+	priorities := map[fireflysaddle.Group]int{}
+	for _, route := range r.Routes {
+		for _, s := range route.Split {
+			if s.Weight == 0 {
+				continue
+			}
+			if priority, ok := priorities[s.Group]; ok && priority != route.Priority {
+				r.Pools[s.Group].Ranked = true
+			}
+			priorities[s.Group] = route.Priority
+		}
+	}
+}
--- a/internal/place/saddleplacer/placer.go
+++ b/internal/place/saddleplacer/placer.go
@@ -199,7 +199,7 @@
 	if !holding && now.Sub(p.engineSets[pool.Group].changedAt) < settleTime {
 		return
 	}
-	for id, layers := range saddleplan.Plan(pool.Model, engines) {
+	for id, layers := range saddleplan.Plan(pool.Model, engines, goalOf(pool)) {
 		if _, registered := regs[id]; !registered || now.Before(p.refusedUntil[id]) {
 			continue
 		}
@@ -208,6 +208,14 @@
 	p.logCapacities(pool, engines)
 }
 
+// goalOf returns the goal of the plan for a pool.
+func goalOf(pool *saddlerouting.Pool) saddleplan.Goal {
+	if pool.Ranked {
+		return saddleplan.GoalRoom
+	}
+	return saddleplan.GoalCopies
+}
+
 // planEngine returns an engine as the plan takes it.
 func (p *Placer) planEngine(now time.Time, reg *saddlewire.Registration, lost bool) saddleplan.Engine {
 	return saddleplan.Engine{
--- a/internal/place/saddleplan/foreign_test.go
+++ b/internal/place/saddleplan/foreign_test.go
@@ -35,7 +35,7 @@
 
 // checkPlan fails if a plan for engines whose layers the model has all assigns others.
 func checkPlan(t *rapid.T, m *saddlerouting.Model, list []saddleplan.Engine) {
-	plan := saddleplan.Plan(m, list)
+	plan := saddleplan.Plan(m, list, saddleplan.GoalCopies)
 	for _, e := range list {
 		r, ok := plan[e.ID]
 		if held := e.Held; ok && (held.Len() == 0 || m.HasLayers(held.From, held.To)) && !m.HasLayers(r.From, r.To) {
--- a/internal/place/saddleplan/plan.go
+++ b/internal/place/saddleplan/plan.go
@@ -60,12 +60,21 @@
 	reserveEngines = 1
 )
 
+// Goal is what a plan prefers where the engines could hold the model twice.
+type Goal int
+
+// The goals of a plan.
+const (
+	GoalCopies Goal = iota // a second copy of the model, so that the loss of an engine is soon repaired
+	GoalRoom               // room for many requests, because callers compete for it
+)
+
 // Plan returns the new layers of the engines whose layers are to change. Each data centre
 // is planned on its own, and its fastest engines are assigned layers first.
 //
 // While no engine of a data centre holds layers, all layers are assigned, in two copies if
-// the engines can hold them, else in one. Once engines hold layers, Plan assigns only
-// layers with too few holders:
+// the engines can hold them, else in one. For GoalRoom see assignRoom. Once engines hold layers,
+// Plan assigns only layers with too few holders:
 //   - Layers without a holder are assigned to empty engines and to the engines that hold
 //     the layers directly before and after.
 //   - Layers with little token capacity are assigned to one more engine.
@@ -77,10 +86,10 @@
 // An engine is ordered to release layers only if the others hold each of them with
 // acceptableCapacity, and other layers have no holder or little capacity, for which there are
 // not enough empty engines. It must first wait for all requests that use the layers.
-func Plan(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
+func Plan(model *saddlerouting.Model, engines []Engine, goal Goal) map[fireflysaddle.TargetID]Range {
 	out := map[fireflysaddle.TargetID]Range{}
 	for _, list := range byCentre(model, engines) {
-		for id, r := range planCentre(model, list) {
+		for id, r := range planCentre(model, list, goal) {
 			out[id] = r
 		}
 	}
@@ -116,9 +125,12 @@
 // holder at all, only these are assigned. After that, layers held only by slow engines
 // are assigned first, then layers of the bottleneck, then the second copy, then a third
 // holder of some layers.
-func planCentre(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
+func planCentre(model *saddlerouting.Model, engines []Engine, goal Goal) map[fireflysaddle.TargetID]Range {
 	live := withoutLost(engines)
 	if !slices.ContainsFunc(live, func(e Engine) bool { return e.Held.Len() > 0 }) {
+		if out := assignRoom(model, live); goal == GoalRoom && out != nil {
+			return out
+		}
 		return assignAll(model, live)
 	}
 	if gaps := rangesHeldBy(model, live, 0); len(gaps) > 0 {
@@ -134,6 +146,9 @@
 	if out := relieveBottleneck(model, live); out != nil {
 		return out
 	}
+	if goal == GoalRoom && holdsTwice(model, fast) {
+		return planRoom(model, fast)
+	}
 	if out := extendSecondCopy(model, fast); out != nil {
 		return out
 	}
--- a/internal/place/saddleplan/plan_test.go
+++ b/internal/place/saddleplan/plan_test.go
@@ -81,7 +81,7 @@
 		t.Run(string(centre), func(t *testing.T) {
 			is := is.New(t)
 			list := engines(centre, kinds)
-			apply(list, saddleplan.Plan(model(), list))
+			apply(list, saddleplan.Plan(model(), list, saddleplan.GoalCopies))
 			capacity, complete := smallestCapacity(model(), list)
 			is.True(complete)
 			is.True(capacity >= 100_000) // enough for the requests in flight at peak load
@@ -114,7 +114,7 @@
 		t.Run(string(name), func(t *testing.T) {
 			is := is.New(t)
 			list := engines(name, kinds)
-			apply(list, saddleplan.Plan(m, list))
+			apply(list, saddleplan.Plan(m, list, saddleplan.GoalCopies))
 			capacity, _ := smallestCapacity(m, list)
 			is.True(capacity >= 80_000)
 			for lost := range list {
@@ -122,7 +122,7 @@
 				next[lost].Lost = true
 				_, complete := smallestCapacity(m, next)
 				is.True(complete)
-				plan := saddleplan.Plan(m, next)
+				plan := saddleplan.Plan(m, next, saddleplan.GoalCopies)
 				for id := range plan {
 					is.Equal(heldLayers(next, id), 0) // only empty engines are assigned layers
 				}
@@ -142,8 +142,8 @@
 func TestNothingIsOrderedWhileEveryLayerIsHeld(t *testing.T) {
 	is := is.New(t)
 	list := joburg()
-	apply(list, saddleplan.Plan(model(), list))
-	is.Equal(len(saddleplan.Plan(model(), list)), 0)
+	apply(list, saddleplan.Plan(model(), list, saddleplan.GoalCopies))
+	is.Equal(len(saddleplan.Plan(model(), list, saddleplan.GoalCopies)), 0)
 }
 
 func TestLayersOfALostEngineAreTakenOver(t *testing.T) {
@@ -151,12 +151,12 @@
 	for lost := range joburg() {
 		is := is.New(t)
 		list := joburg()
-		apply(list, saddleplan.Plan(m, list))
+		apply(list, saddleplan.Plan(m, list, saddleplan.GoalCopies))
 		if list[lost].Held.Len() == 0 {
 			continue // an empty spare
 		}
 		list[lost].Lost = true
-		plan := saddleplan.Plan(m, list)
+		plan := saddleplan.Plan(m, list, saddleplan.GoalCopies)
 		for _, e := range list {
 			r, ok := plan[e.ID]
 			is.True(!ok || (!e.Lost && (e.Held.Len() == 0 || (r.From <= e.Held.From && r.To >= e.Held.To)))) // no engine releases layers
@@ -171,11 +171,11 @@
 	is := is.New(t)
 	m := model()
 	list := joburg()
-	apply(list, saddleplan.Plan(m, list))
+	apply(list, saddleplan.Plan(m, list, saddleplan.GoalCopies))
 	for i := range list {
 		list[i].Slow = list[i].Accelerator != "t4"
 	}
-	apply(list, saddleplan.Plan(m, list))
+	apply(list, saddleplan.Plan(m, list, saddleplan.GoalCopies))
 	capacity, complete := smallestCapacity(m, list)
 	is.True(complete)
 	is.True(capacity >= 80_000)
@@ -188,14 +188,14 @@
 	is := is.New(t)
 	m := model()
 	list := engines("pretoria-b", map[fireflysaddle.Accelerator]int{"h100": 1, "a100s": 1, "l4": 5, "t4": 7})
-	apply(list, saddleplan.Plan(m, list))
+	apply(list, saddleplan.Plan(m, list, saddleplan.GoalCopies))
 	list[0].Lost = true
-	apply(list, saddleplan.Plan(m, list))
+	apply(list, saddleplan.Plan(m, list, saddleplan.GoalCopies))
 	capacity, complete := smallestCapacity(m, list)
 	is.True(complete && capacity < 80_000)
 	returned := saddleplan.Engine{ID: "pretoria-b-h100-again", Centre: "pretoria-b", Accelerator: "h100"}
 	list[0] = returned
-	plan := saddleplan.Plan(m, list)
+	plan := saddleplan.Plan(m, list, saddleplan.GoalCopies)
 	is.Equal(len(plan), 1)
 	is.True(plan[returned.ID].Len() >= 20) // most of the layers that the lost engine held
 	apply(list, plan)
@@ -219,7 +219,7 @@
 			})
 		}
 		for range rapid.IntRange(1, 6).Draw(t, "steps") {
-			plan := saddleplan.Plan(m, list)
+			plan := saddleplan.Plan(m, list, saddleplan.GoalCopies)
 			for _, e := range list {
 				r, ok := plan[e.ID]
 				if !ok {
@@ -298,9 +298,9 @@
 	m.TokenBytes = 328_000
 	list := engines("joburg-a", map[fireflysaddle.Accelerator]int{"a100s": 3, "l4": 10, "t4": 13})
 	for range len(list) {
-		apply(list, saddleplan.Plan(m, list))
+		apply(list, saddleplan.Plan(m, list, saddleplan.GoalCopies))
 	}
-	is.Equal(len(saddleplan.Plan(m, list)), 0) // nothing more is ordered
+	is.Equal(len(saddleplan.Plan(m, list, saddleplan.GoalCopies)), 0) // nothing more is ordered
 	holders := make([]int, m.Layers)
 	empty := 0
 	for _, e := range list {
--- a/internal/place/saddleplan/secondcopy.go
+++ b/internal/place/saddleplan/secondcopy.go
@@ -10,7 +10,7 @@
 // the empty engines remain spares that replace lost engines, because an incomplete second
 // copy protects only the layers that it includes.
 func extendSecondCopy(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.TargetID]Range {
-	if assignCopies(model, engines, maxCopies, 0, acceptableCapacity) == nil {
+	if !holdsTwice(model, engines) {
 		return nil
 	}
 	var empty []Engine
--- a/internal/place/saddleplan/spares_test.go
+++ b/internal/place/saddleplan/spares_test.go
@@ -21,14 +21,14 @@
 		t.Run(string(name), func(t *testing.T) {
 			is := is.New(t)
 			list := engines(name, kinds)
-			apply(list, saddleplan.Plan(m, list))
-			is.Equal(len(saddleplan.Plan(m, list)), 0)
+			apply(list, saddleplan.Plan(m, list, saddleplan.GoalCopies))
+			is.Equal(len(saddleplan.Plan(m, list, saddleplan.GoalCopies)), 0)
 			for first := range list {
 				for second := range list[:first] {
 					next := slices.Clone(list)
 					next[first].Lost = true
 					next[second].Lost = true
-					apply(next, saddleplan.Plan(m, next))
+					apply(next, saddleplan.Plan(m, next, saddleplan.GoalCopies))
 					capacity, complete := smallestCapacity(m, next)
 					is.True(complete)
 					is.True(capacity >= 80_000)
@@ -42,7 +42,7 @@
 	is := is.New(t)
 	list := takingOver()
 	list[3].Pending, list[5].Slow, list[6].Lost = true, true, true
-	plan := saddleplan.Plan(smallCacheModel(), list)
+	plan := saddleplan.Plan(smallCacheModel(), list, saddleplan.GoalCopies)
 	r, ordered := plan[list[5].ID]
 	is.True(!ordered || (r.From <= 60 && r.To >= 66))
 }
@@ -51,7 +51,7 @@
 	is := is.New(t)
 	list := takingOver()
 	list[3].Pending, list[5].Lost, list[6].Lost = true, true, true
-	_, ordered := saddleplan.Plan(smallCacheModel(), list)[list[3].ID]
+	_, ordered := saddleplan.Plan(smallCacheModel(), list, saddleplan.GoalCopies)[list[3].ID]
 	is.True(!ordered)
 }
 
@@ -66,7 +66,7 @@
 func settle(t *testing.T, m *saddlerouting.Model, list []saddleplan.Engine) {
 	t.Helper()
 	for range 10 * len(list) {
-		plan := saddleplan.Plan(m, list)
+		plan := saddleplan.Plan(m, list, saddleplan.GoalCopies)
 		if len(plan) == 0 {
 			return
 		}
