Cost of an engine where callers compete: slots, prompts, other data centres

Cause: entries knew the memory of an engine only. Heads with much memory got up to 377 requests for 192 slots, and the first events waited there; a head in another data centre cost 100 ms, whatever either had free.

Change, for pools whose routes differ in priority: slots of heads and the recent prompts of an engine count in its cost, and a head in another data centre costs what the way there costs. The cost of slots counts for all pools where the slots are fewer than the memory holds.

--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -52,6 +52,10 @@
 	// Because of this cost, a request stays in the local data centre until the engines
 	// there are about two thirds full.
 	remoteHeadCostNS = float64(100 * time.Millisecond)
+	// rankedRemoteHeadCostNS replaces remoteHeadCostNS where callers compete for room. Room in
+	// another data centre serves them better than a wait, and what crosses is the answer only.
+	// It keeps a request in its data centre unless the engines there are much busier.
+	rankedRemoteHeadCostNS = float64(8 * time.Millisecond)
 	// crossCentreCostNS is the cost of each crossing between data centres in a chain. A
 	// prompt's activations are tens of megabytes over a link that all engines share, so
 	// a crossing costs more than a chain of fully loaded engines.
@@ -77,13 +81,17 @@
 	}
 	c = newChain(&reservation{model: pool.Model, tokens: tokens, parts: found})
 	f.reserve(c.reserved, found, 1)
+	head := found[0].target
+	head.headRequests++
 	recordSends(now, found)
-	f.recordBegin(now, found[0].target)
+	recordPrompt(now, pool.Model, found, tokens)
+	f.recordBegin(now, head)
 	f.linkBudget.spend(pool.Model, tokens, crossings(found))
 	return c, sync.OnceFunc(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.reserve(c.reserved, c.reserved.parts, -1)
+		head.headRequests--
 	}), false, true
 }
 
@@ -148,25 +156,34 @@
 		return nil
 	}
 	engines := usableEngines(now, pool.Model, f.groups[pool.Group], avoid)
-	found, _ := f.candidates(now, pool.Model, engines, tokens).findParts(pool.Model.Layers, f.centre, saddlepath.Costs{
-		ToFirstPart: remoteHeadCostNS, BetweenParts: crossCentreCostNS,
+	found, _ := f.candidates(now, pool, engines, tokens).findParts(pool.Model.Layers, f.centre, saddlepath.Costs{
+		ToFirstPart: remoteCost(pool), BetweenParts: crossCentreCostNS,
 	})
 	return found
 }
 
+// remoteCost returns the cost of a head in another data centre.
+func remoteCost(pool *saddlerouting.Pool) float64 {
+	if pool.Ranked {
+		return rankedRemoteHeadCostNS
+	}
+	return remoteHeadCostNS
+}
+
 // findLocalChain returns the cheapest chain of those that stay in one data centre, or nil
 // if there is none. The other data centres are searched only if the chain in this entry's
 // data centre costs more than it costs to reach another.
 func (f *Fleet) findLocalChain(now time.Time, pool *saddlerouting.Pool, tokens int, avoid []string) []part {
 	model := pool.Model
 	byCentre := f.byCentre[pool.Group]
-	costs := saddlepath.Costs{ToFirstPart: remoteHeadCostNS, BetweenParts: math.Inf(1)}
+	remote := remoteCost(pool)
+	costs := saddlepath.Costs{ToFirstPart: remote, BetweenParts: math.Inf(1)}
 	search := func(centre fireflysaddle.DataCentre) ([]part, float64) {
 		engines := usableEngines(now, model, byCentre[centre], avoid)
-		return f.candidates(now, model, engines, tokens).findParts(model.Layers, f.centre, costs)
+		return f.candidates(now, pool, engines, tokens).findParts(model.Layers, f.centre, costs)
 	}
 	best, bestCost := search(f.centre)
-	if bestCost <= remoteHeadCostNS {
+	if bestCost <= remote {
 		return best
 	}
 	for centre := range byCentre {
@@ -211,7 +228,8 @@
 // candidates returns those of the engines that have capacity for a number of tokens, and
 // their costs. An engine whose limit is used up can be any stage of a chain but the head,
 // which alone gets the request from the entry.
-func (f *Fleet) candidates(now time.Time, model *saddlerouting.Model, engines []*target, tokens int) *candidates {
+func (f *Fleet) candidates(now time.Time, pool *saddlerouting.Pool, engines []*target, tokens int) *candidates {
+	model := pool.Model
 	weights := expectedLayers(model, engines)
 	c := &candidates{centres: map[fireflysaddle.DataCentre]int{}}
 	for i, t := range engines {
@@ -220,20 +238,24 @@
 			continue
 		}
 		acc := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
-		headCost := headFaultCostNS * t.faults.at(now)
+		headCost := headFaultCostNS*t.faults.at(now) + f.slotCost(model, t)
 		if t.failing(now) {
 			headCost += failingHeadCostNS
 		}
 		if !t.limit.accepts(now, f.entryCount) {
 			headCost = math.Inf(1)
 		}
+		reading := 1.0
+		if pool.Ranked {
+			reading = f.readPenalty(now, model, t)
+		}
 		for _, held := range t.reg.GetLayers() {
 			c.pathEngines = append(c.pathEngines, saddlepath.Engine{
 				From:      int(held.GetFrom()),
 				To:        int(held.GetTo()),
 				Centre:    c.centreIndex(t.Centre),
-				LayerCost: float64(model.StepTime(acc, 1)) * t.stepTimeFactor * t.stepTimeFactor * loadPenalty(load), // squared, because the queue grows with the factor as well
-				HopCost:   hopCostNS,
+				LayerCost: float64(model.StepTime(acc, 1)) * t.stepTimeFactor * t.stepTimeFactor * loadPenalty(load) * reading, // squared, because the queue grows with the factor as well
+				HopCost:   hopCostNS * reading,
 				HeadCost:  headCost,
 				MaxLayers: maxLayers,
 			})
--- a/internal/direct/saddlefleet/decayingcount.go
+++ b/internal/direct/saddlefleet/decayingcount.go
@@ -18,11 +18,19 @@
 	updated time.Time
 }
 
-func (c *decayingCount) add(now time.Time) {
-	c.value = c.at(now) + 1
+func (c *decayingCount) add(now time.Time) { c.addSome(now, 1) }
+
+// addSome adds n events.
+func (c *decayingCount) addSome(now time.Time, n float64) {
+	c.value = c.at(now) + n
 	c.updated = now
 }
 
+// perSecond returns the recent rate of the events.
+func (c *decayingCount) perSecond(now time.Time) float64 {
+	return c.at(now) * math.Ln2 / countHalfLife.Seconds()
+}
+
 func (c *decayingCount) reset() { c.value = 0 }
 
 // at returns the value after its decay until now.
--- a/internal/direct/saddlefleet/fleetlimits.go
+++ b/internal/direct/saddlefleet/fleetlimits.go
@@ -86,7 +86,7 @@
 		if _, limited := l.current(now); !limited {
 			continue
 		}
-		perSecond := l.demand.at(now) * math.Ln2 / countHalfLife.Seconds()
+		perSecond := l.demand.perSecond(now)
 		r := &saddlewire.TargetLimit{Target: string(id), Incarnation: t.incarnation, Demand: uint64(math.Round(perSecond * thousandths))}
 		if l.stated(now) {
 			r.Limit = max(1, uint64(math.Round(float64(l.rate)*thousandths)))
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -30,9 +30,11 @@
 	layersChangedAt time.Time // arrival of the registration with its present layers
 	stepTimeFactor  float64   // step time relative to other engines with its type of accelerator, at least 1
 
-	leaving             bool    // its registration says that it is leaving
-	inFlight            int     // number of this entry's requests in flight
-	reservedTokenLayers float64 // tokens x layers reserved by this entry's requests
+	leaving             bool          // its registration says that it is leaving
+	inFlight            int           // number of this entry's requests in flight
+	headRequests        int           // number of this entry's requests in flight of which it is the head
+	prompts             decayingCount // prompt tokens that this entry recently sent through it
+	reservedTokenLayers float64       // tokens x layers reserved by this entry's requests
 
 	excluded            bool      // seems to have failed, not selected for requests
 	ended               bool      // a probe since its last answer showed that this incarnation has ended
