Keys stay required without tenants

A configuration whose list of tenants is empty let every request pass, with keys that it took away and with keys that no configuration held. RequiresKey counted the tenants, and the decoder dropped the difference between an empty list and no list.

An empty list now requires keys and holds none. Control states in the log that a configuration in force had the list; one that leaves it out later still requires keys, also at a gateway that starts then. A configuration that never had the list requires none, and public routes stay open.

--- a/internal/control/saddlestate/routing.go
+++ b/internal/control/saddlestate/routing.go
@@ -20,6 +20,10 @@
 	if current := s.routing.GetVersion(); put.GetVersion() <= current {
 		return &saddlewire.Result{Accepted: true, Revision: current}
 	}
-	s.routing = &saddlewire.Routing{Version: put.GetVersion(), Content: put.GetContent(), Index: index}
+	s.routing = &saddlewire.Routing{
+		Version: put.GetVersion(), Content: put.GetContent(), Index: index,
+		// A configuration without the list may be one whose encoder omits empty lists.
+		RequiresKey: put.GetRequiresKey() || s.routing.GetRequiresKey(),
+	}
 	return s.accept(index, put.GetVersion())
 }
--- a/internal/control/saddlestate/routing_test.go
+++ b/internal/control/saddlestate/routing_test.go
@@ -41,6 +41,27 @@
 	is.Equal(r.GetCode(), string(fireflysaddle.CodeInvalid))
 }
 
+// Guards against a configuration that opens all routes because the list of tenants is left
+// out once the last tenant is taken away.
+func TestKeysStayRequiredWithoutAListOfTenants(t *testing.T) {
+	is := is.New(t)
+	s := saddlestate.New()
+	s.Apply(1, putRouting(1, "no list"))
+	is.True(!s.Routing().GetRequiresKey())
+	keyed := putRouting(3, "tenants")
+	keyed.GetPutRouting().RequiresKey = true
+	s.Apply(2, keyed)
+	is.True(s.Routing().GetRequiresKey())
+	s.Apply(3, putRouting(4, "no list"))
+	is.Equal(s.Routing().GetVersion(), uint64(4))
+	is.True(s.Routing().GetRequiresKey())
+	data, err := s.Encode()
+	is.NoErr(err)
+	restored, err := saddlestate.Decode(data)
+	is.NoErr(err)
+	is.True(restored.Routing().GetRequiresKey())
+}
+
 func TestDepartureAppliesToIncarnation(t *testing.T) {
 	is := is.New(t)
 	s := saddlestate.New()
--- a/internal/daemon/saddledaemon/gatewayrouting.go
+++ b/internal/daemon/saddledaemon/gatewayrouting.go
@@ -104,7 +104,7 @@
 			g.process.log.Warn().Err(err).Str("control", address).Msg("could not fetch routing configuration")
 			continue
 		}
-		routing, err := platform.DecodeCompressedRouting(out.GetRouting().GetContent())
+		routing, err := platform.DecodeStoredRouting(out.GetRouting())
 		if err != nil {
 			g.process.log.Error().Err(err).Str("control", address).Uint64("routing", out.GetVersion()).Msg("invalid routing configuration")
 			continue
--- a/internal/daemon/saddledaemon/routingcache.go
+++ b/internal/daemon/saddledaemon/routingcache.go
@@ -36,7 +36,7 @@
 	if err != nil || out.GetRouting() == nil {
 		return c.latest.Load()
 	}
-	routing, err := platform.DecodeCompressedRouting(out.GetRouting().GetContent())
+	routing, err := platform.DecodeStoredRouting(out.GetRouting())
 	if err != nil {
 		log.Error().Err(err).Uint64("routing", out.GetVersion()).Msg("invalid routing configuration; keeping the previous one")
 		return c.latest.Load()
--- a/internal/direct/saddlegateway/plain_test.go
+++ b/internal/direct/saddlegateway/plain_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlegateway"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -100,6 +101,17 @@
 	}
 }
 
+// withoutTenants returns the configuration with an emptied list of tenants.
+func withoutTenants(t *testing.T) *saddlerouting.Routing {
+	t.Helper()
+	r := routing(t)
+	r.Tenants, r.Keyed = nil, true
+	if err := r.Check(); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
 func TestAdmission(t *testing.T) {
 	for name, c := range map[string]struct {
 		change func(f *fixture, call *saddlegateway.Call)
@@ -108,6 +120,8 @@
 		"a known key":                          {func(*fixture, *saddlegateway.Call) {}, ""},
 		"an unknown key":                       {func(_ *fixture, c *saddlegateway.Call) { c.Key = "other" }, fireflysaddle.CodeUnauthorized},
 		"no key":                               {func(_ *fixture, c *saddlegateway.Call) { c.Key = "" }, fireflysaddle.CodeUnauthorized},
+		"a key, no tenants left":               {func(f *fixture, _ *saddlegateway.Call) { f.setRouting(withoutTenants(t), 0) }, fireflysaddle.CodeUnauthorized},
+		"no tenants left, public route":        {func(f *fixture, c *saddlegateway.Call) { f.setRouting(withoutTenants(t), 0); c.Path = "/open/" }, ""},
 		"no key on a public route":             {func(_ *fixture, c *saddlegateway.Call) { c.Key, c.Path = "", "/open/" }, ""},
 		"no such route":                        {func(_ *fixture, c *saddlegateway.Call) { c.Path = "/none/" }, fireflysaddle.CodeNotFound},
 		"no configuration":                     {func(f *fixture, _ *saddlegateway.Call) { f.setRouting(nil, 0) }, fireflysaddle.CodeNoMajority},
--- a/internal/direct/saddlerouting/routing.go
+++ b/internal/direct/saddlerouting/routing.go
@@ -12,6 +12,7 @@
 	Routes  []*Route
 	Pools   map[fireflysaddle.Group]*Pool
 	Tenants []*Tenant
+	Keyed   bool // requests need a key also if there are no tenants
 	Limits  Limits
 
 	routesByHost map[string][]*Route
@@ -58,9 +59,8 @@
 	return r.tenantByKey[key]
 }
 
-// RequiresKey reports whether requests need a key, which is so if the configuration
-// has any workspaces.
-func (r *Routing) RequiresKey() bool { return len(r.Tenants) > 0 }
+// RequiresKey reports whether requests need a key, except those of public routes.
+func (r *Routing) RequiresKey() bool { return r.Keyed || len(r.Tenants) > 0 }
 
 // GetVersion returns the version, 0 for a nil configuration.
 func (r *Routing) GetVersion() uint64 {
