Check and find routes by a map of prefixes

The routes of a host are now a map by prefix. Match looks the path up at each of its slashes, the last one first, up to the length of the longest prefix. The text of the refusal is the same.

--- a/internal/direct/saddlerouting/check.go
+++ b/internal/direct/saddlerouting/check.go
@@ -20,13 +20,16 @@
 	if r.Version == 0 {
 		return &Error{Subject: "version", Reason: "must be above 0"}
 	}
-	r.routesByHost = map[string][]*Route{}
+	r.hosts = map[string]*hostRoutes{}
 	r.tenantByKey = map[string]*Tenant{}
 	for _, route := range r.Routes {
 		if err := r.checkRoute(route); err != nil {
 			return err
 		}
-		r.routesByHost[route.Host] = append(r.routesByHost[route.Host], route)
+		if r.hosts[route.Host] == nil {
+			r.hosts[route.Host] = newHostRoutes()
+		}
+		r.hosts[route.Host].add(route)
 	}
 	for _, t := range r.Tenants {
 		for _, key := range t.Keys {
@@ -49,10 +52,8 @@
 	if route.Timeout <= 0 {
 		return fail("has no timeout")
 	}
-	for _, other := range r.routesByHost[route.Host] {
-		if other.Prefix == route.Prefix {
-			return fail("has the host and prefix of route %q", other.Name)
-		}
+	if h := r.hosts[route.Host]; h != nil && h.byPrefix[route.Prefix] != nil {
+		return fail("has the host and prefix of route %q", h.byPrefix[route.Prefix].Name)
 	}
 	total := 0
 	for _, s := range route.Split {
--- a/internal/direct/saddlerouting/routing.go
+++ b/internal/direct/saddlerouting/routing.go
@@ -1,8 +1,6 @@
 package saddlerouting
 
 import (
-	"strings"
-
 	"github.com/fireflysaddle/fireflysaddle"
 )
 
@@ -15,8 +13,8 @@
 	Keyed   bool // requests need a key also if there are no tenants
 	Limits  Limits
 
-	routesByHost map[string][]*Route
-	tenantByKey  map[string]*Tenant
+	hosts       map[string]*hostRoutes
+	tenantByKey map[string]*Tenant
 }
 
 // Pool is a group of interchangeable targets.
@@ -42,13 +40,11 @@
 // Match returns the route of a host with the longest prefix that matches the path, nil
 // if there is none.
 func (r *Routing) Match(host, path string) *Route {
-	var best *Route
-	for _, route := range r.routesByHost[host] {
-		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
-			best = route
-		}
+	h := r.hosts[host]
+	if h == nil {
+		return nil
 	}
-	return best
+	return h.match(path)
 }
 
 // Tenant returns the tenant to which an API key belongs, nil if there is none.
--- a/internal/direct/saddlerouting/routing_test.go
+++ b/internal/direct/saddlerouting/routing_test.go
@@ -67,6 +67,13 @@
 	}
 }
 
+func TestDuplicateRouteNamesTheFirst(t *testing.T) {
+	is := is.New(t)
+	err := routing(route("x", "a.example", "/x/"), route("x", "b.example", "/x/"), route("again", "a.example", "/x/")).Check()
+	is.True(err != nil)
+	is.Equal(err.Error(), `route "again" has the host and prefix of route "x"`)
+}
+
 func TestASplitFollowsItsWeights(t *testing.T) {
 	is := is.New(t)
 	r := route("x", "a.example", "/x/")
