Targets that an outage ends under identical requests count once

Under identical requests each target that ended counted, as a retry is sent after the end of the one before. In an outage identical requests of several callers run at several targets at once: three plain targets that ended together put the request in quarantine for ten minutes, though it ended none.

Entries now report how long ago they sent the latest request with a trait to the target, and how long ago they lost it. Control counts a target only if the request was sent there after the one before had ended. Reports of an earlier build count as before.

--- a/internal/control/saddlecontrol/members.go
+++ b/internal/control/saddlecontrol/members.go
@@ -104,10 +104,15 @@
 	return slices.Equal(a.GetSuspects(), b.GetSuspects()) &&
 		slices.Equal(a.GetFailing(), b.GetFailing()) &&
 		slices.Equal(a.GetSlow(), b.GetSlow()) &&
-		slices.EqualFunc(a.GetBlames(), b.GetBlames(), func(x, y *saddlewire.Blame) bool { return proto.Equal(x, y) }) &&
+		slices.EqualFunc(a.GetBlames(), b.GetBlames(), sameBlame) &&
 		slices.Equal(a.GetHarmless(), b.GetHarmless())
 }
 
+// sameBlame reports whether two reports blame the same, whenever they were sent.
+func sameBlame(a, b *saddlewire.Blame) bool {
+	return a.GetTarget() == b.GetTarget() && slices.Equal(a.GetTraits(), b.GetTraits())
+}
+
 // removeExpired removes the members without a heartbeat for the given time and returns
 // their names.
 func (t *memberTable) removeExpired(now time.Time, timeout time.Duration) []string {
--- a/internal/control/saddlequarantine/detector.go
+++ b/internal/control/saddlequarantine/detector.go
@@ -13,7 +13,8 @@
 
 const (
 	// minCrashes is the number of times at which targets must have ended under a trait
-	// before requests with it are refused. Of identical requests it is the number of targets.
+	// before requests with it are refused. Of identical requests it is the number of targets
+	// to which one was sent after the target before had ended.
 	minCrashes = 3
 	// crashInterval is the time within which targets that end count once: an outage ends
 	// many at the same time, and entries report it within one heartbeat interval.
@@ -42,8 +43,15 @@
 
 // trait is what is known of a trait. The keys of its maps are targets.
 type trait struct {
-	ended      map[string]time.Time // ended under the trait; time of the first report
-	discounted map[string]time.Time // the same, before a target answered with the trait
+	ended      map[string]crash     // ended under the trait
+	discounted map[string]time.Time // the same, before a target answered with the trait; time of that answer's report
+}
+
+// crash is the end of a target under a trait.
+type crash struct {
+	at      time.Time // time of the first report
+	sentAt  time.Time // time at which the latest request with the trait was sent to the target
+	endedAt time.Time
 }
 
 // New returns a detector without reports.
@@ -67,8 +75,12 @@
 	d.expire(now)
 	changed := false
 	for _, b := range m.GetBlames() {
-		for _, name := range b.GetTraits() {
-			changed = d.blame(now, name, b.GetTarget()) || changed
+		for i, name := range b.GetTraits() {
+			c := crash{at: now, sentAt: now, endedAt: now.Add(-milliseconds(b.GetEndedMsAgo()))}
+			if i < len(b.GetSentMsAgo()) { // else the entry is of an earlier build
+				c.sentAt = now.Add(-milliseconds(b.GetSentMsAgo()[i]))
+			}
+			changed = d.blame(name, b.GetTarget(), c) || changed
 		}
 	}
 	var out []Change
@@ -91,7 +103,7 @@
 	d.expiredAt = now
 	expired := func(_ string, at time.Time) bool { return now.Sub(at) > blameTTL }
 	for name, tr := range d.traits {
-		maps.DeleteFunc(tr.ended, expired)
+		maps.DeleteFunc(tr.ended, func(_ string, c crash) bool { return now.Sub(c.at) > blameTTL })
 		maps.DeleteFunc(tr.discounted, expired)
 		if len(tr.ended)+len(tr.discounted) == 0 {
 			delete(d.traits, name)
@@ -102,23 +114,25 @@
 }
 
 // blame records that a target ended under a trait. It reports whether that was not known.
-func (d *Detector) blame(now time.Time, name, target string) bool {
+func (d *Detector) blame(name, target string, c crash) bool {
 	tr, ok := d.traits[name]
 	if !ok {
 		if len(d.traits) >= maxTraits && !d.forgetOldest() {
 			return false
 		}
-		tr = &trait{ended: map[string]time.Time{}, discounted: map[string]time.Time{}}
+		tr = &trait{ended: map[string]crash{}, discounted: map[string]time.Time{}}
 		d.traits[name] = tr
 	}
 	_, discounted := tr.discounted[target]
 	if _, known := tr.ended[target]; known || discounted {
 		return false
 	}
-	tr.ended[target] = now
+	tr.ended[target] = c
 	return true
 }
 
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // forgetOldest forgets the oldest identical requests under which only one target ended, which
 // are mostly those of an outage. It reports whether there were such requests.
 func (d *Detector) forgetOldest() bool {
@@ -127,9 +141,9 @@
 		if !identical(name) || len(tr.ended) != 1 {
 			continue
 		}
-		for _, at := range tr.ended {
-			if oldest == "" || at.Before(oldestAt) {
-				oldest, oldestAt = name, at
+		for _, c := range tr.ended {
+			if oldest == "" || c.at.Before(oldestAt) {
+				oldest, oldestAt = name, c.at
 			}
 		}
 	}
@@ -212,14 +226,29 @@
 // crashes counts the times at which targets ended under a trait.
 func (tr *trait) crashes(name string) int {
 	if identical(name) {
-		return len(tr.ended)
+		return tr.successiveCrashes()
+	}
+	n := 0
+	var counted time.Time
+	for _, c := range slices.SortedFunc(maps.Values(tr.ended), func(a, b crash) int { return a.at.Compare(b.at) }) {
+		if n == 0 || c.at.Sub(counted) >= crashInterval {
+			n++
+			counted = c.at
+		}
 	}
+	return n
+}
+
+// successiveCrashes counts the targets that ended under identical requests one after the other.
+// Those at which such requests ran when another one ended count once, because an outage ends
+// them together.
+func (tr *trait) successiveCrashes() int {
 	n := 0
 	var counted time.Time
-	for _, at := range slices.SortedFunc(maps.Values(tr.ended), time.Time.Compare) {
-		if n == 0 || at.Sub(counted) >= crashInterval {
+	for _, c := range slices.SortedFunc(maps.Values(tr.ended), func(a, b crash) int { return a.endedAt.Compare(b.endedAt) }) {
+		if n == 0 || !c.sentAt.Before(counted) {
 			n++
-			counted = at
+			counted = c.endedAt
 		}
 	}
 	return n
@@ -245,7 +274,7 @@
 // identical reports whether only identical requests have a trait.
 func identical(name string) bool { return fireflysaddle.Trait(name).Identical() }
 
-func subset(a, b map[string]time.Time) bool {
+func subset(a, b map[string]crash) bool {
 	for k := range a {
 		if _, ok := b[k]; !ok {
 			return false
--- a/internal/control/saddlequarantine/identical_test.go
+++ b/internal/control/saddlequarantine/identical_test.go
@@ -86,3 +86,25 @@
 	}
 	is.Equal(quarantined(d), [][]string{{identical("fatal")}})
 }
+
+// Pattern: identical requests run at three targets when an outage ends these; then one of them
+// ends targets one after the other. Entries report late, each with the ages of what it saw.
+func TestTargetsThatEndTogetherUnderIdenticalRequestsCountOnce(t *testing.T) {
+	is := is.New(t)
+	d := saddlequarantine.New()
+	observe := func(seen time.Duration, target string, sentAt, endedAt time.Duration) {
+		m := blame(target, identical("f"))
+		m.Blames[0].SentMsAgo = []uint32{uint32((seen - sentAt).Milliseconds())}
+		m.Blames[0].EndedMsAgo = uint32((seen - endedAt).Milliseconds())
+		d.Observe(start.Add(seen), m)
+	}
+	const ms = time.Millisecond
+	for i := range 5 {
+		observe(time.Duration(900-100*i)*ms, fmt.Sprint("outage-", i), time.Duration(i)*ms, time.Duration(100+i)*ms)
+	}
+	is.Equal(len(quarantined(d)), 0)
+	observe(2000*ms, "fatal-1", 1000*ms, 1010*ms)
+	is.Equal(len(quarantined(d)), 0)
+	observe(2000*ms, "fatal-2", 1010*ms, 1020*ms) // sent at once after the end before
+	is.Equal(quarantined(d), [][]string{{identical("f")}})
+}
--- a/internal/direct/saddleblame/tracker.go
+++ b/internal/direct/saddleblame/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -39,12 +40,14 @@
 type interruption struct {
 	target string
 	traits []fireflysaddle.Trait
+	sentAt time.Time
 	at     time.Time
 }
 
 type blame struct {
-	traits map[fireflysaddle.Trait]struct{}
-	at     time.Time
+	traits  map[fireflysaddle.Trait]time.Time // time at which the latest request with the trait was sent
+	endedAt time.Time                         // time of the first interruption
+	at      time.Time
 }
 
 // New returns a tracker that blames no trait.
@@ -67,7 +70,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	i := interruption{target: target, traits: traits, at: now}
+	i := interruption{target: target, traits: traits, sentAt: sentAt, at: now}
 	if ended, ok := t.endedAt[address]; ok && !ended.Before(sentAt) && now.Sub(ended) < confirmTime {
 		t.blame(now, i)
 		return true
@@ -102,12 +105,17 @@
 		if len(t.blames) >= maxTargets {
 			return
 		}
-		b = &blame{traits: map[fireflysaddle.Trait]struct{}{}, at: now}
+		b = &blame{traits: map[fireflysaddle.Trait]time.Time{}, endedAt: i.at, at: now}
 		t.blames[i.target] = b
 	}
+	if i.at.Before(b.endedAt) {
+		b.endedAt = i.at
+	}
 	for _, tr := range i.traits {
 		if len(b.traits) < maxTraitsPerTarget {
-			b.traits[tr] = struct{}{}
+			if i.sentAt.After(b.traits[tr]) {
+				b.traits[tr] = i.sentAt
+			}
 			t.watch(now, tr)
 			delete(t.harmless, tr)
 		}
@@ -201,14 +209,27 @@
 	defer t.mu.Unlock()
 	t.expire(now)
 	for _, target := range slices.Sorted(maps.Keys(t.blames)) {
-		if traits := sorted(t.blames[target].traits); len(traits) > 0 {
-			m.Blames = append(m.Blames, &saddlewire.Blame{Target: target, Traits: traits})
+		b := t.blames[target]
+		traits := sorted(b.traits)
+		if len(traits) == 0 {
+			continue
 		}
+		out := &saddlewire.Blame{Target: target, Traits: traits, EndedMsAgo: millisecondsSince(now, b.endedAt)}
+		for _, tr := range traits {
+			out.SentMsAgo = append(out.SentMsAgo, millisecondsSince(now, b.traits[fireflysaddle.Trait(tr)]))
+		}
+		m.Blames = append(m.Blames, out)
 	}
 	m.Harmless = sorted(t.harmless)
 	m.Quarantines = t.quarantines
 }
 
+// millisecondsSince returns the milliseconds since a time, which is no older than a blame is
+// reported and a request may take.
+func millisecondsSince(now, at time.Time) uint32 {
+	return uint32(min(max(0, now.Sub(at).Milliseconds()), math.MaxUint32))
+}
+
 func sorted[V any](traits map[fireflysaddle.Trait]V) []string {
 	var out []string
 	for tr := range traits {
--- a/internal/direct/saddleblame/tracker_test.go
+++ b/internal/direct/saddleblame/tracker_test.go
@@ -45,6 +45,21 @@
 	}
 }
 
+// Control tells an outage from a fatal request by when the latest request with a trait was sent.
+func TestBlamesSayWhenRequestsWereSentAndInterrupted(t *testing.T) {
+	is := is.New(t)
+	tracker := saddleblame.New()
+	const ms = time.Millisecond
+	tracker.Interrupted(start.Add(200*ms), start, "address", "target-1", traits("both", "early"))
+	tracker.Interrupted(start.Add(210*ms), start.Add(150*ms), "address", "target-1", traits("both"))
+	tracker.TargetEnded(start.Add(300*ms), "address")
+	b := report(tracker, start.Add(time.Second)).GetBlames()[0]
+	is.Equal(b.GetTraits(), []string{"both", "early"})
+	is.Equal(b.GetSentMsAgo(), []uint32{850, 1000})
+	is.Equal(b.GetEndedMsAgo(), uint32(800))
+	is.Equal(report(tracker, start.Add(2*time.Second)).GetBlames()[0].GetEndedMsAgo(), uint32(1800))
+}
+
 // Guards against blaming the traits of requests whose target merely reset a connection.
 func TestNothingIsBlamedWhileTheEngineAnswers(t *testing.T) {
 	is := is.New(t)
--- a/internal/direct/saddlegateway/outage_test.go
+++ b/internal/direct/saddlegateway/outage_test.go
@@ -12,6 +12,9 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlequarantine"
 )
 
+// outageAfter is how long the requests have run when the outage begins.
+const outageAfter = 30 * time.Millisecond
+
 // outageDesks are the plain targets of several entries. An outage ends all of them while
 // requests run there.
 type outageDesks struct {
@@ -70,7 +73,7 @@
 				wg.Go(func() { f.serve(identicalCall("/status/", "page", "key")) })
 			}
 		}
-		synctest.Wait()
+		time.Sleep(outageAfter)
 		desks.end()
 		wg.Wait()
 		synctest.Wait()
