--- a/internal/direct/saddlerouting/routing.go
+++ b/internal/direct/saddlerouting/routing.go
@@ -1,8 +1,6 @@
 package saddlerouting
 
 import (
-	"strings"
-
 	"github.com/fireflysaddle/fireflysaddle"
 )
 
@@ -12,10 +10,11 @@
 	Routes  []*Route
 	Pools   map[fireflysaddle.Group]*Pool
 	Tenants []*Tenant
+	Keyed   bool // requests need a key also if there are no tenants
 	Limits  Limits
 
-	routesByHost map[string][]*Route
-	tenantByKey  map[string]*Tenant
+	hosts       map[string]*hostRoutes
+	tenantByKey map[string]*Tenant
 }
 
 // Pool is a group of interchangeable targets.
@@ -44,13 +43,11 @@
 // Match returns the route of a host with the longest prefix that matches the path, nil
 // if there is none.
 func (r *Routing) Match(host, path string) *Route {
-	var best *Route
-	for _, route := range r.routesByHost[host] {
-		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
-			best = route
-		}
+	h := r.hosts[host]
+	if h == nil {
+		return nil
 	}
-	return best
+	return h.match(path)
 }
 
 // Tenant returns the tenant to which an API key belongs, nil if there is none.
@@ -61,9 +58,8 @@
 	return r.tenantByKey[key]
 }
 
-// RequiresKey reports whether requests need a key, which is so if the configuration
-// has any workspaces.
-func (r *Routing) RequiresKey() bool { return len(r.Tenants) > 0 }
+// RequiresKey reports whether requests need a key, except those of public routes.
+func (r *Routing) RequiresKey() bool { return r.Keyed || len(r.Tenants) > 0 }
 
 // GetVersion returns the version, 0 for a nil configuration.
 func (r *Routing) GetVersion() uint64 {
