Registry of targets: work by what changed, not by targets

At 3,000 targets each report compared the addresses of all others, and each update to each of hundreds of subscribers, and the check for expired targets after each event, went through the whole table: the core of a replica spent 0.32 ms on a report, 0.15 ms on an update with one change and 0.13 ms on each event.

Records are indexed by address, changes are kept in their order, and the check returns at once before the earliest time at which a target can expire.

--- a/internal/control/saddleregistry/table.go
+++ b/internal/control/saddleregistry/table.go
@@ -22,27 +22,33 @@
 	version    uint64
 	records    map[string]*record
 	tombstones map[string]tombstone
+	changes    changeList
+	// nextExpiry is a time before which no record expires, so that RemoveExpired can be called
+	// after each event.
+	nextExpiry time.Time
 
 	byFingerprint map[uint64]*record
+	byAddress     map[string][]*record
 }
 
 type record struct {
 	registration  *saddlewire.Registration
 	lastHeartbeat time.Time // of the target to this replica
 	lastHeard     time.Time // of the target to any replica
-	version       uint64    // table version at the last change that must be sent to nodes
 	fingerprint   uint64
 }
 
 type tombstone struct {
 	removedAt time.Time
-	version   uint64
 }
 
 // New returns an empty table. RemoveExpired removes the targets that send nothing for
 // longer than timeout.
 func New(timeout time.Duration) *Table {
-	return &Table{timeout: timeout, records: map[string]*record{}, tombstones: map[string]tombstone{}, byFingerprint: map[uint64]*record{}}
+	return &Table{
+		timeout: timeout, records: map[string]*record{}, tombstones: map[string]tombstone{}, changes: newChangeList(),
+		byFingerprint: map[uint64]*record{}, byAddress: map[string][]*record{},
+	}
 }
 
 // Version counts the changes that must be sent to nodes.
@@ -67,26 +73,43 @@
 	t.removePredecessors(reg)
 	rec := &record{registration: reg, lastHeartbeat: now, lastHeard: now, fingerprint: fingerprint(reg)}
 	if ok {
-		delete(t.byFingerprint, old.fingerprint)
+		t.unindex(old)
 	}
 	t.records[reg.GetId()] = rec
 	t.byFingerprint[rec.fingerprint] = rec
+	t.byAddress[reg.GetAddress()] = append(t.byAddress[reg.GetAddress()], rec)
 	if ok && sameForSelection(old.registration, reg) {
-		rec.version = old.version
 		return false
 	}
-	t.version++
-	rec.version = t.version
+	t.markChanged(reg.GetId())
 	delete(t.tombstones, reg.GetId())
 	return true
 }
 
+// markChanged records a change of a target that must be sent to nodes.
+func (t *Table) markChanged(id string) {
+	t.version++
+	t.changes.add(id, t.version)
+}
+
+// unindex removes a record from the indices by fingerprint and by address.
+func (t *Table) unindex(rec *record) {
+	delete(t.byFingerprint, rec.fingerprint)
+	address := rec.registration.GetAddress()
+	rest := slices.DeleteFunc(t.byAddress[address], func(r *record) bool { return r == rec })
+	if len(rest) == 0 {
+		delete(t.byAddress, address)
+		return
+	}
+	t.byAddress[address] = rest
+}
+
 // removePredecessors removes earlier targets at the same address, since an address
 // serves one target at a time.
 func (t *Table) removePredecessors(reg *saddlewire.Registration) {
-	for id, rec := range t.records {
-		if id != reg.GetId() && rec.registration.GetAddress() == reg.GetAddress() &&
-			rec.registration.GetIncarnation() < reg.GetIncarnation() {
+	for _, rec := range slices.Clone(t.byAddress[reg.GetAddress()]) { // remove changes the original
+		id := rec.registration.GetId()
+		if id != reg.GetId() && rec.registration.GetIncarnation() < reg.GetIncarnation() {
 			t.remove(rec.lastHeard, id)
 		}
 	}
@@ -168,16 +191,24 @@
 // RemoveExpired removes the targets that have sent nothing to any replica for longer than
 // the timeout and returns their ids.
 func (t *Table) RemoveExpired(now time.Time) []string {
+	if !now.After(t.nextExpiry) {
+		return nil
+	}
 	var removed []string
+	earliest := now
 	for id, rec := range t.records {
 		if now.Sub(rec.lastHeard) > t.timeout {
 			t.remove(now, id)
 			removed = append(removed, id)
+		} else if rec.lastHeard.Before(earliest) {
+			earliest = rec.lastHeard
 		}
 	}
+	t.nextExpiry = earliest.Add(t.timeout)
 	for id, ts := range t.tombstones {
 		if now.Sub(ts.removedAt) > tombstoneTTL {
 			delete(t.tombstones, id)
+			t.changes.remove(id)
 		}
 	}
 	slices.Sort(removed)
@@ -185,27 +216,21 @@
 }
 
 func (t *Table) remove(now time.Time, id string) {
-	t.version++
 	if rec, ok := t.records[id]; ok {
-		delete(t.byFingerprint, rec.fingerprint)
+		t.unindex(rec)
 	}
 	delete(t.records, id)
-	t.tombstones[id] = tombstone{removedAt: now, version: t.version}
+	t.tombstones[id] = tombstone{removedAt: now}
+	t.markChanged(id)
 }
 
 // Since returns the registrations that changed after a table version, and the ids of the
-// targets that were removed after it.
+// targets that were removed after it, the latest change first.
 func (t *Table) Since(version uint64) (changed []*saddlewire.Registration, removed []string) {
-	if version == t.version {
-		return nil, nil
-	}
-	for _, rec := range t.records {
-		if rec.version > version {
+	for id := range t.changes.since(version) {
+		if rec, ok := t.records[id]; ok {
 			changed = append(changed, rec.registration)
-		}
-	}
-	for id, ts := range t.tombstones {
-		if ts.version > version {
+		} else {
 			removed = append(removed, id)
 		}
 	}
