Views: merge the registrations that changed

Each update with one registration merged all registrations of all replicas again: 6.2 ms with 3,000 targets at five replicas, several times a second at every entry, which has a seventh of a core.

The builder keeps the merged registrations, merges again only the targets that an update names and those at their addresses, and lists them in the view.

--- a/internal/node/saddleview/builder.go
+++ b/internal/node/saddleview/builder.go
@@ -29,7 +29,8 @@
 	// changed that part of the view. Build merges such a part again.
 	configurationStale bool
 	membersStale       bool
-	registryStale      bool // registrations and departures
+
+	registry mergedRegistry
 
 	peerDrafts      map[fireflysaddle.Section]uint64 // tokens of the other entries' drafts in the latest update with reports
 	suspects        map[string]uint32                // number of other entries that suspect a target, in the same update
@@ -52,10 +53,9 @@
 	placements  map[string]*saddlewire.Placement
 	members     map[string]*saddlewire.Member
 
-	routingVersion       uint64 // version of the routing configuration that the replica holds
-	confirmedNs          int64  // send time of the latest heartbeat that was answered by a confirmed update
-	registrations        map[string]*saddlewire.Registration
-	departedIncarnations map[string]uint64 // latest departed incarnation, by target
+	routingVersion uint64 // version of the routing configuration that the replica holds
+	confirmedNs    int64  // send time of the latest heartbeat that was answered by a confirmed update
+	registrations  map[string]*saddlewire.Registration
 }
 
 func newReplicaState() *replicaState {
@@ -65,14 +65,13 @@
 		placements:  map[string]*saddlewire.Placement{},
 		members:     map[string]*saddlewire.Member{},
 
-		registrations:        map[string]*saddlewire.Registration{},
-		departedIncarnations: map[string]uint64{},
+		registrations: map[string]*saddlewire.Registration{},
 	}
 }
 
 // NewBuilder returns a builder without any replica state.
 func NewBuilder() *Builder {
-	return &Builder{replicas: map[string]*replicaState{}, lastView: &View{}, configurationStale: true, membersStale: true}
+	return &Builder{replicas: map[string]*replicaState{}, lastView: &View{}, configurationStale: true, membersStale: true, registry: newMergedRegistry()}
 }
 
 // Update applies an update of a replica. An update with a lower revision than an
@@ -182,7 +181,6 @@
 func (b *Builder) MarkDisconnected(replica string) {
 	if s, ok := b.replicas[replica]; ok {
 		b.membersStale = b.membersStale || s.connected
-		b.registryStale = b.registryStale || s.connected
 		s.connected = false
 		s.confirmed = false
 	}
@@ -202,17 +200,13 @@
 		v.MembersVersion++
 		v.Groups = membersByGroup(v.Members)
 	}
-	if b.registryStale {
-		v.Registrations, v.Departed = b.mergeRegistry()
-		v.RegistryVersion++
-	}
+	b.mergeRegistry(v)
 	b.mergeRouting(v)
 	v.PeerDrafts, v.Suspects, v.Failing = b.peerDrafts, b.suspects, b.failing
 	v.Limits = b.limits
 	v.Blamed, v.Quarantines = b.blamed, b.quarantines
 	v.StepTimeFactors = b.stepTimeFactors
 	v.OccupiedTokens = b.occupiedTokens
-	b.registryStale = false
 	b.configurationStale = false
 	b.membersStale = false
 	b.lastView = v
--- a/internal/node/saddleview/registry.go
+++ b/internal/node/saddleview/registry.go
@@ -1,6 +1,7 @@
 package saddleview
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/fireflysaddle/fireflysaddle/internal/control/saddleregistry"
@@ -12,19 +13,21 @@
 // time of the heartbeat that a confirmed update answers.
 func (b *Builder) updateRegistry(s *replicaState, u *saddlewire.Update) {
 	if u.GetSnapshot() {
+		for id := range s.registrations {
+			b.registry.markChanged(id)
+		}
 		clear(s.registrations)
 	}
-	if u.GetSnapshot() || len(u.GetRegistrations())+len(u.GetUnregistered())+len(u.GetDepartures()) > 0 {
-		b.registryStale = true
-	}
 	for _, reg := range u.GetRegistrations() {
 		s.registrations[reg.GetId()] = reg
+		b.registry.markChanged(reg.GetId())
 	}
 	for _, id := range u.GetUnregistered() {
 		delete(s.registrations, id)
+		b.registry.markChanged(id)
 	}
 	for _, d := range u.GetDepartures() {
-		s.departedIncarnations[d.GetTarget()] = max(s.departedIncarnations[d.GetTarget()], d.GetIncarnation())
+		b.registry.depart(d.GetTarget(), d.GetIncarnation())
 	}
 	s.routingVersion = max(s.routingVersion, u.GetRouting())
 	if u.GetConfirmed() {
@@ -49,34 +52,23 @@
 	v.RoutingSources = holders
 }
 
-// mergeRegistry returns the latest registration of each target at any replica,
-// and the latest departed incarnation of each target. Registrations of a
+// mergeRegistry merges the latest registration of each target at any replica, and the latest
+// departed incarnation of each target, as far as they have changed. Registrations of a
 // disconnected replica remain until another replica has a newer one, because
-// the target itself may be healthy. Of several targets at one address, only the
-// one with the highest incarnation remains.
-func (b *Builder) mergeRegistry() (map[string]*saddlewire.Registration, map[string]uint64) {
-	registrations := map[string]*saddlewire.Registration{}
-	departed := map[string]uint64{}
-	for _, s := range b.replicas {
-		for id, reg := range s.registrations {
-			if old, ok := registrations[id]; !ok || saddleregistry.Newer(reg, old) {
-				registrations[id] = reg
-			}
-		}
-		for id, incarnation := range s.departedIncarnations {
-			departed[id] = max(departed[id], incarnation)
-		}
-	}
-	latest := map[string]*saddlewire.Registration{}
-	for _, reg := range registrations {
-		if old, ok := latest[reg.GetAddress()]; !ok || reg.GetIncarnation() > old.GetIncarnation() {
-			latest[reg.GetAddress()] = reg
-		}
+// the target itself may be healthy.
+func (b *Builder) mergeRegistry(v *View) {
+	if len(b.registry.changed) == 0 {
+		return
 	}
-	for id, reg := range registrations {
-		if latest[reg.GetAddress()] != reg {
-			delete(registrations, id)
+	v.RegistryChanges = b.registry.merge(func(id string) *saddlewire.Registration {
+		var latest *saddlewire.Registration
+		for _, s := range b.replicas {
+			if reg, ok := s.registrations[id]; ok && (latest == nil || saddleregistry.Newer(reg, latest)) {
+				latest = reg
+			}
 		}
-	}
-	return registrations, departed
+		return latest
+	})
+	v.Registrations, v.Departed = maps.Clone(b.registry.used), maps.Clone(b.registry.departed)
+	v.RegistryVersion++
 }
--- a/internal/node/saddleview/view.go
+++ b/internal/node/saddleview/view.go
@@ -35,7 +35,8 @@
 	Blamed          []string                            // traits of requests that any entry blames for the end of targets
 	Quarantines     []*saddlewire.Quarantine            // traits with which requests are refused
 	Departed        map[string]uint64                   // latest incarnation that accepts no new work, by target
-	RegistryVersion uint64                              // changes whenever Registrations and Departed are merged again
+	RegistryVersion uint64                              // grows by one whenever Registrations or Departed change
+	RegistryChanges []string                            // targets that the latest change of RegistryVersion may have changed, sorted
 }
 
 // Leaving reports whether a target without an agent accepts no new work.
