Fleet of an entry: apply the registrations that changed

The fleet applies the changes that a view names to an index, which also holds apart the engines that hold layers, and keeps the targets that are not in order in a set of their own.

--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -147,7 +147,7 @@
 	if !f.linkBudget.allows(now, pool.Model, f.entryCount) {
 		return nil
 	}
-	engines := usableEngines(now, pool.Model, f.groups[pool.Group], avoid)
+	engines := usableEngines(now, pool.Model, f.holders[pool.Group], avoid)
 	found, _ := f.candidates(now, pool.Model, engines, tokens).findParts(pool.Model.Layers, f.centre, saddlepath.Costs{
 		ToFirstPart: remoteHeadCostNS, BetweenParts: crossCentreCostNS,
 	})
@@ -159,7 +159,7 @@
 // data centre costs more than it costs to reach another.
 func (f *Fleet) findLocalChain(now time.Time, pool *saddlerouting.Pool, tokens int, avoid []string) []part {
 	model := pool.Model
-	byCentre := f.byCentre[pool.Group]
+	byCentre := f.holdersByCentre[pool.Group]
 	costs := saddlepath.Costs{ToFirstPart: remoteHeadCostNS, BetweenParts: math.Inf(1)}
 	search := func(centre fireflysaddle.DataCentre) ([]part, float64) {
 		engines := usableEngines(now, model, byCentre[centre], avoid)
@@ -270,7 +270,7 @@
 		return false
 	}
 	held := make([]bool, pool.Model.Layers)
-	for _, t := range usableEngines(now, pool.Model, f.groups[pool.Group], avoid) {
+	for _, t := range usableEngines(now, pool.Model, f.holders[pool.Group], avoid) {
 		t.eachLayer(pool.Model.Layers, func(l int) { held[l] = true })
 	}
 	return !slices.Contains(held, false)
--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -1,7 +1,6 @@
 package saddlefleet
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -23,18 +22,18 @@
 
 	mu              sync.Mutex
 	targets         map[fireflysaddle.TargetID]*target
-	leavers         map[fireflysaddle.TargetID]uint64                              // incarnations that announced in an answer that they are leaving
-	groups          map[fireflysaddle.Group][]*target                              // targets that accept new requests, sorted by ID
-	byCentre        map[fireflysaddle.Group]map[fireflysaddle.DataCentre][]*target // those in groups, by data centre
-	byAddress       map[string]*target                                             // targets that accept new requests, by address
-	peerTokens      map[fireflysaddle.Section]float64                              // tokens reserved by requests of the other entries
-	reportedTokens  map[fireflysaddle.Section]float64                              // tokens in the KV caches, as reported by the engines
-	ownTokens       map[fireflysaddle.Section]float64                              // tokens reserved by requests of this entry, times the fraction of the layers that run in the section
-	entryCount      int                                                            // entries that share the engines, including this one
-	peerEntryCounts map[fireflysaddle.DataCentre]int                               // number of the other entries in each data centre
-	rotation        int                                                            // offset at which Pick starts, to alternate between equal targets
-	registryVersion uint64                                                         // of the view that targets were taken from
-	membersVersion  uint64                                                         // of the view that the entries were taken from
+	leavers         map[fireflysaddle.TargetID]uint64 // incarnations that announced in an answer that they are leaving
+	targetIndex                                       // targets that accept new requests
+	unusual         map[*target]struct{}              // contains all targets that are not in order
+	reported        []*target                         // targets that the latest view lists as slow, suspected or failing
+	peerTokens      map[fireflysaddle.Section]float64 // tokens reserved by requests of the other entries
+	reportedTokens  map[fireflysaddle.Section]float64 // tokens in the KV caches, as reported by the engines
+	ownTokens       map[fireflysaddle.Section]float64 // tokens reserved by requests of this entry, times the fraction of the layers that run in the section
+	entryCount      int                               // entries that share the engines, including this one
+	peerEntryCounts map[fireflysaddle.DataCentre]int  // number of the other entries in each data centre
+	rotation        int                               // offset at which Pick starts, to alternate between equal targets
+	registryVersion uint64                            // of the view that targets were taken from
+	membersVersion  uint64                            // of the view that the entries were taken from
 	linkBudget      linkBudget
 	probeRequests   chan struct{} // receives a value when an engine is to be probed immediately; capacity 1
 	onDown          func(address string, ended bool)
@@ -47,6 +46,7 @@
 func New(node string, centre fireflysaddle.DataCentre, log zerolog.Logger, onDown func(address string, ended bool)) *Fleet {
 	return &Fleet{
 		node: node, centre: centre, log: log, entryCount: 1, onDown: onDown, probeRequests: make(chan struct{}, 1),
+		targets: map[fireflysaddle.TargetID]*target{}, targetIndex: newTargetIndex(), unusual: map[*target]struct{}{},
 		ownTokens: map[fireflysaddle.Section]float64{}, leavers: map[fireflysaddle.TargetID]uint64{},
 	}
 }
@@ -57,18 +57,12 @@
 func (f *Fleet) Update(now time.Time, v *saddleview.View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v.RegistryVersion != f.registryVersion {
-		f.updateTargets(now, v)
-	}
+	f.updateTargets(now, v)
 	if v.MembersVersion != f.membersVersion {
 		f.countEntries(v)
 	}
 	f.registryVersion, f.membersVersion = v.RegistryVersion, v.MembersVersion
-	for id, t := range f.targets {
-		t.stepTimeFactor = max(1, v.StepTimeFactors[string(id)])
-		t.suspectedByPeer = v.Suspects[string(id)] > 0
-		t.failingForPeers = int(v.Failing[string(id)])
-	}
+	f.updateReports(v)
 	f.updateLimits(now, v.Limits)
 	f.reportedTokens = tokensBySection(v.OccupiedTokens)
 	f.peerTokens = tokensBySection(v.PeerDrafts)
@@ -82,45 +76,77 @@
 	return out
 }
 
-// updateTargets replaces the targets with the registrations of a view.
+// updateTargets applies the registrations of a view that have changed: those that it names if
+// it follows the view before, else all.
 func (f *Fleet) updateTargets(now time.Time, v *saddleview.View) {
-	targets := make(map[fireflysaddle.TargetID]*target, len(v.Registrations))
-	for id, reg := range v.Registrations {
-		t := f.targetFor(now, fireflysaddle.TargetID(id), reg)
-		t.leaving = v.Leaving(reg)
-		targets[t.ID] = t
+	switch v.RegistryVersion {
+	case f.registryVersion:
+	case f.registryVersion + 1:
+		for _, id := range v.RegistryChanges {
+			f.updateTarget(now, v, fireflysaddle.TargetID(id))
+		}
+	default:
+		ids := map[fireflysaddle.TargetID]struct{}{}
+		for id := range f.targets {
+			ids[id] = struct{}{}
+		}
+		for id := range v.Registrations {
+			ids[fireflysaddle.TargetID(id)] = struct{}{}
+		}
+		for _, id := range slices.Sorted(maps.Keys(ids)) { // the index grows at its end then
+			f.updateTarget(now, v, id)
+		}
 	}
-	f.targets = targets
-	f.forgetLeavers(func(id fireflysaddle.TargetID) bool {
-		t, ok := targets[id]
-		return ok && !f.announcedLeaving(t.Target)
-	})
-	f.groupTargets()
 }
 
-// groupTargets groups the targets that accept new requests.
-func (f *Fleet) groupTargets() {
-	groups := map[fireflysaddle.Group][]*target{}
-	byAddress := make(map[string]*target, len(f.targets))
-	for _, t := range f.targets {
-		if t.leaving || f.announcedLeaving(t.Target) {
-			continue
+// updateTarget applies the registration of a target in a view, or that there is none.
+func (f *Fleet) updateTarget(now time.Time, v *saddleview.View, id fireflysaddle.TargetID) {
+	old := f.targets[id]
+	if old != nil {
+		f.targetIndex.remove(old)
+	}
+	reg, ok := v.Registrations[string(id)]
+	if !ok {
+		delete(f.targets, id)
+		delete(f.unusual, old)
+		return
+	}
+	t := f.targetFor(now, id, reg)
+	if t != old {
+		delete(f.unusual, old)
+	}
+	t.leaving = v.Leaving(reg)
+	f.targets[id] = t
+	if !f.announcedLeaving(t.Target) {
+		delete(f.leavers, id) // another incarnation announced it
+		if !t.leaving {
+			f.targetIndex.add(t)
 		}
-		byAddress[t.Address] = t
-		group := fireflysaddle.Group(t.reg.GetGroup())
-		groups[group] = append(groups[group], t)
 	}
-	for _, list := range groups {
-		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// updateReports replaces what control reports of single targets.
+func (f *Fleet) updateReports(v *saddleview.View) {
+	for _, t := range f.reported {
+		t.stepTimeFactor, t.suspectedByPeer, t.failingForPeers = 1, false, 0
 	}
-	f.groups, f.byAddress = groups, byAddress
-	f.byCentre = map[fireflysaddle.Group]map[fireflysaddle.DataCentre][]*target{}
-	for group, list := range groups {
-		f.byCentre[group] = map[fireflysaddle.DataCentre][]*target{}
-		for _, t := range list {
-			f.byCentre[group][t.Centre] = append(f.byCentre[group][t.Centre], t)
+	f.reported = f.reported[:0]
+	report := func(id string, apply func(t *target)) {
+		if t, ok := f.targets[fireflysaddle.TargetID(id)]; ok {
+			apply(t)
+			f.reported = append(f.reported, t)
+			f.unusual[t] = struct{}{}
 		}
 	}
+	for id, factor := range v.StepTimeFactors {
+		report(id, func(t *target) { t.stepTimeFactor = max(1, factor) })
+	}
+	for id, entries := range v.Suspects {
+		report(id, func(t *target) { t.suspectedByPeer = entries > 0 })
+	}
+	for id, entries := range v.Failing {
+		report(id, func(t *target) { t.failingForPeers = int(entries) })
+	}
 }
 
 // targetFor returns the target of a registration. Its health and load are retained
@@ -133,7 +159,8 @@
 				ID: id, Address: reg.GetAddress(), Centre: fireflysaddle.DataCentre(reg.GetCentre()),
 				incarnation: reg.GetIncarnation(),
 			},
-			section: fireflysaddle.SectionOf(reg),
+			section:        fireflysaddle.SectionOf(reg),
+			stepTimeFactor: 1,
 		}
 	}
 	if !sameLayers(t.reg, reg) {
--- a/internal/direct/saddlefleet/fleetlimits.go
+++ b/internal/direct/saddlefleet/fleetlimits.go
@@ -33,6 +33,7 @@
 			Uint64("target_incarnation", t.incarnation).Float64("before", float64(before)).Float64("share", l.share)
 	}
 	if n.Limited {
+		f.unusual[current] = struct{}{}
 		l.rate, l.statedAt = n.Limit, now
 		if !limited {
 			l.begin(now, f.node, t.ID)
@@ -55,13 +56,18 @@
 	for _, s := range shares {
 		listed[fireflysaddle.TargetID(s.GetTarget())] = s
 	}
-	for id, t := range f.targets {
-		l := &t.limit
-		s, ok := listed[id]
+	for t := range f.unusual {
+		if s, ok := listed[t.ID]; !ok || s.GetIncarnation() != t.incarnation {
+			t.limit.peersSince, t.limit.share = time.Time{}, 0
+		}
+	}
+	for id, s := range listed {
+		t, ok := f.targets[id]
 		if !ok || s.GetIncarnation() != t.incarnation {
-			l.peersSince, l.share = time.Time{}, 0
 			continue
 		}
+		f.unusual[t] = struct{}{}
+		l := &t.limit
 		_, limited := l.current(now)
 		if l.peersSince.IsZero() {
 			l.peersSince = now
@@ -81,13 +87,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []*saddlewire.TargetLimit
-	for id, t := range f.targets {
+	for t := range f.unusual {
 		l := &t.limit
 		if _, limited := l.current(now); !limited {
 			continue
 		}
 		perSecond := l.demand.at(now) * math.Ln2 / countHalfLife.Seconds()
-		r := &saddlewire.TargetLimit{Target: string(id), Incarnation: t.incarnation, Demand: uint64(math.Round(perSecond * thousandths))}
+		r := &saddlewire.TargetLimit{Target: string(t.ID), Incarnation: t.incarnation, Demand: uint64(math.Round(perSecond * thousandths))}
 		if l.stated(now) {
 			r.Limit = max(1, uint64(math.Round(float64(l.rate)*thousandths)))
 		}
@@ -103,9 +109,9 @@
 func (f *Fleet) RecordDemand(now time.Time, group fireflysaddle.Group) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, t := range f.groups[group] {
+	for t := range f.unusual {
 		_, limited := t.limit.current(now)
-		if limited && (!t.isEngine() || (t.Centre == f.centre && t.beginsChains())) {
+		if limited && t.indexed && fireflysaddle.Group(t.reg.GetGroup()) == group && (!t.isEngine() || (t.Centre == f.centre && t.beginsChains())) {
 			t.limit.demand.add(now)
 		}
 	}
@@ -134,7 +140,7 @@
 	if pool.Model == nil {
 		return 0, time.Time{}, false
 	}
-	for _, t := range usableEngines(now, pool.Model, f.groups[pool.Group], nil) {
+	for _, t := range usableEngines(now, pool.Model, f.holders[pool.Group], nil) {
 		if !t.beginsChains() {
 			continue
 		}
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -18,6 +18,7 @@
 	newlyExcluded := ok && !t.excluded
 	if newlyExcluded || (ok && !t.isEngine()) {
 		t.exclude(now)
+		f.unusual[t] = struct{}{}
 	}
 	if newlyExcluded && t.isEngine() {
 		t.nextProbe = now
@@ -42,7 +43,10 @@
 	probe := ok && !t.excluded && !t.probing && t.pause.accepts(now) && now.Sub(t.nextProbe) > minProbeInterval
 	if ok {
 		t.refusedUntil = now.Add(refusalBackoff)
-		t.probeRequested = t.probeRequested || probe
+	}
+	if probe {
+		t.probeRequested = true
+		f.unusual[t] = struct{}{}
 	}
 	f.mu.Unlock()
 	if probe {
@@ -58,6 +62,7 @@
 	probe := ok && t.isEngine() && !t.excluded && !t.probing && !now.Before(t.nextProbe)
 	if probe {
 		t.probeRequested = true
+		f.unusual[t] = struct{}{}
 	}
 	f.mu.Unlock()
 	if probe {
@@ -115,6 +120,7 @@
 		if t.isEngine() && faults >= repeatedFaults && faults >= failingShare*(faults+t.successes.at(now)) {
 			newlyFailing = !now.Before(t.failingUntil)
 			t.failingUntil = now.Add(failingTime)
+			f.unusual[t] = struct{}{}
 		}
 	}
 	f.mu.Unlock()
@@ -159,9 +165,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
-	for id, t := range f.targets {
+	for t := range f.unusual {
 		if t.unresponsive {
-			out = append(out, string(id))
+			out = append(out, string(t.ID))
 		}
 	}
 	slices.Sort(out)
@@ -175,9 +181,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
-	for id, t := range f.targets {
+	for t := range f.unusual {
 		if now.Before(t.failingUntil) && t.failingForPeers < minFailingPeers {
-			out = append(out, string(id))
+			out = append(out, string(t.ID))
 		}
 	}
 	slices.Sort(out)
@@ -192,9 +198,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Target
-	for _, t := range f.byAddress {
+	for t := range f.unusual {
+		if t.inOrder(now) {
+			delete(f.unusual, t)
+			continue
+		}
 		needsProbe := t.excluded || t.suspectedByPeer || t.probeRequested
-		if !t.isEngine() || t.probing || !needsProbe || now.Before(t.nextProbe) {
+		if !t.indexed || !t.isEngine() || t.probing || !needsProbe || now.Before(t.nextProbe) {
 			continue
 		}
 		t.probing = true
@@ -227,6 +237,7 @@
 	if err != nil {
 		t.exclude(now)
 		t.unresponsive = true
+		f.unusual[t] = struct{}{}
 		t.ended = t.ended || errors.Is(err, errLayersMissing) || errors.Is(err, syscall.ECONNREFUSED)
 	} else {
 		t.readmit()
--- a/internal/direct/saddlefleet/leaving.go
+++ b/internal/direct/saddlefleet/leaving.go
@@ -18,7 +18,9 @@
 		f.forgetLeavers(func(id fireflysaddle.TargetID) bool { return f.targets[id] == nil })
 	}
 	f.leavers[t.ID] = t.incarnation
-	f.groupTargets()
+	if current, ok := f.targets[t.ID]; ok && current.incarnation == t.incarnation {
+		f.targetIndex.remove(current)
+	}
 	countLeaving.Add(1)
 	f.log.Info().Str("request", string(request)).Str("target", string(t.ID)).Str("address", t.Address).
 		Uint64("target_incarnation", t.incarnation).Msg("target announced that it is leaving")
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -30,6 +30,7 @@
 	layersChangedAt time.Time // arrival of the registration with its present layers
 	stepTimeFactor  float64   // step time relative to other engines with its type of accelerator, at least 1
 
+	indexed             bool    // is in the index
 	leaving             bool    // its registration says that it is leaving
 	inFlight            int     // number of this entry's requests in flight
 	reservedTokenLayers float64 // tokens x layers reserved by this entry's requests
@@ -109,3 +110,10 @@
 func (t *target) failing(now time.Time) bool {
 	return now.Before(t.failingUntil) || t.failingForPeers >= minFailingPeers
 }
+
+// inOrder reports whether the target answers, is not suspected, and states no limit.
+func (t *target) inOrder(now time.Time) bool {
+	_, limited := t.limit.current(now)
+	return !t.excluded && !t.unresponsive && !t.probeRequested && !t.suspectedByPeer &&
+		!now.Before(t.failingUntil) && t.failingForPeers == 0 && !limited && t.limit.peersSince.IsZero()
+}
