--- a/internal/direct/saddlefleet/fleet.go
+++ b/internal/direct/saddlefleet/fleet.go
@@ -103,7 +103,7 @@
 func (f *Fleet) updateTarget(now time.Time, v *saddleview.View, id fireflysaddle.TargetID) {
 	old := f.targets[id]
 	if old != nil {
-		f.targetIndex.remove(old)
+		f.remove(old)
 	}
 	reg, ok := v.Registrations[string(id)]
 	if !ok {
@@ -120,7 +120,7 @@
 	if !f.announcedLeaving(t.Target) {
 		delete(f.leavers, id) // another incarnation announced it
 		if !t.leaving {
-			f.targetIndex.add(t)
+			f.add(t)
 		}
 	}
 }
--- a/internal/direct/saddlefleet/leaving.go
+++ b/internal/direct/saddlefleet/leaving.go
@@ -19,7 +19,7 @@
 	}
 	f.leavers[t.ID] = t.incarnation
 	if current, ok := f.targets[t.ID]; ok && current.incarnation == t.incarnation {
-		f.targetIndex.remove(current)
+		f.remove(current)
 	}
 	countLeaving.Add(1)
 	f.log.Info().Str("request", string(request)).Str("target", string(t.ID)).Str("address", t.Address).
