Plan: look up the layer times once for each type of accelerator

The sort of the engines computed the time of a layer and looked up two types of accelerator in each comparison, ten times a second at the leader.

--- a/internal/place/saddleplan/plan.go
+++ b/internal/place/saddleplan/plan.go
@@ -90,24 +90,34 @@
 // byCentre returns the engines of each data centre, the fastest first. Engines whose type
 // of accelerator the model does not list are left out.
 func byCentre(model *saddlerouting.Model, engines []Engine) map[fireflysaddle.DataCentre][]Engine {
-	out := map[fireflysaddle.DataCentre][]Engine{}
-	for _, e := range engines {
-		if _, ok := model.Accelerators[e.Accelerator]; ok {
-			out[e.Centre] = append(out[e.Centre], e)
+	type rankedEngine struct {
+		layerTime int64
+		engine    *Engine
+	}
+	layerTimes := make(map[fireflysaddle.Accelerator]int64, len(model.Accelerators))
+	for accelerator := range model.Accelerators {
+		layerTimes[accelerator] = requestLayerTime(model, accelerator)
+	}
+	ranked := make([]rankedEngine, 0, len(engines))
+	for i := range engines {
+		if layerTime, ok := layerTimes[engines[i].Accelerator]; ok {
+			ranked = append(ranked, rankedEngine{layerTime: layerTime, engine: &engines[i]})
 		}
 	}
-	for _, list := range out {
-		slices.SortFunc(list, func(a, b Engine) int {
-			return cmp.Or(cmp.Compare(requestLayerTime(model, a), requestLayerTime(model, b)), cmp.Compare(a.ID, b.ID))
-		})
+	slices.SortFunc(ranked, func(a, b rankedEngine) int {
+		return cmp.Or(cmp.Compare(a.layerTime, b.layerTime), cmp.Compare(a.engine.ID, b.engine.ID))
+	})
+	out := map[fireflysaddle.DataCentre][]Engine{}
+	for _, r := range ranked {
+		out[r.engine.Centre] = append(out[r.engine.Centre], *r.engine)
 	}
 	return out
 }
 
-// requestLayerTime returns the time in nanoseconds that an engine takes for an average
-// request at one layer.
-func requestLayerTime(model *saddlerouting.Model, e Engine) int64 {
-	accelerator := model.Accelerators[e.Accelerator]
+// requestLayerTime returns the time in nanoseconds that an engine with a type of accelerator
+// takes for an average request at one layer.
+func requestLayerTime(model *saddlerouting.Model, typ fireflysaddle.Accelerator) int64 {
+	accelerator := model.Accelerators[typ]
 	decodeTime := model.StepTime(accelerator, 1) * time.Duration(max(1, model.MeanAnswerTokens))
 	return int64(decodeTime + model.PrefillTime(accelerator, 1, model.MeanPromptTokens))
 }
