--- a/internal/control/saddlecontrol/attend.go
+++ b/internal/control/saddlecontrol/attend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -90,6 +91,11 @@
 func (s *Server) sendUpdates(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, sub *subscriber) error {
 	tick := time.NewTicker(updateInterval)
 	defer tick.Stop()
+	endTurn, err := s.awaitSnapshotTurn(ctx, stream, sub, tick.C)
+	if err != nil {
+		return err
+	}
+	defer endTurn()
 	reply := make(chan *saddlewire.Update, 1)
 	for {
 		u, err := ask(ctx, s, updateEvent{sub: sub, reply: reply}, reply)
@@ -99,6 +105,7 @@
 		if err := stream.Send(u); err != nil {
 			return err
 		}
+		endTurn()
 		sentAt := time.Now()
 		select {
 		case <-ctx.Done():
@@ -112,6 +119,34 @@
 	}
 }
 
+// awaitSnapshotTurn waits until a snapshot may be sent, and meanwhile tells the entry at each tick
+// that it waits, so that it does not take this replica for silent. endTurn must be called once
+// the snapshot has been sent; further calls do nothing.
+func (s *Server) awaitSnapshotTurn(ctx context.Context, stream saddlewire.DRPCControl_AttendStream, sub *subscriber, tick <-chan time.Time) (endTurn func(), err error) {
+	reply := make(chan snapshotNeed, 1)
+	need, err := ask(ctx, s, snapshotNeedEvent{sub: sub, reply: reply}, reply)
+	if err != nil || !need.large {
+		return func() {}, err
+	}
+	turn := s.snapshots.join(need.firstSource)
+	endTurn = sync.OnceFunc(func() { s.snapshots.leave(turn) })
+	for {
+		select {
+		case <-ctx.Done():
+			endTurn()
+			return nil, ctx.Err()
+		case <-turn.granted:
+			return endTurn, nil
+		case <-tick:
+			countSnapshotWaits.Add(1)
+			if err := stream.Send(&saddlewire.Update{Waiting: true}); err != nil {
+				endTurn()
+				return nil, err
+			}
+		}
+	}
+}
+
 // pauseUpdates waits until the pause between two updates is over, so that further changes
 // join the next update. It returns false if the context ends first.
 func (s *Server) pauseUpdates(ctx context.Context, sinceLast time.Duration) bool {
--- a/internal/control/saddlecontrol/counters.go
+++ b/internal/control/saddlecontrol/counters.go
@@ -11,6 +11,7 @@
 	countOutdatedHeartbeats = expvar.NewInt("control_beats_outdated_total")
 	countUpdates            = expvar.NewInt("control_updates_total")
 	countSnapshots          = expvar.NewInt("control_snapshots_total")
+	countSnapshotWaits      = expvar.NewInt("control_snapshot_waits_total")
 	countNodesCutOff        = expvar.NewInt("control_nodes_cut_off_total")
 	countMessagesDropped    = expvar.NewInt("control_messages_dropped_total")
 )
--- a/internal/control/saddlecontrol/event.go
+++ b/internal/control/saddlecontrol/event.go
@@ -76,3 +76,17 @@
 }
 
 func (e updateEvent) handle(now time.Time, c *core) { e.reply <- c.nextUpdate(now, e.sub) }
+
+// snapshotNeedEvent asks how the first update to a subscriber is to be sent.
+type snapshotNeedEvent struct {
+	sub   *subscriber
+	reply chan snapshotNeed // of capacity 1
+}
+
+// snapshotNeed says how the first update to a subscriber is to be sent.
+type snapshotNeed struct {
+	large       bool // it waits for its turn
+	firstSource bool // before those to entries that another replica serves first
+}
+
+func (e snapshotNeedEvent) handle(_ time.Time, c *core) { e.reply <- c.snapshotNeed(e.sub) }
--- a/internal/control/saddlecontrol/server.go
+++ b/internal/control/saddlecontrol/server.go
@@ -22,6 +22,8 @@
 	lis    net.Listener
 	done   chan struct{} // closed when the core has stopped
 	pool   *saddlelink.Pool
+
+	snapshots snapshotQueue
 }
 
 // New opens the data folder and the listener. The returned function closes them and the
--- a/internal/control/saddlecontrol/subscriber.go
+++ b/internal/control/saddlecontrol/subscriber.go
@@ -52,6 +52,15 @@
 	return out
 }
 
+// snapshotNeed returns how the first update to a subscriber is to be sent. Only entries wait for
+// a turn: agents receive no registrations, and the other replicas are few.
+func (c *core) snapshotNeed(sub *subscriber) snapshotNeed {
+	return snapshotNeed{
+		large:       sub.role == fireflysaddle.RoleEntry && c.registry.Len() >= largeRegistry,
+		firstSource: isFirstSource(c.cfg.Listen, sub.node, c.replicaAddresses()),
+	}
+}
+
 // nextUpdate returns what changed since the subscriber's last update. Agents receive
 // neither members nor registrations, because they select no targets.
 func (c *core) nextUpdate(now time.Time, sub *subscriber) *saddlewire.Update {
--- a/internal/control/saddleregistry/table.go
+++ b/internal/control/saddleregistry/table.go
@@ -54,6 +54,9 @@
 // Version counts the changes that must be sent to nodes.
 func (t *Table) Version() uint64 { return t.version }
 
+// Len returns the number of targets.
+func (t *Table) Len() int { return len(t.records) }
+
 // Find returns the registration of a target, nil when there is none.
 func (t *Table) Find(id string) *saddlewire.Registration {
 	if rec, ok := t.records[id]; ok {
--- a/internal/node/saddlesubscriber/subscriber.go
+++ b/internal/node/saddlesubscriber/subscriber.go
@@ -230,6 +230,9 @@
 			return streamError(ctx, err)
 		}
 		silenceTimer.Reset(s.cfg.ControlSilenceTimeout)
+		if u.GetWaiting() {
+			continue
+		}
 		s.cfg.Timeline.Observe(time.Now(), u.GetStamp())
 		onUpdate()
 		s.post(ctx, event{replica: address, update: u})
