--- a/internal/control/saddlecontrol/register_test.go
+++ b/internal/control/saddlecontrol/register_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/control/saddlecontrol"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -32,3 +34,27 @@
 	is.Equal(len(u.GetRegistrations()), 1)
 	is.Equal(u.GetRegistrations()[0].GetId(), "i-2")
 }
+
+// Pattern: many more entries than take their turn at once ask for the snapshot of a large fleet.
+// Each gets all targets.
+func TestEveryEntryGetsItsLargeSnapshot(t *testing.T) {
+	is := is.New(t)
+	cfg := config(t)
+	cfg.NodeSilenceTimeout, cfg.NodeLostTimeout, cfg.UnregisterTimeout = waitTimeout, waitTimeout, waitTimeout
+	s, _ := runServer(t, cfg)
+	const targets, entries = 1200, 4 * saddlecontrol.MaxSnapshots
+	for i := range targets {
+		is.NoErr(s.Register(waitContext(t), &saddlewire.Registration{Id: fmt.Sprint("i-", i), Group: "drafts", Address: fmt.Sprint("10.0.0.", i, ":80")}))
+	}
+	var streams []saddlewire.DRPCControl_AttendClient
+	for i := range entries {
+		stream := openAttendStream(t, cfg)
+		is.NoErr(stream.Send(entryBeat(i, 1)))
+		streams = append(streams, stream)
+	}
+	for _, stream := range streams {
+		u := awaitUpdate(t, stream, func(u *saddlewire.Update) bool { return !u.GetWaiting() })
+		is.True(u.GetSnapshot())
+		is.Equal(len(u.GetRegistrations()), targets)
+	}
+}
--- a/internal/node/saddlesubscriber/subscriber_test.go
+++ b/internal/node/saddlesubscriber/subscriber_test.go
@@ -147,3 +147,22 @@
 	is.Equal(s.View().Connected, 2)
 	is.True(first.hasOpenStream())
 }
+
+// Pattern: a replica of a large fleet tells the node to wait for its snapshot, for longer than the
+// time after which a silent replica is dialled again. The node stays with the stream, and what it
+// knew of the replica stays as it was.
+func TestNodeWaitsForItsSnapshot(t *testing.T) {
+	is := is.New(t)
+	ready, busy := newFakeReplica(t), newFakeReplica(t)
+	ready.setUpdate(&saddlewire.Update{Snapshot: true, Revision: 3})
+	busy.setUpdate(&saddlewire.Update{Waiting: true})
+	s := startSubscriber(t, ready.address, busy.address)
+	await(t, "the ready replica", func() bool { return s.View().Connected == 1 })
+	await(t, "the stream to the busy replica", busy.hasOpenStream)
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		is.True(busy.hasOpenStream())
+		is.Equal(s.View().Connected, 1)
+	}
+	busy.setUpdate(&saddlewire.Update{Snapshot: true, Revision: 4})
+	await(t, "the snapshot", func() bool { return s.View().Connected == 2 && s.View().Revision == 4 })
+}
