Link: servers drop the buffers of large messages after sending them

Messages of 64 KiB and more, which are rare on the streams of servers, now get a new buffer each. Frames of chains are sent by clients and keep theirs.

--- a/internal/link/saddlelink/conn.go
+++ b/internal/link/saddlelink/conn.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 )
 
@@ -22,8 +23,14 @@
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes}}
 }
 
+// keptSendBytes is the size from which a server drops the buffer of a sent message. The snapshots
+// of a large fleet are hundreds of kilobytes, once on each of hundreds of streams.
+const keptSendBytes = 64 << 10
+
 func newServer(handler drpc.Handler) *drpcserver.Server {
-	return drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: managerOptions()})
+	opts := managerOptions()
+	opts.Stream = drpcstream.Options{MaximumBufferSize: keptSendBytes}
+	return drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: opts})
 }
 
 // NewConn returns a drpc connection over an open network connection, for callers
