--- a/internal/direct/saddlefleet/slots.go
+++ b/internal/direct/saddlefleet/slots.go
@@ -19,7 +19,7 @@
 // headCount returns the number of engines in the section of a target that begin chains.
 func (f *Fleet) headCount(t *target) int {
 	n := 0
-	for _, other := range f.byCentre[t.section.Group][t.section.Centre] {
+	for _, other := range f.holdersByCentre[t.section.Group][t.section.Centre] {
 		if other.beginsChains() {
 			n++
 		}
