--- a/internal/direct/saddlefleet/hugefleet_test.go
+++ b/internal/direct/saddlefleet/hugefleet_test.go
@@ -37,7 +37,7 @@
 			u.Members = append(u.Members, &saddlewire.Member{Node: fmt.Sprintf("entry-%s%d", centre, i), Role: "entry", Centre: centre})
 		}
 	}
-	for plan := saddleplan.Plan(pool.Model, planned); len(plan) > 0; plan = saddleplan.Plan(pool.Model, planned) {
+	for plan := saddleplan.Plan(pool.Model, planned, saddleplan.GoalCopies); len(plan) > 0; plan = saddleplan.Plan(pool.Model, planned, saddleplan.GoalCopies) {
 		for i, e := range planned {
 			if r, ok := plan[e.ID]; ok {
 				planned[i].Held = r
@@ -97,7 +97,7 @@
 	for i := range 3000 {
 		engines = append(engines, saddleplan.Engine{ID: fireflysaddle.TargetID(fmt.Sprint(i)), Centre: fireflysaddle.DataCentre(rune('a' + i%3)), Accelerator: "l4"})
 	}
-	for plan := saddleplan.Plan(pool.Model, engines); len(plan) > 0; plan = saddleplan.Plan(pool.Model, engines) {
+	for plan := saddleplan.Plan(pool.Model, engines, saddleplan.GoalCopies); len(plan) > 0; plan = saddleplan.Plan(pool.Model, engines, saddleplan.GoalCopies) {
 		for i, e := range engines {
 			if r, ok := plan[e.ID]; ok {
 				engines[i].Held = r
@@ -106,6 +106,6 @@
 	}
 	b.ResetTimer()
 	for b.Loop() {
-		saddleplan.Plan(pool.Model, engines)
+		saddleplan.Plan(pool.Model, engines, saddleplan.GoalCopies)
 	}
 }
