Events and reports of heads in place of probes of silent chains

Cause: a check of a silent stream asked the head for a report and had the fleet probe all engines of the chain without recent events, the head too, also where the stream only waited for its turn.

Change: saddlefleet.Evidence decides what a check sends. If other streams receive events through all engines of the chain, nothing is sent. The head's report is its probe. Silent engines are probed with the first report of a silence and each fourth after it, and the entries of a data centre together probe an engine that answers once in 100 ms. Probes and connections are counted by reason.

--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -42,10 +42,6 @@
 	unlimitedShutdownTimeout = 24 * time.Hour
 	// probeCheckInterval is the time between checks for engines that are due for a probe.
 	probeCheckInterval = 100 * time.Millisecond
-	// probeTimeout bounds a probe of an engine. Engines answer a probe within milliseconds.
-	// An answer to a caller that waits for the result of the probe is late after a pause of
-	// 250 ms.
-	probeTimeout = 120 * time.Millisecond
 	// maxCoverageWait is the longest wait, after the start of the gateway, for engines that
 	// hold all layers of every model. After this time the gateway reports ready without
 	// them, because plain services need no engines.
--- a/internal/daemon/saddledaemon/gatewaytargets.go
+++ b/internal/daemon/saddledaemon/gatewaytargets.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlegateway"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -51,7 +52,7 @@
 		began := time.Now()
 		for _, t := range g.fleet.StartDueProbes(began) {
 			wg.Go(func() {
-				callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+				callCtx, cancel := context.WithTimeout(ctx, saddlegateway.ProbeTimeout)
 				defer cancel()
 				report, err := g.client.Report(callCtx, t.Address)
 				g.gateway.RecordProbe(time.Now(), began, t, report, err)
--- a/internal/direct/saddlefleet/counters.go
+++ b/internal/direct/saddlefleet/counters.go
@@ -10,4 +10,15 @@
 	pausedUntil     = expvar.NewMap("target_paused_until_ms")
 	countLimits     = expvar.NewInt("target_limits_total")
 	countFailing    = expvar.NewInt("engine_failing_total")
+	countProbes     = expvar.NewMap("engine_probes_by_reason_total")
+)
+
+// probeReason tells why an entry probes an engine.
+type probeReason string
+
+const (
+	probeExcluded  probeReason = "excluded"  // to readmit it
+	probeSuspected probeReason = "suspected" // another entry suspects it
+	probeRefused   probeReason = "refused"   // it refused its part of a request
+	probeSilent    probeReason = "silent"    // no event has passed through it
 )
--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -42,7 +42,9 @@
 	probe := ok && !t.excluded && !t.probing && t.pause.accepts(now) && now.Sub(t.nextProbe) > minProbeInterval
 	if ok {
 		t.refusedUntil = now.Add(refusalBackoff)
-		t.probeRequested = t.probeRequested || probe
+		if probe {
+			t.probeRequested = probeRefused
+		}
 	}
 	f.mu.Unlock()
 	if probe {
@@ -57,7 +59,7 @@
 	t, ok := f.byAddress[address]
 	probe := ok && t.isEngine() && !t.excluded && !t.probing && !now.Before(t.nextProbe)
 	if probe {
-		t.probeRequested = true
+		t.probeRequested = probeSilent
 	}
 	f.mu.Unlock()
 	if probe {
@@ -193,16 +195,34 @@
 	defer f.mu.Unlock()
 	var out []Target
 	for _, t := range f.byAddress {
-		needsProbe := t.excluded || t.suspectedByPeer || t.probeRequested
-		if !t.isEngine() || t.probing || !needsProbe || now.Before(t.nextProbe) {
+		reason := t.probeReason()
+		if !t.isEngine() || t.probing || reason == "" || now.Before(t.nextProbe) {
 			continue
 		}
 		t.probing = true
+		countProbes.Add(string(reason), 1)
 		out = append(out, t.Target)
 	}
 	return out
 }
 
+// RecordReport records a report that an engine sent although it was not probed. If the engine
+// holds its layers, the report counts as a successful probe of an engine in use; otherwise a
+// probe is requested.
+func (f *Fleet) RecordReport(now time.Time, address string, report fireflysaddle.EngineReport) {
+	f.mu.Lock()
+	t, ok := f.byAddress[address]
+	holds := ok && t.holdsRegisteredLayers(report)
+	if holds && !t.excluded && !t.probing {
+		t.probeRequested = ""
+		t.nextProbe = now.Add(f.reprobeInterval())
+	}
+	f.mu.Unlock()
+	if ok && !holds {
+		f.RequestProbe(now, address)
+	}
+}
+
 // RecordProbe records the result of a probe. The probe counts as failed if the engine does
 // not hold the layers of its registration, because such an engine has restarted, unless the
 // report may be older than the registration with these layers. The result
@@ -223,7 +243,7 @@
 	}
 	wasExcluded, wasUnresponsive, wasEnded := t.excluded, t.unresponsive, t.ended
 	t.probing = false
-	t.probeRequested = false
+	t.probeRequested = ""
 	if err != nil {
 		t.exclude(now)
 		t.unresponsive = true
@@ -258,7 +278,7 @@
 		return
 	}
 	wasExcluded := t.excluded
-	t.probing, t.probeRequested, t.ended = false, false, false
+	t.probing, t.probeRequested, t.ended = false, "", false
 	t.readmit()
 	t.nextProbe = now.Add(f.reprobeInterval())
 	f.mu.Unlock()
@@ -272,7 +292,7 @@
 // so each of them probes less often the more they are.
 func (f *Fleet) reprobeInterval() time.Duration {
 	sharing := time.Duration(f.peerEntryCounts[f.centre]+1) * minProbeInterval / probingEntries
-	return min(maxProbeInterval, max(minProbeInterval, sharing))
+	return min(maxReprobeInterval, max(minProbeInterval, sharing))
 }
 
 var errLayersMissing = errors.New("engine does not hold the layers of its registration")
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -42,8 +42,8 @@
 	refusedUntil        time.Time // end of the backoff after a refused request
 	pause               pause
 	limit               limit
-	probeRequested      bool // a probe was requested without excluding the target
-	suspectedByPeer     bool // listed among another entry's suspects
+	probeRequested      probeReason // of a probe that was requested without excluding the target; empty: none
+	suspectedByPeer     bool        // listed among another entry's suspects
 	probing             bool
 	faults              decayingCount // recent faults
 	successes           decayingCount // recent drafts that ended as they should; engines only
@@ -58,12 +58,16 @@
 	// it, because it has a new registration.
 	minProbeInterval = 300 * time.Millisecond
 	maxProbeInterval = 1200 * time.Millisecond
+	// maxReprobeInterval bounds the time before an engine that answered is probed again,
+	// however many entries share it.
+	maxReprobeInterval = time.Second
 	// reportLag is the greatest age of the state in an engine's report. A registration may
 	// be newer.
 	reportLag = 300 * time.Millisecond
 	// probingEntries is the number of entries of a data centre that may each probe an engine
-	// that answers once in minProbeInterval. More entries probe it less often.
-	probingEntries = 7
+	// that answers once in minProbeInterval. More entries probe it less often: together, and
+	// each tells the others of a failed probe, they find its loss as soon as three do.
+	probingEntries = 3
 	// refusalBackoff is how long an engine that refused a request gets no further
 	// requests. It is long enough for a full engine to finish some requests.
 	refusalBackoff = 150 * time.Millisecond
@@ -83,6 +87,17 @@
 // state. Other targets are plain services.
 func (t *target) isEngine() bool { return t.reg.GetAccelerator() != "" }
 
+// probeReason returns why the target needs a probe, or "" if it needs none.
+func (t *target) probeReason() probeReason {
+	switch {
+	case t.excluded:
+		return probeExcluded
+	case t.suspectedByPeer:
+		return probeSuspected
+	}
+	return t.probeRequested
+}
+
 func (t *target) exclude(now time.Time) {
 	t.excluded = true
 	t.nextProbe = now.Add(min(maxProbeInterval, minProbeInterval<<min(t.consecutiveFailures, 4)))
--- a/internal/direct/saddlegateway/attemptindex.go
+++ b/internal/direct/saddlegateway/attemptindex.go
@@ -83,6 +83,24 @@
 	return out
 }
 
+// activeFor returns the time until an engine of a chain counts as silent, because no stream has
+// received an event through it within a time, or 0 if one does already.
+func (x *attemptIndex) activeFor(chain saddlefleet.Chain, within time.Duration) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	left := within
+	for _, p := range chain.Parts {
+		silence := within
+		for w := range x.byAddress[p.Address] {
+			if w.hasEvent.Load() {
+				silence = min(silence, w.silence())
+			}
+		}
+		left = min(left, within-silence)
+	}
+	return max(0, left)
+}
+
 // activeSince reports whether a stream that passes through an engine has received an event
 // since a time.
 func (x *attemptIndex) activeSince(since time.Time, address string) bool {
--- a/internal/direct/saddlegateway/counters.go
+++ b/internal/direct/saddlegateway/counters.go
@@ -23,6 +23,7 @@
 	countBudgetExhausted = expvar.NewInt("gateway_retry_budget_spent_total")
 	countRerouted        = expvar.NewInt("gateway_rerouted_total")
 	countReportRequests  = expvar.NewInt("gateway_inspections_total")
+	countReportsSpared   = expvar.NewInt("gateway_inspections_spared_total")
 )
 
 const (
--- a/internal/direct/saddlegateway/watchdog.go
+++ b/internal/direct/saddlegateway/watchdog.go
@@ -27,7 +27,8 @@
 	// eventGapFactor is that time as a multiple of the usual pause between events. Hardly
 	// any stream has a longer pause while all engines work.
 	eventGapFactor = 2.5
-	// recheckInterval is the time between further checks. Reports are up to 200 ms old.
+	// recheckInterval is the time between further checks of a stream of a plain service, and of
+	// one whose head's report request failed.
 	recheckInterval = 130 * time.Millisecond
 	// retryPatience is the share of the callers' patience after which another attempt
 	// continues a silent stream. The rest is left for that attempt to begin, which takes up
@@ -52,6 +53,7 @@
 	startTime     time.Time
 	timer         *time.Timer
 	checkDue      atomic.Int64           // nanoseconds from startTime to the next check
+	asked         atomic.Int32           // times that the head was asked for a report since the last event
 	faultyAddress atomic.Pointer[string] // address of the engine that caused the abort; nil: none
 	chainMu       sync.Mutex             // held while the chain is rerouted
 	mayRetry      bool                   // another attempt may follow this one
@@ -90,6 +92,7 @@
 func (w *watchdog) recordEvent() {
 	elapsed := int64(time.Since(w.startTime))
 	pause := time.Duration(elapsed - w.lastEvent.Swap(elapsed))
+	w.asked.Store(0)
 	if w.hasEvent.Swap(true) { // the time until the first event is not a pause between events
 		w.job.usualPause.record(pause)
 	}
@@ -182,9 +185,10 @@
 
 // checkSilent finds out why there is no event although no engine of the chain is excluded. If
 // the silence has lasted for retrySilence, another attempt continues the stream if it is
-// accepted. The fleet probes those engines of the chain whose streams have all received
-// no event recently, and the head is asked for a report. If it does not report and no stream
-// that passes through it has had an event since, it counts as down.
+// accepted. Unless events of other streams show that the engines of the chain work, the head
+// is asked for a report, and the fleet probes those engines whose streams have all received no
+// event recently. If the head does not report and no stream that passes through it has had an
+// event since, it counts as down.
 func (w *watchdog) checkSilent(now time.Time, delay time.Duration, chain *saddlefleet.Chain) {
 	if w.callerWait() > w.retrySilence() && !w.job.slowCentres.anySlow(now, chain.Centres) {
 		w.chainMu.Lock()
@@ -197,8 +201,15 @@
 		w.scheduleCheck(recheckInterval)
 		return
 	}
-	for _, address := range w.job.attemptIndex.silentEngines(*chain, w.job.usualPause.atLeast(minActiveWindow, activeWindowFactor)) {
-		w.job.cfg.Fleet.RequestProbe(now, address)
+	check := w.evidence(now, chain).Check()
+	if !check.AskHead {
+		countReportsSpared.Add(1)
+		w.scheduleCheck(check.NextCheckDue)
+		return
+	}
+	w.asked.Add(1)
+	if check.ProbeSilent {
+		w.probeSilent(now, chain)
 	}
 	report := w.headReport(now, chain)
 	if w.ctx.Err() != nil {
@@ -225,7 +236,33 @@
 	w.job.logEvent(zerolog.DebugLevel).Str("head", chain.Head.Address).Int64("silent_ms", w.silence().Milliseconds()).
 		Int("queued", report.report.Queued).Int("running", report.report.Running).AnErr("report_error", report.err).
 		Msg("no event received, but the chain is not stalled")
-	w.scheduleCheck(recheckInterval)
+	w.scheduleCheck(check.NextCheckDue)
+}
+
+// evidence returns what is known about the chain of the silent stream.
+func (w *watchdog) evidence(now time.Time, chain *saddlefleet.Chain) saddlefleet.Evidence {
+	e := saddlefleet.Evidence{
+		Silence:   w.silence(),
+		Asked:     int(w.asked.Load()),
+		ActiveFor: w.job.attemptIndex.activeFor(*chain, w.activeWindow()),
+	}
+	e.ReportAge, e.Reported = w.job.reportAge(now, chain.Head.Address)
+	return e
+}
+
+// probeSilent has the fleet probe the silent engines of the chain. The report of the head is
+// its probe.
+func (w *watchdog) probeSilent(now time.Time, chain *saddlefleet.Chain) {
+	for _, address := range w.job.attemptIndex.silentEngines(*chain, w.activeWindow()) {
+		if address != chain.Head.Address {
+			w.job.cfg.Fleet.RequestProbe(now, address)
+		}
+	}
+}
+
+// activeWindow returns how long an engine counts as active after an event.
+func (w *watchdog) activeWindow() time.Duration {
+	return w.job.usualPause.atLeast(minActiveWindow, activeWindowFactor)
 }
 
 // headReport asks the head of the chain for a report.
--- a/internal/direct/saddlehttpclient/client.go
+++ b/internal/direct/saddlehttpclient/client.go
@@ -111,21 +111,14 @@
 
 // connect returns a usable idle connection, or opens a new one.
 func (c *Client) connect(ctx context.Context, now time.Time, r Request) (*conn, error) {
-	for !r.NewConn {
-		cn := c.takeIdle(r.Address)
-		if cn == nil {
-			break
-		}
-		limit := cn.idleTimeout
-		if r.FreshConn {
-			limit = min(limit, maxFreshIdle)
-		}
-		if now.Sub(cn.idleSince) < limit && cn.usable() {
+	reason := dialRepeat
+	if !r.NewConn {
+		var cn *conn
+		if cn, reason = c.reuse(now, r); cn != nil {
 			return cn, nil
 		}
-		_ = cn.Close()
 	}
-	countDials.Add(1)
+	countDial(reason)
 	raw, err := c.dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		return nil, err
@@ -133,10 +126,34 @@
 	return newConn(raw), nil
 }
 
+// reuse returns a usable idle connection, or nil and the reason why there is none. It closes
+// the idle connections that it passes over.
+func (c *Client) reuse(now time.Time, r Request) (*conn, dialReason) {
+	reason := dialNoneIdle
+	for {
+		cn := c.takeIdle(r.Address)
+		if cn == nil {
+			return nil, reason
+		}
+		idle := now.Sub(cn.idleSince)
+		switch {
+		case idle >= cn.idleTimeout:
+			reason = dialExpired
+		case r.FreshConn && idle >= maxFreshIdle:
+			reason = dialNotFresh
+		case !cn.usable():
+			reason = dialClosed
+		default:
+			return cn, ""
+		}
+		_ = cn.Close()
+	}
+}
+
 // Dial opens a connection to a target and closes it. An error is a
 // *fireflysaddle.NotSentError.
 func (c *Client) Dial(ctx context.Context, address string) error {
-	countDials.Add(1)
+	countDial(dialCheck)
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return &fireflysaddle.NotSentError{Address: address, Err: err}
--- a/internal/place/saddleplacer/orders.go
+++ b/internal/place/saddleplacer/orders.go
@@ -52,6 +52,7 @@
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		countProbe(probeLoading)
 		report, err := p.cfg.Orders.Report(callCtx, reg.GetAddress())
 		cancel()
 		if err != nil {
@@ -123,6 +124,7 @@
 	if !errors.As(err, &refused) || refused.Status != fireflysaddle.OrderStale {
 		return err
 	}
+	countProbe(probeRevision)
 	report, err := p.cfg.Orders.Report(ctx, address)
 	if err != nil {
 		return err
--- a/internal/place/saddleplacer/probes.go
+++ b/internal/place/saddleplacer/probes.go
@@ -109,12 +109,16 @@
 		}
 		p.probes.stepTimeProbedAt[id] = now
 		p.probes.occupancyProbedAt[id] = now
+		if occupancyDue {
+			countProbe(probeOccupancy)
+		} else {
+			countProbe(probeStepTime)
+		}
 		p.probeEngine(ctx, wg, reg, holdsFirstLayer)
 	}
 }
 
 func (p *Placer) probeEngine(ctx context.Context, wg *sync.WaitGroup, reg *saddlewire.Registration, holdsFirstLayer bool) {
-	countProbes.Add(1)
 	held := reg.GetLayers()[0]
 	r := probeResult{target: reg.GetId(), incarnation: reg.GetIncarnation(), section: fireflysaddle.SectionOf(reg), layers: int(held.GetTo() - held.GetFrom()), holdsFirstLayer: holdsFirstLayer}
 	wg.Go(func() {
--- a/internal/place/saddleplacer/silent.go
+++ b/internal/place/saddleplacer/silent.go
@@ -95,7 +95,7 @@
 }
 
 func (p *Placer) probeSilent(ctx context.Context, wg *sync.WaitGroup, reg *saddlewire.Registration) {
-	countProbes.Add(1)
+	countProbe(probeSilent)
 	wg.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
