Idle connections by what a target accepts and the number of entries

Cause: an entry kept at most six idle connections to a target.

Change: max_connections of the pool is decoded. The entries together keep at most three quarters of it idle, each its share, at least two. Targets without it keep the bound of six.

--- a/forwarder.go
+++ b/forwarder.go
@@ -91,6 +91,7 @@
 	Chain       []ChainPart   // for engines: parts of the chain, of which the first one is at Address
 	LastEventID string        // for streams: identifier of the last event that the caller has received, empty: none
 	FreshConn   bool          // reuse only connections with a short idle time, which the target is unlikely to close
+	IdleConns   int           // idle connections that may be kept to the target after the answer, 0: not known
 	NewConn     bool          // reuse no connection: on an earlier one, another answer to this request may still arrive
 	Urgency     int           // 0 is the most urgent
 }
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -90,6 +90,7 @@
 		Target:    target.ID,
 		Address:   target.Address,
 		NewConn:   sentBefore,
+		IdleConns: j.pool.IdleConns(j.cfg.Fleet.EntryCount()),
 		Request:   j.call.ID,
 		Method:    j.call.Method,
 		Host:      j.call.Host,
--- a/internal/direct/saddlehttpclient/client.go
+++ b/internal/direct/saddlehttpclient/client.go
@@ -24,9 +24,9 @@
 	// so that the target's idle timeout does not close the connection while the request
 	// is sent.
 	maxFreshIdle = 300 * time.Millisecond
-	// maxIdleConns bounds the idle connections to one target, which accepts about fifty
-	// from all entries together.
-	maxIdleConns = 6
+	// defaultIdleConns bounds the idle connections to a target that does not state how many
+	// it accepts.
+	defaultIdleConns = 6
 	// maxStrayAnswers bounds the late answers to earlier requests that are discarded on
 	// one connection.
 	maxStrayAnswers = 2
@@ -67,6 +67,7 @@
 	Body      []byte
 	FreshConn bool // reuse only a connection that was idle for less than maxFreshIdle
 	NewConn   bool // open a new connection
+	IdleConns int  // bound of the idle connections to the target, 0: not known
 	// MatchAnswer reports whether an answer with this header belongs to the request; first
 	// is set for the first answer on its connection. Late answers to earlier requests
 	// are discarded.
@@ -82,6 +83,9 @@
 	if err != nil {
 		return nil, &fireflysaddle.NotSentError{Address: r.Address, Err: err}
 	}
+	if r.IdleConns > 0 {
+		cn.idleConns = r.IdleConns
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	written, err := send(cn, r)
 	if err != nil {
@@ -236,7 +240,7 @@
 }
 
 // putIdle stores a connection for reuse after its answer has ended, or closes it if the
-// target has maxIdleConns idle connections already. It closes the oldest idle connection
+// target has as many idle connections as it may have. It closes the oldest idle connection
 // if the idle timeout of that connection has expired.
 func (c *Client) putIdle(now time.Time, address string, cn *conn) {
 	cn.idleSince = now
@@ -247,7 +251,7 @@
 		_ = list[0].Close()
 		list = list[1:]
 	}
-	if len(list) >= maxIdleConns {
+	if len(list) >= cn.idleConns {
 		_ = cn.Close()
 		return
 	}
--- a/internal/direct/saddlehttpclient/conn.go
+++ b/internal/direct/saddlehttpclient/conn.go
@@ -23,13 +23,14 @@
 	reader      *bufio.Reader // reads from bounds
 	bounds      *boundedReader
 	used        bool          // the connection has carried a request
+	idleConns   int           // bound of the idle connections to the target
 	idleTimeout time.Duration // idle time after which the connection is not reused
 	idleSince   time.Time     // time at which the connection became idle
 }
 
 func newConn(c net.Conn) *conn {
 	bounds := &boundedReader{reader: c, remaining: unbounded}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(bounds, readBufferBytes), bounds: bounds, idleTimeout: defaultIdleTimeout}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(bounds, readBufferBytes), bounds: bounds, idleConns: defaultIdleConns, idleTimeout: defaultIdleTimeout}
 }
 
 // readAnswer reads the header of an answer, which has been bounded. A field that marks the end
--- a/internal/direct/saddlerouting/routing.go
+++ b/internal/direct/saddlerouting/routing.go
@@ -20,8 +20,27 @@
 
 // Pool is a group of interchangeable targets.
 type Pool struct {
-	Group fireflysaddle.Group
-	Model *Model // nil for plain services
+	Group          fireflysaddle.Group
+	MaxConnections int    // that each target accepts from all entries together; 0: not stated
+	Model          *Model // nil for plain services
+}
+
+const (
+	// idleConnShare is the share of the connections of a target that its entries may keep idle.
+	// The rest is left for those that open new ones.
+	idleConnShare = 0.75
+	// minIdleConns lets an entry of many keep a connection for a request and one for a report.
+	minIdleConns = 2
+)
+
+// IdleConns returns how many idle connections each of the entries may keep to a target, so
+// that all of them together leave room for new ones, or 0 if the pool does not state how many
+// connections a target accepts.
+func (p *Pool) IdleConns(entries int) int {
+	if p.MaxConnections == 0 {
+		return 0
+	}
+	return max(minIdleConns, int(idleConnShare*float64(p.MaxConnections)/float64(entries)))
 }
 
 // Tenant holds the routing settings of a workspace: the API keys that identify its
