--- a/internal/direct/saddlehttpclient/idleconns_test.go
+++ b/internal/direct/saddlehttpclient/idleconns_test.go
@@ -1,7 +1,6 @@
 package saddlehttpclient_test
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
@@ -24,19 +23,20 @@
 				s.steps = append(s.steps, respond(answer("ok")))
 			}
 			client := newClient(t)
-			for range 2 {
-				var open []*http.Response
-				for range streams {
-					r := request(s.lis.Addr().String(), "one")
-					r.IdleConns = c.bound
-					resp, err := client.Do(t.Context(), time.Now(), r)
-					is.NoErr(err)
-					open = append(open, resp)
-				}
-				for _, resp := range open {
-					is.NoErr(resp.Body.Close())
+			var serve func(n int) // n requests at a time
+			serve = func(n int) {
+				if n == 0 {
+					return
 				}
+				r := request(s.lis.Addr().String(), "one")
+				r.IdleConns = c.bound
+				resp, err := client.Do(t.Context(), time.Now(), r)
+				is.NoErr(err)
+				serve(n - 1)
+				is.NoErr(resp.Body.Close())
 			}
+			serve(streams)
+			serve(streams)
 			_, conns := s.received()
 			is.Equal(conns, c.conns)
 		})
