--- a/internal/direct/saddlefleet/evidence_test.go
+++ b/internal/direct/saddlefleet/evidence_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
 )
 
@@ -58,3 +59,15 @@
 		})
 	}
 }
+
+// A report that a head sent for a silent stream tells as much as a probe of it.
+func TestReportServesAsProbe(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(engine("a0", "a", 0, 4))
+	f.fleet.RecordReport(start, "a0", fireflysaddle.EngineReport{Holdings: []fireflysaddle.Holding{{From: 0, To: 4}}})
+	f.fleet.RequestProbe(start.Add(100*time.Millisecond), "a0")
+	is.Equal(len(f.fleet.StartDueProbes(start.Add(100*time.Millisecond))), 0)
+	later := start.Add(time.Second)
+	f.fleet.RecordReport(later, "a0", fireflysaddle.EngineReport{}) // it has restarted and holds no layers
+	is.Equal(len(f.fleet.StartDueProbes(later)), 1)
+}
