--- a/internal/direct/saddlefleet/health.go
+++ b/internal/direct/saddlefleet/health.go
@@ -45,7 +45,7 @@
 		t.refusedUntil = now.Add(refusalBackoff)
 	}
 	if probe {
-		t.probeRequested = true
+		t.probeRequested = probeRefused
 		f.unusual[t] = struct{}{}
 	}
 	f.mu.Unlock()
@@ -61,7 +61,7 @@
 	t, ok := f.byAddress[address]
 	probe := ok && t.isEngine() && !t.excluded && !t.probing && !now.Before(t.nextProbe)
 	if probe {
-		t.probeRequested = true
+		t.probeRequested = probeSilent
 		f.unusual[t] = struct{}{}
 	}
 	f.mu.Unlock()
@@ -203,16 +203,34 @@
 			delete(f.unusual, t)
 			continue
 		}
-		needsProbe := t.excluded || t.suspectedByPeer || t.probeRequested
-		if !t.indexed || !t.isEngine() || t.probing || !needsProbe || now.Before(t.nextProbe) {
+		reason := t.probeReason()
+		if !t.indexed || !t.isEngine() || t.probing || reason == "" || now.Before(t.nextProbe) {
 			continue
 		}
 		t.probing = true
+		countProbes.Add(string(reason), 1)
 		out = append(out, t.Target)
 	}
 	return out
 }
 
+// RecordReport records a report that an engine sent although it was not probed. If the engine
+// holds its layers, the report counts as a successful probe of an engine in use; otherwise a
+// probe is requested.
+func (f *Fleet) RecordReport(now time.Time, address string, report fireflysaddle.EngineReport) {
+	f.mu.Lock()
+	t, ok := f.byAddress[address]
+	holds := ok && t.holdsRegisteredLayers(report)
+	if holds && !t.excluded && !t.probing {
+		t.probeRequested = ""
+		t.nextProbe = now.Add(f.reprobeInterval())
+	}
+	f.mu.Unlock()
+	if ok && !holds {
+		f.RequestProbe(now, address)
+	}
+}
+
 // RecordProbe records the result of a probe. The probe counts as failed if the engine does
 // not hold the layers of its registration, because such an engine has restarted, unless the
 // report may be older than the registration with these layers. The result
@@ -233,7 +251,7 @@
 	}
 	wasExcluded, wasUnresponsive, wasEnded := t.excluded, t.unresponsive, t.ended
 	t.probing = false
-	t.probeRequested = false
+	t.probeRequested = ""
 	if err != nil {
 		t.exclude(now)
 		t.unresponsive = true
@@ -269,7 +287,7 @@
 		return
 	}
 	wasExcluded := t.excluded
-	t.probing, t.probeRequested, t.ended = false, false, false
+	t.probing, t.probeRequested, t.ended = false, "", false
 	t.readmit()
 	t.nextProbe = now.Add(f.reprobeInterval())
 	f.mu.Unlock()
@@ -283,7 +301,7 @@
 // so each of them probes less often the more they are.
 func (f *Fleet) reprobeInterval() time.Duration {
 	sharing := time.Duration(f.peerEntryCounts[f.centre]+1) * minProbeInterval / probingEntries
-	return min(maxProbeInterval, max(minProbeInterval, sharing))
+	return min(maxReprobeInterval, max(minProbeInterval, sharing))
 }
 
 var errLayersMissing = errors.New("engine does not hold the layers of its registration")
--- a/internal/direct/saddlehttpclient/client.go
+++ b/internal/direct/saddlehttpclient/client.go
@@ -24,9 +24,9 @@
 	// so that the target's idle timeout does not close the connection while the request
 	// is sent.
 	maxFreshIdle = 300 * time.Millisecond
-	// maxIdleConns bounds the idle connections to one target, which accepts about fifty
-	// from all entries together.
-	maxIdleConns = 6
+	// defaultIdleConns bounds the idle connections to a target that does not state how many
+	// it accepts.
+	defaultIdleConns = 6
 	// maxStrayAnswers bounds the late answers to earlier requests that are discarded on
 	// one connection.
 	maxStrayAnswers = 2
@@ -67,6 +67,7 @@
 	Body      []byte
 	FreshConn bool // reuse only a connection that was idle for less than maxFreshIdle
 	NewConn   bool // open a new connection
+	IdleConns int  // bound of the idle connections to the target, 0: not known
 	// MatchAnswer reports whether an answer with this header belongs to the request; first
 	// is set for the first answer on its connection. Late answers to earlier requests
 	// are discarded.
@@ -82,6 +83,9 @@
 	if err != nil {
 		return nil, &fireflysaddle.NotSentError{Address: r.Address, Err: err}
 	}
+	if r.IdleConns > 0 {
+		cn.idleConns = r.IdleConns
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	written, err := send(cn, r)
 	if err != nil {
@@ -111,21 +115,14 @@
 
 // connect returns a usable idle connection, or opens a new one.
 func (c *Client) connect(ctx context.Context, now time.Time, r Request) (*conn, error) {
-	for !r.NewConn {
-		cn := c.takeIdle(r.Address)
-		if cn == nil {
-			break
-		}
-		limit := cn.idleTimeout
-		if r.FreshConn {
-			limit = min(limit, maxFreshIdle)
-		}
-		if now.Sub(cn.idleSince) < limit && cn.usable() {
+	reason := dialRepeat
+	if !r.NewConn {
+		var cn *conn
+		if cn, reason = c.reuse(now, r); cn != nil {
 			return cn, nil
 		}
-		_ = cn.Close()
 	}
-	countDials.Add(1)
+	countDial(reason)
 	raw, err := c.dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		return nil, err
@@ -133,10 +130,34 @@
 	return newConn(raw), nil
 }
 
+// reuse returns a usable idle connection, or nil and the reason why there is none. It closes
+// the idle connections that it passes over.
+func (c *Client) reuse(now time.Time, r Request) (*conn, dialReason) {
+	reason := dialNoneIdle
+	for {
+		cn := c.takeIdle(r.Address)
+		if cn == nil {
+			return nil, reason
+		}
+		idle := now.Sub(cn.idleSince)
+		switch {
+		case idle >= cn.idleTimeout:
+			reason = dialExpired
+		case r.FreshConn && idle >= maxFreshIdle:
+			reason = dialNotFresh
+		case !cn.usable():
+			reason = dialClosed
+		default:
+			return cn, ""
+		}
+		_ = cn.Close()
+	}
+}
+
 // Dial opens a connection to a target and closes it. An error is a
 // *fireflysaddle.NotSentError.
 func (c *Client) Dial(ctx context.Context, address string) error {
-	countDials.Add(1)
+	countDial(dialCheck)
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return &fireflysaddle.NotSentError{Address: address, Err: err}
@@ -219,7 +240,7 @@
 }
 
 // putIdle stores a connection for reuse after its answer has ended, or closes it if the
-// target has maxIdleConns idle connections already. It closes the oldest idle connection
+// target has as many idle connections as it may have. It closes the oldest idle connection
 // if the idle timeout of that connection has expired.
 func (c *Client) putIdle(now time.Time, address string, cn *conn) {
 	cn.idleSince = now
@@ -230,7 +251,7 @@
 		_ = list[0].Close()
 		list = list[1:]
 	}
-	if len(list) >= maxIdleConns {
+	if len(list) >= cn.idleConns {
 		_ = cn.Close()
 		return
 	}
