Admission by rank, objective and share for pools whose routes differ in priority

A tenant's priority replaced that of the route, so engines did not know the order of routes either.

Package saddleadmission decides which request of an entry begins next: one that had its turn before, one of a starving route, tenant or size, then by rank, by who can still be on time, and by the tenant that has had least. Less urgent and late requests leave room for what more urgent demand needs in half a second, which orders the requests of different entries. A request waits as long as its route allows, and is refused at once if its turn is far beyond that. Times of return follow from the rate at which room becomes free; room is kept for those that fit. A rank counts the tenant's priority first, then the route's, and is passed to the engines. Heartbeats state the tokens that wait. Pools whose routes have one priority are served as before.

--- a/internal/direct/saddlegateway/awaitchain.go
+++ b/internal/direct/saddlegateway/awaitchain.go
@@ -94,11 +94,16 @@
 func (j *job) refuseLimited(now time.Time) *Refusal {
 	rate, next, limited := j.cfg.Fleet.LimitedRate(now, j.pool)
 	j.waitQueue.setOldestFirst(limited)
-	if !limited || j.sends > 0 {
+	if !limited {
 		return nil
 	}
-	waiting := j.waitQueue.length() + 1
-	if float64(waiting) <= float64(rate)*(capacityWait-turnDelay-j.sinceLastEvent()).Seconds() {
+	return j.refuseBeyond(now, rate, next, j.waitQueue.length())
+}
+
+// refuseBeyond returns a refusal if more requests wait than this entry may send at a rate, the
+// next one at a time.
+func (j *job) refuseBeyond(now time.Time, rate fireflysaddle.RequestRate, next time.Time, waiting int) *Refusal {
+	if j.sends > 0 || float64(waiting+1) <= float64(rate)*(capacityWait-turnDelay-j.sinceLastEvent()).Seconds() {
 		return nil
 	}
 	return &Refusal{Code: fireflysaddle.CodeOverloaded, Message: "the engines that begin drafts limit their requests", RetryAfter: untilSpread(now, next)}
--- a/internal/direct/saddlegateway/counters.go
+++ b/internal/direct/saddlegateway/counters.go
@@ -22,6 +22,8 @@
 	countWaited          = expvar.NewInt("gateway_waited_total")
 	countBudgetExhausted = expvar.NewInt("gateway_retry_budget_spent_total")
 	countRerouted        = expvar.NewInt("gateway_rerouted_total")
+	countAdmission       = expvar.NewMap("gateway_admission_total")
+	countReturns         = expvar.NewMap("gateway_returns_total")
 	countReportRequests  = expvar.NewInt("gateway_inspections_total")
 )
 
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -48,6 +48,7 @@
 	engineReports map[string]*sharedReport
 	attemptIndex  attemptIndex
 	waitQueue     waitQueue
+	admissions    admissions
 	slowCentres   slowCentreDetector
 	usualPause    pauseEstimator
 	blames        *saddleblame.Tracker
@@ -112,6 +113,9 @@
 		j.priority = route.Priority
 	}
 	j.pool = j.state.Routing.Pools[route.Pick(rand.Float64())]
+	if rank, ok := j.state.Routing.Rank(j.pool.Group, route, tenant); ok {
+		j.priority, j.ranked = rank, true
+	}
 	j.deadline = j.startTime.Add(route.Timeout)
 	if call.Timeout > 0 && call.Timeout < route.Timeout {
 		j.deadline = j.startTime.Add(call.Timeout)
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -24,6 +24,7 @@
 	pool          *saddlerouting.Pool
 	workspace     fireflysaddle.Workspace
 	priority      int
+	ranked        bool      // priority is the rank among the streams to the pool, see saddlerouting.Routing.Rank
 	admissionTime time.Time // time of admission by the clock passed to Serve
 	startTime     time.Time
 	deadline      time.Time
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -80,7 +80,7 @@
 }
 
 // pickChain selects a chain, or a single target for a plain service, unless one is reserved.
-// It waits for a chain with capacity until the caller has had no event for capacityWait.
+// It waits for a chain with capacity, see awaitChain and awaitAdmittedChain.
 func (j *job) pickChain(ctx context.Context) (nextAttempt, *Refusal) {
 	if next, ok := j.takeNextAttempt(); ok {
 		return next, nil
@@ -95,7 +95,11 @@
 		}
 		return nextAttempt{chain: saddlefleet.Chain{Head: t}, release: release}, nil
 	}
-	chain, release, refusal := j.awaitChain(ctx)
+	await := j.awaitChain
+	if j.ranked {
+		await = j.awaitAdmittedChain
+	}
+	chain, release, refusal := await(ctx)
 	return nextAttempt{chain: chain, release: release}, refusal
 }
 
--- a/internal/direct/saddlerouting/check.go
+++ b/internal/direct/saddlerouting/check.go
@@ -36,6 +36,7 @@
 			r.tenantByKey[key] = t
 		}
 	}
+	r.indexRanks()
 	return nil
 }
 
--- a/internal/direct/saddlerouting/routing.go
+++ b/internal/direct/saddlerouting/routing.go
@@ -16,6 +16,7 @@
 
 	routesByHost map[string][]*Route
 	tenantByKey  map[string]*Tenant
+	ranks        map[fireflysaddle.Group]*poolRanks
 }
 
 // Pool is a group of interchangeable targets.
