Forecast of the first event for admission; tests of ranks and room

Whether a waiting request can still be on time followed from the median of the first events of similar calls, which forgets slowly. Package saddleforecast adds what the last seconds showed to the time that idle engines of the chain need for the prompt, and its error is a latency histogram. Lines of refused drafts say whether room is kept for the caller, and whether it came to such a place.

--- a/internal/direct/saddleadmission/queue.go
+++ b/internal/direct/saddleadmission/queue.go
@@ -174,7 +174,8 @@
 }
 
 // reserve returns the room that is kept for requests more urgent than a rank. Each entry sees
-// its own part of the demand only.
+// its own part of the demand only. What becomes free meanwhile is not subtracted: engines that are
+// filled to the brim answer late and preempt streams.
 func (q *Queue) reserve(now time.Time, rank Rank, room Room) Tokens {
 	expected := q.demand.above(now, rank) * reserveTime.Seconds() * float64(max(1, room.Entries))
 	return min(Tokens(expected), maxReserve*room.Capacity)
--- a/internal/direct/saddlegateway/admission.go
+++ b/internal/direct/saddlegateway/admission.go
@@ -11,6 +11,7 @@
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddleadmission"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlefleet"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddleforecast"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
 
@@ -47,6 +48,7 @@
 	running  bool
 	room     saddleadmission.Room
 	roomTime time.Time
+	forecast saddleforecast.FirstEvent
 }
 
 // admittee is a request that waits for its turn.
@@ -144,20 +146,20 @@
 	e := j.logEvent(zerolog.InfoLevel).Str("workspace", string(j.workspace)).Int("rank", j.priority).
 		Int("tokens", j.call.estimatedTokens()).Str("reason", string(g.reason)).Int64("waited_ms", time.Since(joined).Milliseconds()).Bool("full", w.full)
 	if g.refusal != nil {
-		e.Int64("elapsed_ms", j.elapsed().Milliseconds()).Int64("return_ms", g.refusal.RetryAfter.Milliseconds()).Msg("draft not admitted")
+		e.Bool("placed", g.placed).Bool("returned", w.returned).Int64("elapsed_ms", j.elapsed().Milliseconds()).Int64("return_ms", g.refusal.RetryAfter.Milliseconds()).Msg("draft not admitted")
 		return saddlefleet.Chain{}, nil, g.refusal
 	}
 	e.Msg("draft admitted after waiting")
 	return g.chain, g.release, nil
 }
 
-// admissionRequest describes the call to the queue.
-func (j *job) admissionRequest(now time.Time, ticket saddleadmission.Ticket) saddleadmission.Request {
-	first := j.expectedFirst()
+// admissionRequest describes the call to the queue. first is the time after which its first
+// event is expected once it is sent.
+func (j *job) admissionRequest(now time.Time, ticket saddleadmission.Ticket, first time.Duration) saddleadmission.Request {
 	r := saddleadmission.Request{
 		Ticket: ticket, Rank: saddleadmission.Rank(j.priority), Route: j.route.Name, Workspace: j.workspace,
 		Tokens: saddleadmission.Tokens(j.call.estimatedTokens()), Begun: j.sends > 0 || j.call.LastEventID != "",
-		OnTime:      j.startTime.Add(j.route.FirstByteObjective - first),
+		OnTime:      j.startTime.Add(max(0, j.route.FirstByteObjective-first)),
 		Until:       now.Add(max(0, time.Duration(waitPatience*float64(j.route.CallerPatience()))-j.sinceLastEvent())),
 		Deadline:    j.deadline,
 		Fingerprint: j.fingerprint(),
@@ -177,18 +179,13 @@
 	return max(0, j.route.Timeout-j.call.Timeout)
 }
 
-// expectedFirst returns the usual time from the send of a stream to its first event.
-func (j *job) expectedFirst() time.Duration {
-	return min(j.durations.usualFirst(j.class()), j.route.FirstByteObjective)
-}
-
 // join adds a call to the queue, and looks for a chain for the next one.
 func (a *admission) join(now time.Time, j *job) *admittee {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.last++
 	w := &admittee{job: j, ticket: a.last, granted: make(chan grant, 1), full: true}
-	decision := a.queue.Join(now, j.admissionRequest(now, w.ticket), a.roomAt(now, j.pool), rand.Float64())
+	decision := a.queue.Join(now, j.admissionRequest(now, w.ticket, a.forecast.Expect(now, j.call.PromptTokens)), a.roomAt(now, j.pool), rand.Float64())
 	if decision.Refused {
 		w.granted <- a.refused(w, decision)
 		return w
--- a/internal/direct/saddlegateway/admission_test.go
+++ b/internal/direct/saddlegateway/admission_test.go
@@ -61,9 +61,9 @@
 			time.Sleep(2 * time.Millisecond)
 		}
 	}
-	begin("/draft/1", "full-1", 0)
-	begin("/draft/2", "full-2", 0)
-	begin("/batch/1", "batch", mostTokens+50)
+	begin("/batch/1", "full-1", 0)
+	begin("/batch/2", "full-2", 0)
+	begin("/batch/3", "batch", mostTokens+50)
 	begin("/draft/3", "urgent", 2*(mostTokens+50))
 	is.Equal(f.gateway.WaitingTokens()["drafts"], uint64(2*(mostTokens+50)))
 	finish <- struct{}{} // room for one
--- a/internal/direct/saddlegateway/counters.go
+++ b/internal/direct/saddlegateway/counters.go
@@ -34,7 +34,8 @@
 
 // latencies holds latency histograms in milliseconds. The name of a histogram is the kind
 // of route, followed by "_whole" for the total time or "_first" for the time until the
-// first byte.
+// first byte. "forecast_late" and "forecast_early" are by how much first events of streams were
+// later or earlier than expected.
 var latencies = struct {
 	sync.Mutex
 	byName map[string]*hdrhistogram.Histogram
@@ -70,6 +71,17 @@
 	}
 }
 
+// observeForecast records by how much a first event was later or earlier than expected.
+func observeForecast(expected, seen time.Duration) {
+	latencies.Lock()
+	defer latencies.Unlock()
+	if seen > expected {
+		recordLatency("forecast_late", seen-expected)
+		return
+	}
+	recordLatency("forecast_early", expected-seen)
+}
+
 func recordLatency(name string, d time.Duration) {
 	h, ok := latencies.byName[name]
 	if !ok {
--- a/internal/direct/saddlegateway/durationestimator.go
+++ b/internal/direct/saddlegateway/durationestimator.go
@@ -11,8 +11,6 @@
 	enoughDurations = 100
 	// hardlyAnyShare is the share of calls of a magnitude that bounds the estimate of one.
 	hardlyAnyShare = 0.99
-	// usualShare is the share of calls that take no longer than what is usual.
-	usualShare = 0.5
 )
 
 // classDurations are the durations of one class of calls.
@@ -54,17 +52,6 @@
 	return d
 }
 
-// usualFirst returns the usual time from the send of a call of a class to its first event, 0 if
-// none was recorded.
-func (e *durationEstimator) usualFirst(class callClass) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if c := e.classes[class]; c != nil {
-		return c.first.quantile(usualShare)
-	}
-	return 0
-}
-
 // update calls f with the durations of a class, and with those of the calls of its magnitude.
 func (e *durationEstimator) update(class callClass, units int, f func(c *classDurations)) {
 	e.mu.Lock()
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -40,6 +40,7 @@
 	attemptAddress  string                      // address that the most recent attempt was sent to
 	attemptLifetime string                      // start of the target at that address
 	attemptSentAt   time.Time                   // time at which the most recent attempt was sent
+	forecast        firstForecast               // of the first attempt at a stream
 	attemptEvents   int                         // events of the most recent attempt at a stream
 	sequence        eventSequence
 	lastEventID     string        // identifier of the last event that the caller received
--- a/internal/direct/saddlegateway/streamrelay.go
+++ b/internal/direct/saddlegateway/streamrelay.go
@@ -97,6 +97,7 @@
 		r.longestPause = max(r.longestPause, now.Sub(r.lastEventAt))
 	} else {
 		r.firstByteAt = now
+		r.recordFirst(now)
 	}
 	r.eventsSent++
 	r.lastEventAt = now
