Admission: whether a request starves is judged once in 50 ms

A queue compares all waiting requests for each that begins or arrives, and judged both sides of each comparison from six decaying sums. The load tests of the package take 0.57 s rather than 1.3 s, beside other work; not measured on the bench by itself.

--- a/internal/direct/saddleadmission/order.go
+++ b/internal/direct/saddleadmission/order.go
@@ -11,7 +11,7 @@
 	if a.Begun != b.Begun {
 		return when(a.Begun, ReasonBegun)
 	}
-	if x, y := q.shares.starving(now, &a.Request), q.shares.starving(now, &b.Request); x != y {
+	if x, y := q.starving(now, a), q.starving(now, b); x != y {
 		return when(x, ReasonStarving)
 	}
 	if a.Rank != b.Rank {
@@ -32,7 +32,7 @@
 // sameTier reports whether only shares, returns and arrival order two requests.
 func (q *Queue) sameTier(now time.Time, a, b *waiter) bool {
 	return a.Begun == b.Begun && a.Rank == b.Rank && a.inTime(now) == b.inTime(now) &&
-		q.shares.starving(now, &a.Request) == q.shares.starving(now, &b.Request)
+		q.starving(now, a) == q.starving(now, b)
 }
 
 // inTime reports whether a request can begin in the time that its caller expects.
--- a/internal/direct/saddleadmission/queue.go
+++ b/internal/direct/saddleadmission/queue.go
@@ -11,6 +11,8 @@
 	// reserveTime is the time for which the arrivals of more urgent requests find room in
 	// advance. The loads that other entries report are up to half a second old.
 	reserveTime = 500 * time.Millisecond
+	// starvingAge is the age up to which it is not judged again whether a request starves.
+	starvingAge = 50 * time.Millisecond
 	// maxReserve bounds the reserve as a fraction of the room.
 	maxReserve = 0.3
 	// hopelessFactor is how many times longer than a request may wait its turn must be away for
@@ -39,6 +41,8 @@
 	Request
 	arrived  time.Time
 	returned bool
+	starving bool      // as of judged
+	judged   time.Time // zero: never
 }
 
 // New returns an empty queue.
@@ -170,7 +174,16 @@
 
 // exempt reports whether a request is neither refused at its arrival nor leaves room for others.
 func (q *Queue) exempt(now time.Time, w *waiter) bool {
-	return w.Begun || w.returned || q.shares.starving(now, &w.Request)
+	return w.Begun || w.returned || q.starving(now, w)
+}
+
+// starving reports whether a request is one of those that are served much less often than all. It
+// is judged again after starvingAge, because a long queue is searched often.
+func (q *Queue) starving(now time.Time, w *waiter) bool {
+	if w.judged.IsZero() || now.Sub(w.judged) > starvingAge {
+		w.starving, w.judged = q.shares.starving(now, &w.Request), now
+	}
+	return w.starving
 }
 
 // reserve returns the room that is kept for requests more urgent than a rank. Each entry sees
