--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -80,7 +80,7 @@
 }
 
 // pickChain selects a chain, or a single target for a plain service, unless one is reserved.
-// It waits for a chain with capacity until the caller has had no event for capacityWait.
+// It waits for a chain with capacity, see awaitChain and awaitAdmittedChain.
 func (j *job) pickChain(ctx context.Context) (nextAttempt, *Refusal) {
 	if next, ok := j.takeNextAttempt(); ok {
 		return next, nil
@@ -95,7 +95,11 @@
 		}
 		return nextAttempt{chain: saddlefleet.Chain{Head: t}, release: release}, nil
 	}
-	chain, release, refusal := j.awaitChain(ctx)
+	await := j.awaitChain
+	if j.ranked {
+		await = j.awaitAdmittedChain
+	}
+	chain, release, refusal := await(ctx)
 	return nextAttempt{chain: chain, release: release}, refusal
 }
 
@@ -108,6 +112,7 @@
 	f.LastEventID = j.lastEventID
 	j.chainAddresses, j.attemptAddress, j.attemptLifetime, j.attemptEvents = chain.Addresses(), chain.Head.Address, chain.Head.Lifetime(), 0
 	j.attemptSentAt = now
+	j.forecastFirst(now, chain)
 	ctx, cancel := next.attemptContext(parent)
 	defer cancel(nil)
 	watch := j.startWatchdog(parent, ctx, cancel, chain, f)
--- a/internal/direct/saddlerouting/check.go
+++ b/internal/direct/saddlerouting/check.go
@@ -31,7 +31,6 @@
 		}
 		r.hosts[route.Host].add(route)
 	}
-	r.rankPools()
 	for _, t := range r.Tenants {
 		for _, key := range t.Keys {
 			if other, ok := r.tenantByKey[key]; ok && other != t {
@@ -40,6 +39,7 @@
 			r.tenantByKey[key] = t
 		}
 	}
+	r.indexRanks()
 	return nil
 }
 
--- a/internal/direct/saddlerouting/routing.go
+++ b/internal/direct/saddlerouting/routing.go
@@ -15,6 +15,7 @@
 
 	hosts       map[string]*hostRoutes
 	tenantByKey map[string]*Tenant
+	ranks       map[fireflysaddle.Group]*poolRanks
 }
 
 // Pool is a group of interchangeable targets.
@@ -22,7 +23,7 @@
 	Group          fireflysaddle.Group
 	MaxConnections int    // that each target accepts from all entries together; 0: not stated
 	Model          *Model // nil for plain services
-	// Ranked tells that the routes to the group have different priorities: some requests have
+	// Ranked tells that the streaming routes to the group differ in priority: some requests have
 	// to give way to others, because there is not always room for all. Check sets it.
 	Ranked bool
 }
@@ -87,19 +88,3 @@
 	}
 	return r.Version
 }
-
-// rankPools sets Ranked of the pools.
-func (r *Routing) rankPools() {
-	priorities := map[fireflysaddle.Group]int{}
-	for _, route := range r.Routes {
-		for _, s := range route.Split {
-			if s.Weight == 0 {
-				continue
-			}
-			if priority, ok := priorities[s.Group]; ok && priority != route.Priority {
-				r.Pools[s.Group].Ranked = true
-			}
-			priorities[s.Group] = route.Priority
-		}
-	}
-}
