Short prompts avoid engines that read long ones

Cause: an engine reads prompts one after the other, so a prompt behind a long one waits for it. The choice of a chain knew nothing of reads in progress.

Change: saddlereading holds the predicted end of the long reads that this entry has sent to an engine, and saddlefleet adds the delay to the cost of the engine. A read is long if it takes a quarter or more of the route's objective for the first event; otherwise nothing changes.

--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -233,7 +233,7 @@
 				To:        int(held.GetTo()),
 				Centre:    c.centreIndex(t.Centre),
 				LayerCost: float64(model.StepTime(acc, 1)) * t.stepTimeFactor * t.stepTimeFactor * loadPenalty(load), // squared, because the queue grows with the factor as well
-				HopCost:   hopCostNS,
+				HopCost:   hopCostNS + float64(t.backlog.Delay(now)),
 				HeadCost:  headCost,
 				MaxLayers: maxLayers,
 			})
--- a/internal/direct/saddlegateway/counters.go
+++ b/internal/direct/saddlegateway/counters.go
@@ -32,7 +32,8 @@
 
 // latencies holds latency histograms in milliseconds. The name of a histogram is the kind
 // of route, followed by "_whole" for the total time or "_first" for the time until the
-// first byte.
+// first byte. "_first_small", "_first_medium" and "_first_large" are those of prompts by
+// size.
 var latencies = struct {
 	sync.Mutex
 	byName map[string]*hdrhistogram.Histogram
@@ -54,8 +55,8 @@
 }
 
 // observeLatency records how long a request took in total and, if an answer began,
-// until its first byte.
-func observeLatency(route *saddlerouting.Route, total, firstByte time.Duration, answerBegan bool) {
+// until its first byte. size is the size class of its prompt, empty if it has none.
+func observeLatency(route *saddlerouting.Route, total, firstByte time.Duration, answerBegan bool, size string) {
 	name := "no_route"
 	if route != nil {
 		name = route.Kind.String()
@@ -65,6 +66,9 @@
 	recordLatency(name+"_whole", total)
 	if answerBegan {
 		recordLatency(name+"_first", firstByte)
+		if size != "" {
+			recordLatency(name+"_first_"+size, firstByte)
+		}
 	}
 }
 
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -40,6 +40,7 @@
 	attemptLifetime string                      // start of the target at that address
 	attemptSentAt   time.Time                   // time at which the most recent attempt was sent
 	attemptEvents   int                         // events of the most recent attempt at a stream
+	endReading      func(now time.Time)         // called at the first event of the most recent attempt at a stream
 	sequence        eventSequence
 	lastEventID     string        // identifier of the last event that the caller received
 	firstByteAt     time.Time     // time of the first event or byte
@@ -202,7 +203,7 @@
 func (j *job) recordEnd(outcome string, code fireflysaddle.Code, message string) {
 	total := time.Since(j.startTime)
 	j.recordDuration(time.Now(), outcome == "answered")
-	observeLatency(j.route, total, j.firstByteAt.Sub(j.startTime), !j.firstByteAt.IsZero())
+	observeLatency(j.route, total, j.firstByteAt.Sub(j.startTime), !j.firstByteAt.IsZero(), j.promptSize())
 	e := j.logEvent(zerolog.InfoLevel).Str("outcome", outcome).
 		Uint64("routing", j.state.Routing.GetVersion()).
 		Int64("confirmed_ms_ago", j.admissionTime.Sub(j.state.Confirmed).Milliseconds()).
@@ -215,7 +216,8 @@
 			Int64("longest_pause_ms", j.longestPause.Milliseconds())
 	}
 	if len(j.chainAddresses) > 0 {
-		e = e.Strs("chain", j.chainAddresses)
+		e = e.Strs("chain", j.chainAddresses).Int("prompt_tokens", j.call.PromptTokens).Int("output_estimate", j.call.estimatedTokens()-j.call.PromptTokens).
+			Int64("sent_ms", j.attemptSentAt.Sub(j.startTime).Milliseconds())
 	}
 	if len(j.triedTargets) > 0 {
 		e = e.Str("target", string(j.triedTargets[len(j.triedTargets)-1]))
--- a/internal/direct/saddlegateway/quarantine.go
+++ b/internal/direct/saddlegateway/quarantine.go
@@ -81,6 +81,9 @@
 // recordAttemptEvent counts the events of an attempt.
 func (j *job) recordAttemptEvent() {
 	j.attemptEvents++
+	if j.attemptEvents == 1 {
+		j.endReading(time.Now())
+	}
 	if j.attemptEvents == harmlessEvents {
 		j.recordHarmless()
 	}
