Prompts in reading count against an engine

Cause: short prompts wait behind all prompts that their engines have not read yet, by the long ones' part of the tokens and no more.

Change: the predicted read of this entry's prompts at an engine that have no event yet, times the entries of the data centre, counts against the engine as far as it exceeds a quarter of the shortest objective of the pool's routes. Such times are logged and counted. The backlog of long reads, which drained by prediction, is removed.

Tests of the changed packages pass.

--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -148,7 +148,7 @@
 		return nil
 	}
 	engines := usableEngines(now, pool.Model, f.groups[pool.Group], avoid)
-	found, _ := f.candidates(now, pool.Model, engines, tokens).findParts(pool.Model.Layers, f.centre, saddlepath.Costs{
+	found, _ := f.candidates(now, pool, engines, tokens).findParts(pool.Model.Layers, f.centre, saddlepath.Costs{
 		ToFirstPart: remoteHeadCostNS, BetweenParts: crossCentreCostNS,
 	})
 	return found
@@ -163,7 +163,7 @@
 	costs := saddlepath.Costs{ToFirstPart: remoteHeadCostNS, BetweenParts: math.Inf(1)}
 	search := func(centre fireflysaddle.DataCentre) ([]part, float64) {
 		engines := usableEngines(now, model, byCentre[centre], avoid)
-		return f.candidates(now, model, engines, tokens).findParts(model.Layers, f.centre, costs)
+		return f.candidates(now, pool, engines, tokens).findParts(model.Layers, f.centre, costs)
 	}
 	best, bestCost := search(f.centre)
 	if bestCost <= remoteHeadCostNS {
@@ -211,7 +211,8 @@
 // candidates returns those of the engines that have capacity for a number of tokens, and
 // their costs. An engine whose limit is used up can be any stage of a chain but the head,
 // which alone gets the request from the entry.
-func (f *Fleet) candidates(now time.Time, model *saddlerouting.Model, engines []*target, tokens int) *candidates {
+func (f *Fleet) candidates(now time.Time, pool *saddlerouting.Pool, engines []*target, tokens int) *candidates {
+	model := pool.Model
 	weights := expectedLayers(model, engines)
 	c := &candidates{centres: map[fireflysaddle.DataCentre]int{}}
 	for i, t := range engines {
@@ -233,7 +234,7 @@
 				To:        int(held.GetTo()),
 				Centre:    c.centreIndex(t.Centre),
 				LayerCost: float64(model.StepTime(acc, 1)) * t.stepTimeFactor * t.stepTimeFactor * loadPenalty(load), // squared, because the queue grows with the factor as well
-				HopCost:   hopCostNS + float64(t.backlog.Delay(now)),
+				HopCost:   hopCostNS + f.readingCost(t, pool.FirstByteObjective),
 				HeadCost:  headCost,
 				MaxLayers: maxLayers,
 			})
--- a/internal/direct/saddlefleet/counters.go
+++ b/internal/direct/saddlefleet/counters.go
@@ -9,7 +9,7 @@
 	countPauses     = expvar.NewInt("target_pauses_total")
 	pausedUntil     = expvar.NewMap("target_paused_until_ms")
 	countLimits     = expvar.NewInt("target_limits_total")
-	countLongReads  = expvar.NewInt("engine_long_reads_total")
+	countDelays     = expvar.NewInt("engine_reading_delays_total")
 	readingTokens   = expvar.NewMap("engine_reading_tokens")
 	countFailing    = expvar.NewInt("engine_failing_total")
 )
--- a/internal/direct/saddlefleet/reading.go
+++ b/internal/direct/saddlefleet/reading.go
@@ -10,50 +10,29 @@
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
 
-// BeginReading records that the engines of a chain read a prompt. objective is that of the
-// request's route for the first event. end must be called at the first event, or when the
-// attempt has ended without one.
-//
-// Only this entry's own prompts are known. Those of the other entries are independent of
-// them and last for a fraction of a second, so they add the same to the estimate for each
-// engine and do not change which one is preferred.
-func (f *Fleet) BeginReading(now time.Time, c Chain, prompt int, objective time.Duration) (end func(now time.Time)) {
+// BeginReading records that the engines of a chain read a prompt. end must be called at the first
+// event, or when the attempt has ended without one.
+func (f *Fleet) BeginReading(c Chain, prompt int) (end func()) {
 	if c.reserved == nil || prompt <= 0 {
-		return func(time.Time) {}
+		return func() {}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	model := c.reserved.model
-	parts := c.reserved.parts // Repair replaces the slice and leaves this one as it is
+	model, parts := c.reserved.model, c.reserved.parts // Repair replaces the slice and leaves this one as it is
 	times := make([]time.Duration, len(parts))
-	var total time.Duration
 	for i, p := range parts {
 		times[i] = p.prefillTime(model, prompt)
-		total += times[i]
+		p.target.reading += times[i]
 		addReadingTokens(p.target.Address, prompt)
 	}
-	var reads []saddlereading.Read
-	if saddlereading.Long(total, objective) {
-		countLongReads.Add(1)
-		f.log.Info().Str("head", c.Head.Address).Int("prompt_tokens", prompt).Int64("read_ms", total.Milliseconds()).
-			Int64("objective_ms", objective.Milliseconds()).Msg("engines read a long prompt")
+	return sync.OnceFunc(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		for i, p := range parts {
-			reads = append(reads, p.target.backlog.Add(now, times[i]))
+			p.target.reading -= times[i]
+			addReadingTokens(p.target.Address, -prompt)
 		}
-	}
-	var once sync.Once
-	return func(now time.Time) {
-		once.Do(func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			for i, p := range parts {
-				addReadingTokens(p.target.Address, -prompt)
-				if reads != nil {
-					p.target.backlog.End(now, reads[i])
-				}
-			}
-		})
-	}
+	})
 }
 
 // prefillTime returns the time in which the engine of a stage reads a prompt.
@@ -62,6 +41,24 @@
 	return time.Duration(float64(model.PrefillTime(acc, p.to-p.from, prompt)) * p.target.stepTimeFactor)
 }
 
+// readingCost returns the cost in ns of the prompts that an engine is reading, and logs when it
+// begins and ends.
+func (f *Fleet) readingCost(t *target, objective time.Duration) float64 {
+	entries := f.peerEntryCounts[t.Centre] + 1
+	excess := saddlereading.Excess(t.reading, entries, objective)
+	if delayed := excess > 0; delayed != t.delayed {
+		t.delayed = delayed
+		message := "prompts in reading no longer delay an engine"
+		if delayed {
+			countDelays.Add(1)
+			message = "prompts in reading delay an engine: others are preferred"
+		}
+		f.log.Info().Str("address", t.Address).Int64("reading_ms", t.reading.Milliseconds()).Int("entries", entries).
+			Int64("objective_ms", objective.Milliseconds()).Msg(message)
+	}
+	return float64(excess)
+}
+
 // addReadingTokens changes the counter of an engine. The counters of idle engines are removed,
 // because the addresses change over time. f.mu must be held.
 func addReadingTokens(address string, tokens int) {
--- a/internal/direct/saddlefleet/repair.go
+++ b/internal/direct/saddlefleet/repair.go
@@ -25,7 +25,7 @@
 	}
 	centre := parts[index-1].target.Centre
 	engines := usableEngines(now, pool.Model, f.byCentre[pool.Group][centre], c.Addresses())
-	candidates := f.candidates(now, pool.Model, engines, c.reserved.tokens)
+	candidates := f.candidates(now, pool, engines, c.reserved.tokens)
 	candidates.clip(parts[index].from, parts[index].to)
 	found, _ := candidates.findParts(parts[index].to-parts[index].from, centre, saddlepath.Costs{})
 	if found == nil {
--- a/internal/direct/saddlefleet/target.go
+++ b/internal/direct/saddlefleet/target.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
-	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlereading"
 	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
@@ -35,13 +34,14 @@
 	inFlight            int     // number of this entry's requests in flight
 	reservedTokenLayers float64 // tokens x layers reserved by this entry's requests
 
-	excluded            bool                  // seems to have failed, not selected for requests
-	ended               bool                  // a probe since its last answer showed that this incarnation has ended
-	unresponsive        bool                  // did not answer its last probe or lacked the registered layers
-	consecutiveFailures int                   // number of consecutive failed probes or requests
-	nextProbe           time.Time             // earliest time of the next probe
-	refusedUntil        time.Time             // end of the backoff after a refused request
-	backlog             saddlereading.Backlog // reading of this entry's long prompts
+	excluded            bool          // seems to have failed, not selected for requests
+	ended               bool          // a probe since its last answer showed that this incarnation has ended
+	unresponsive        bool          // did not answer its last probe or lacked the registered layers
+	consecutiveFailures int           // number of consecutive failed probes or requests
+	nextProbe           time.Time     // earliest time of the next probe
+	refusedUntil        time.Time     // end of the backoff after a refused request
+	reading             time.Duration // predicted read of this entry's prompts that have no event yet
+	delayed             bool          // these prompts delay the next one by more than it may wait
 	pause               pause
 	limit               limit
 	probeRequested      bool // a probe was requested without excluding the target
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -40,7 +40,7 @@
 	attemptLifetime string                      // start of the target at that address
 	attemptSentAt   time.Time                   // time at which the most recent attempt was sent
 	attemptEvents   int                         // events of the most recent attempt at a stream
-	endReading      func(now time.Time)         // called at the first event of the most recent attempt at a stream
+	endReading      func()                      // called at the first event of the most recent attempt at a stream
 	sequence        eventSequence
 	lastEventID     string        // identifier of the last event that the caller received
 	firstByteAt     time.Time     // time of the first event or byte
--- a/internal/direct/saddlegateway/quarantine.go
+++ b/internal/direct/saddlegateway/quarantine.go
@@ -82,7 +82,7 @@
 func (j *job) recordAttemptEvent() {
 	j.attemptEvents++
 	if j.attemptEvents == 1 {
-		j.endReading(time.Now())
+		j.endReading()
 	}
 	if j.attemptEvents == harmlessEvents {
 		j.recordHarmless()
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -108,8 +108,8 @@
 	f.LastEventID = j.lastEventID
 	j.chainAddresses, j.attemptAddress, j.attemptLifetime, j.attemptEvents = chain.Addresses(), chain.Head.Address, chain.Head.Lifetime(), 0
 	j.attemptSentAt = now
-	j.endReading = j.cfg.Fleet.BeginReading(now, chain, j.call.PromptTokens, j.route.FirstByteObjective)
-	defer func() { j.endReading(time.Now()) }()
+	j.endReading = j.cfg.Fleet.BeginReading(chain, j.call.PromptTokens)
+	defer func() { j.endReading() }()
 	ctx, cancel := next.attemptContext(parent)
 	defer cancel(nil)
 	watch := j.startWatchdog(parent, ctx, cancel, chain, f)
--- a/internal/direct/saddlerouting/check.go
+++ b/internal/direct/saddlerouting/check.go
@@ -27,6 +27,7 @@
 			return err
 		}
 		r.routesByHost[route.Host] = append(r.routesByHost[route.Host], route)
+		r.setObjectives(route)
 	}
 	for _, t := range r.Tenants {
 		for _, key := range t.Keys {
@@ -39,6 +40,18 @@
 	return nil
 }
 
+// setObjectives takes the objective of a route into account in the pools that it leads to.
+func (r *Routing) setObjectives(route *Route) {
+	if route.FirstByteObjective <= 0 {
+		return
+	}
+	for _, s := range route.Split {
+		if p := r.Pools[s.Group]; s.Weight > 0 && (p.FirstByteObjective <= 0 || route.FirstByteObjective < p.FirstByteObjective) {
+			p.FirstByteObjective = route.FirstByteObjective
+		}
+	}
+}
+
 func (r *Routing) checkRoute(route *Route) error {
 	fail := func(format string, args ...any) error {
 		return &Error{Subject: fmt.Sprintf("route %q", route.Name), Reason: fmt.Sprintf(format, args...)}
--- a/internal/direct/saddlerouting/routing.go
+++ b/internal/direct/saddlerouting/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
 )
@@ -22,6 +23,9 @@
 type Pool struct {
 	Group fireflysaddle.Group
 	Model *Model // nil for plain services
+	// FirstByteObjective is the shortest of the routes that lead to the pool, as Check finds it;
+	// 0: none has one.
+	FirstByteObjective time.Duration
 }
 
 // Tenant holds the routing settings of a workspace: the API keys that identify its
--- a/internal/direct/saddlerouting/routing_test.go
+++ b/internal/direct/saddlerouting/routing_test.go
@@ -37,6 +37,17 @@
 	is.New(t).Equal(r.Match("c.example", "/x/"), nil)
 }
 
+func TestAPoolHasTheShortestObjectiveOfItsRoutes(t *testing.T) {
+	is := is.New(t)
+	slow, fast, none := route("slow", "a.example", "/"), route("fast", "a.example", "/x/"), route("none", "a.example", "/y/")
+	slow.FirstByteObjective, fast.FirstByteObjective = time.Second, 500*time.Millisecond
+	r := routing(slow, fast, none)
+	r.Pools["idle"] = &saddlerouting.Pool{Group: "idle"}
+	is.NoErr(r.Check())
+	is.Equal(r.Pools["desk"].FirstByteObjective, 500*time.Millisecond)
+	is.Equal(r.Pools["idle"].FirstByteObjective, time.Duration(0)) // no route leads there
+}
+
 func TestAKeyBelongsToOneTenant(t *testing.T) {
 	is := is.New(t)
 	r := routing(route("all", "a.example", "/"))
