--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -245,9 +245,9 @@
 		if !t.limit.accepts(now, f.entryCount) {
 			headCost = math.Inf(1)
 		}
-		reading := 1.0
+		reading, readingCost := 1.0, 0.0
 		if pool.Ranked {
-			reading = f.readPenalty(now, model, t)
+			reading, readingCost = f.readPenalty(now, model, t), f.readingCost(t, pool.FirstByteObjective)
 		}
 		for _, held := range t.reg.GetLayers() {
 			c.pathEngines = append(c.pathEngines, saddlepath.Engine{
@@ -255,7 +255,7 @@
 				To:        int(held.GetTo()),
 				Centre:    c.centreIndex(t.Centre),
 				LayerCost: float64(model.StepTime(acc, 1)) * t.stepTimeFactor * t.stepTimeFactor * loadPenalty(load) * reading, // squared, because the queue grows with the factor as well
-				HopCost:   hopCostNS * reading,
+				HopCost:   hopCostNS*reading + readingCost,
 				HeadCost:  headCost,
 				MaxLayers: maxLayers,
 			})
--- a/internal/direct/saddlefleet/counters.go
+++ b/internal/direct/saddlefleet/counters.go
@@ -9,6 +9,8 @@
 	countPauses     = expvar.NewInt("target_pauses_total")
 	pausedUntil     = expvar.NewMap("target_paused_until_ms")
 	countLimits     = expvar.NewInt("target_limits_total")
+	countDelays     = expvar.NewInt("engine_reading_delays_total")
+	readingTokens   = expvar.NewMap("engine_reading_tokens")
 	countFailing    = expvar.NewInt("engine_failing_total")
 	countProbes     = expvar.NewMap("engine_probes_by_reason_total")
 )
--- a/internal/direct/saddlerouting/routing.go
+++ b/internal/direct/saddlerouting/routing.go
@@ -1,6 +1,8 @@
 package saddlerouting
 
 import (
+	"time"
+
 	"github.com/fireflysaddle/fireflysaddle"
 )
 
@@ -26,6 +28,9 @@
 	// Ranked tells that the streaming routes to the group differ in priority: some requests have
 	// to give way to others, because there is not always room for all. Check sets it.
 	Ranked bool
+	// FirstByteObjective is the shortest of the routes that lead to the pool, as Check finds it;
+	// 0: none has one.
+	FirstByteObjective time.Duration
 }
 
 const (
