--- a/internal/daemon/saddledaemon/gateway.go
+++ b/internal/daemon/saddledaemon/gateway.go
@@ -193,7 +193,7 @@
 		Leaving:     g.shuttingDown.Load(),
 		Revision:    view.Revision,
 		Confirmed:   view.Confirmed,
-		Load:        &saddlewire.Load{Drafts: append(g.fleet.SectionLoads(), g.fleet.WaitingLoads(g.gateway.WaitingTokens())...), Limits: g.fleet.Limits(time.Now())},
+		Load:        &saddlewire.Load{Drafts: g.fleet.SectionLoads(), Limits: g.fleet.Limits(time.Now())},
 		Slow:        g.gateway.SlowCentres(time.Now()),
 		Suspects:    g.fleet.Suspects(),
 		Failing:     g.fleet.Failing(time.Now()),
--- a/internal/direct/saddlefleet/room.go
+++ b/internal/direct/saddlefleet/room.go
@@ -1,13 +1,11 @@
 package saddlefleet
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
-	"github.com/fireflysaddle/fireflysaddle/internal/wire/saddlewire"
 )
 
 // Room is the room for tokens at the engines of a pool in all data centres.
@@ -42,12 +40,3 @@
 	}
 	return out
 }
-
-// WaitingLoads returns the tokens that wait at this entry, by group, as they are reported.
-func (f *Fleet) WaitingLoads(waiting map[fireflysaddle.Group]uint64) []*saddlewire.SectionLoad {
-	var out []*saddlewire.SectionLoad
-	for _, group := range slices.Sorted(maps.Keys(waiting)) {
-		out = append(out, &saddlewire.SectionLoad{Group: string(group), Centre: string(f.centre), Waiting: waiting[group]})
-	}
-	return out
-}
--- a/internal/direct/saddlegateway/admission.go
+++ b/internal/direct/saddlegateway/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -210,9 +211,17 @@
 	if a.waiting[w.ticket] == w {
 		a.queue.Leave(w.ticket)
 		delete(a.waiting, w.ticket)
+		a.publishWaiting()
 	}
 }
 
+// publishWaiting updates the counter of the tokens that wait. It must be called with mu held.
+func (a *admission) publishWaiting() {
+	n := new(expvar.Int)
+	n.Set(int64(a.queue.Tokens()))
+	waitingTokens.Set(string(a.group), n)
+}
+
 // run looks for chains until no request waits.
 func (a *admission) run() {
 	ticker := time.NewTicker(waitPollInterval)
@@ -232,6 +241,7 @@
 // dispatch lets requests begin while there are chains for them, and refuses those that have
 // waited as long as they may. It must be called with mu held.
 func (a *admission) dispatch(now time.Time) {
+	defer a.publishWaiting()
 	var skipped []saddleadmission.Ticket
 	for len(skipped) <= maxSkips && len(a.waiting) > 0 {
 		ticket, reason, ok := a.queue.Next(now, a.roomAt(now, a.anyPool()), skipped...)
--- a/internal/direct/saddlegateway/counters.go
+++ b/internal/direct/saddlegateway/counters.go
@@ -24,6 +24,7 @@
 	countRerouted        = expvar.NewInt("gateway_rerouted_total")
 	countAdmission       = expvar.NewMap("gateway_admission_total")
 	countReturns         = expvar.NewMap("gateway_returns_total")
+	waitingTokens        = expvar.NewMap("gateway_waiting_tokens")
 	countReportRequests  = expvar.NewInt("gateway_inspections_total")
 	countReportsSpared   = expvar.NewInt("gateway_inspections_spared_total")
 )
