--- a/internal/direct/saddlefleet/chain.go
+++ b/internal/direct/saddlefleet/chain.go
@@ -238,7 +238,7 @@
 			continue
 		}
 		acc := model.Accelerators[fireflysaddle.Accelerator(t.reg.GetAccelerator())]
-		headCost := headFaultCostNS*t.faults.at(now) + f.slotCost(model, t)
+		headCost := headFaultCostNS * t.faults.at(now)
 		if t.failing(now) {
 			headCost += failingHeadCostNS
 		}
@@ -248,6 +248,7 @@
 		reading, readingCost := 1.0, 0.0
 		if pool.Ranked {
 			reading, readingCost = f.readPenalty(now, model, t), f.readingCost(t, pool.FirstByteObjective)
+			headCost += f.slotCost(model, t)
 		}
 		for _, held := range t.reg.GetLayers() {
 			c.pathEngines = append(c.pathEngines, saddlepath.Engine{
