--- a/internal/direct/saddlegateway/admission.go
+++ b/internal/direct/saddlegateway/admission.go
@@ -90,21 +90,6 @@
 	return a.queue.Len()
 }
 
-// WaitingTokens returns the tokens of the streams that wait for room, by group.
-func (g *Gateway) WaitingTokens() map[fireflysaddle.Group]uint64 {
-	g.admissions.mu.Lock()
-	defer g.admissions.mu.Unlock()
-	out := map[fireflysaddle.Group]uint64{}
-	for group, a := range g.admissions.byGroup {
-		a.mu.Lock()
-		if tokens := a.queue.Tokens(); tokens > 0 {
-			out[group] = uint64(tokens)
-		}
-		a.mu.Unlock()
-	}
-	return out
-}
-
 // awaitAdmittedChain selects a chain when it is the call's turn, see saddleadmission.
 func (j *job) awaitAdmittedChain(ctx context.Context) (saddlefleet.Chain, func(), *Refusal) {
 	now := time.Now()
