Log when a call that is about to be cut arrived, was sent and last received an event

The warning 300 ms before the kill said neither when the request had arrived in relation to SIGTERM nor what its caller had received, so that a stream accepted on a wrong estimate, one that was sent late and one whose engine had stopped sending looked alike (docs/incidents/slower-than-estimated.md, hypotheses 1 to 3). It now has since_shutdown_ms, sends, sent_ms, events, silent_ms and expected_ms; a line at the beginning of a shutdown counts what is in progress, and gateway_shutdown_total the decisions. No decision has changed.

--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -42,6 +42,9 @@
 	end       context.CancelFunc       // ends it
 	durations durationEstimator
 
+	callsInProgress atomic.Int64
+	answersBegun    atomic.Int64 // of the calls in progress
+
 	mu            sync.Mutex    // guards stateChanged, retryBudgets, engineReports and endChecks
 	stateChanged  chan struct{} // closed and replaced when the state is set
 	retryBudgets  map[fireflysaddle.Group]*retryBudget
@@ -97,6 +100,8 @@
 		return
 	}
 	defer leave()
+	g.callsInProgress.Add(1)
+	defer g.callsInProgress.Add(-1)
 	ctx, release := j.endWithProcess(ctx)
 	defer release()
 	route, tenant, refusal := j.awaitAdmission(ctx, clock)
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -29,8 +29,9 @@
 	startTime     time.Time
 	deadline      time.Time
 
-	stopEnding      func() bool                 // see claimAnswer
-	answerClaimed   atomic.Bool                 // claimAnswer has returned true
+	stopEnding      func() bool // see claimAnswer
+	answerClaimed   atomic.Bool // claimAnswer has returned true
+	progress        callProgress
 	retryPrepaid    atomic.Bool                 // the next retry has already been deducted from the budget
 	next            atomic.Pointer[nextAttempt] // nil: none is reserved
 	sends           int                         // sends so far
@@ -121,6 +122,7 @@
 		return false
 	}
 	j.sends++
+	j.progress.recordSend(time.Since(j.startTime))
 	return true
 }
 
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -22,6 +22,7 @@
 
 // shutdown is a planned end of the process.
 type shutdown struct {
+	beganAt     time.Time
 	lameDuck    time.Duration
 	lameDuckEnd time.Time
 	killAt      time.Time
@@ -32,7 +33,9 @@
 // ends, and when it will be killed. Calls that may last longer are refused from now on, and
 // those that have no answer shortly before the process is killed are refused then.
 func (g *Gateway) StartShutdown(now, lameDuckEnd, killAt time.Time) {
-	g.shutdown.Store(&shutdown{lameDuck: lameDuckEnd.Sub(now), lameDuckEnd: lameDuckEnd, killAt: killAt, returning: newReturningCalls()})
+	g.shutdown.Store(&shutdown{beganAt: now, lameDuck: lameDuckEnd.Sub(now), lameDuckEnd: lameDuckEnd, killAt: killAt, returning: newReturningCalls()})
+	g.cfg.Log.Info().Int64("in_progress", g.callsInProgress.Load()).Int64("answers_begun", g.answersBegun.Load()).
+		Int64("lame_duck_ms", lameDuckEnd.Sub(now).Milliseconds()).Int64("killed_after_ms", killAt.Sub(now).Milliseconds()).Msg("calls in progress as the shutdown begins")
 	time.AfterFunc(killAt.Sub(now)-shutdownMargin, g.end)
 }
 
@@ -44,6 +47,9 @@
 	stopWarning := context.AfterFunc(j.ending, j.warnOfCut)
 	return ctx, func() {
 		stopWarning()
+		if j.answerClaimed.Load() {
+			j.answersBegun.Add(-1)
+		}
 		j.stopEnding()
 		cancel(nil)
 	}
@@ -54,7 +60,11 @@
 func (j *job) warnOfCut() {
 	if j.answerClaimed.Load() {
 		countUnfinished.Add(1)
-		j.logEvent(zerolog.WarnLevel).Dur("left", shutdownMargin).Msg("answer in progress as the process is about to be killed")
+		e := j.logEvent(zerolog.WarnLevel).Dur("left", shutdownMargin)
+		if s := j.shutdown.Load(); s != nil {
+			e = e.Int64("since_shutdown_ms", j.startTime.Sub(s.beganAt).Milliseconds()) // negative: the call came before it
+		}
+		j.progress.log(e, time.Since(j.startTime)).Msg("answer in progress as the process is about to be killed")
 	}
 }
 
@@ -65,7 +75,9 @@
 		return true
 	}
 	claimed := j.stopEnding()
-	j.answerClaimed.Store(claimed)
+	if j.answerClaimed.Store(claimed); claimed {
+		j.answersBegun.Add(1)
+	}
 	return claimed
 }
 
@@ -83,8 +95,10 @@
 	if s == nil || j.headerSent {
 		return false
 	}
-	refused := j.outlastsProcess(now)
-	j.logEvent(zerolog.InfoLevel).Int64("expected_ms", j.expectedDuration(now, s.cautious(now, j.route)).Milliseconds()).
+	refused, expected := j.outlastsProcess(now), j.expectedDuration(now, s.cautious(now, j.route))
+	j.progress.expected.Store(int64(expected))
+	countShutdownDecisions.Add(map[bool]string{false: "accepted", true: "refused"}[refused], 1)
+	j.logEvent(zerolog.InfoLevel).Int64("since_shutdown_ms", now.Sub(s.beganAt).Milliseconds()).Int("sends", j.sends).Int64("expected_ms", expected.Milliseconds()).
 		Int64("left_ms", s.timeLeft(now).Milliseconds()).Int("max_tokens", j.call.MaxOutputTokens).
 		Int("token_hint", j.call.OutputTokensHint).Bool("refused", refused).
 		Msg("expected duration compared with the time until the process is killed")
--- a/internal/direct/saddlegateway/streamrelay.go
+++ b/internal/direct/saddlegateway/streamrelay.go
@@ -101,6 +101,7 @@
 	}
 	r.eventsSent++
 	r.lastEventAt = now
+	r.progress.recordEvent(now.Sub(r.startTime))
 	r.recordHeldSent()
 	r.sequence.record(e)
 	if e.ID != "" {
