Answers to calls that are sent during a shutdown begin once they are whole

Cause: after SIGTERM a gateway accepted streams whose expected duration fitted into the time left, and sent their head at once. The expectation comes from earlier streams and says nothing about what changes later; after the head nothing can be said to the caller any more. Class: a process commits itself to what it cannot guarantee, on an estimate.

Change: a call that is first sent during a shutdown is held, its answer begins once it is whole. Streams are sent only if they are expected to be whole within the objective for the first event, and are given up while their callers still wait; others are refused at once as not run, as are those that wait for a chain at SIGTERM. A wrong expectation costs a refusal, never a cut answer.

--- a/internal/direct/saddlegateway/durationestimator.go
+++ b/internal/direct/saddlegateway/durationestimator.go
@@ -75,9 +75,9 @@
 
 // recordDuration records how long the call took since it was last sent. answered is set if
 // the answer is whole. The rest of a stream that its caller resumes is shorter than the tokens
-// that the caller states.
+// that the caller states. The events of a stream that was held were sent together.
 func (j *job) recordDuration(now time.Time, answered bool) {
-	if j.runs == 0 || j.call.LastEventID != "" || (j.eventsSent > 0 && j.firstByteAt.Before(j.attemptSentAt)) { // its first events are of another attempt
+	if j.runs == 0 || (j.held && j.eventsSent > 0) || j.call.LastEventID != "" || (j.eventsSent > 0 && j.firstByteAt.Before(j.attemptSentAt)) { // its first events are of another attempt
 		return
 	}
 	j.durations.update(j.class(), j.outputUnits(), func(c *classDurations) {
--- a/internal/direct/saddlegateway/expectedduration.go
+++ b/internal/direct/saddlegateway/expectedduration.go
@@ -17,13 +17,15 @@
 	longShare = 0.95
 	rareShare = 0.98
 	// cautionFactor is the duration for which time must be left, as a multiple of a long one,
-	// after the lame-duck period, and for calls that cannot be continued elsewhere. Their
-	// callers lose little by going elsewhere.
+	// for calls that cannot be continued elsewhere, and for plain ones after the lame-duck
+	// period. Their callers lose little by going elsewhere.
 	cautionFactor = 2
 )
 
 // expectedDuration returns how long the call may take if it is sent now: a duration that is
-// rarely exceeded, or a multiple of a long one if cautious is set.
+// rarely exceeded, or a multiple of a long one if cautious is set. It decides whether a call is sent
+// during a shutdown, not when its answer begins, since it says nothing about what changes after
+// the send.
 func (j *job) expectedDuration(now time.Time, cautious bool) time.Duration {
 	class, units := j.class(), j.outputUnits()
 	if cautious {
--- a/internal/direct/saddlegateway/forecast.go
+++ b/internal/direct/saddlegateway/forecast.go
@@ -14,7 +14,7 @@
 
 // forecastFirst predicts the first event of an attempt on a chain that begins now.
 func (j *job) forecastFirst(now time.Time, chain saddlefleet.Chain) {
-	if !j.ranked || j.sends != 1 {
+	if !j.ranked || j.sends != 1 || j.held {
 		return
 	}
 	j.forecast.idle = j.cfg.Fleet.IdleFirstEvent(chain, j.call.PromptTokens)
@@ -27,7 +27,7 @@
 // recordFirst compares the first event of the call with its forecast. That of a further attempt
 // says nothing about the engines of the first one.
 func (j *job) recordFirst(now time.Time) {
-	if !j.ranked || j.sends != 1 {
+	if !j.ranked || j.sends != 1 || j.held {
 		return
 	}
 	seen := now.Sub(j.attemptSentAt)
--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -38,6 +38,8 @@
 	state     atomic.Pointer[State]
 	limits    atomic.Pointer[Limits]
 	shutdown  atomic.Pointer[shutdown] // nil: no shutdown requested
+	leaving   context.Context          // ends when a shutdown begins
+	leave     context.CancelFunc       // ends it
 	ending    context.Context          // ends when the process is about to be killed
 	end       context.CancelFunc       // ends it
 	durations durationEstimator
@@ -65,6 +67,7 @@
 		cfg.Budget = saddlebudget.New(saddlebudget.DefaultMemory)
 	}
 	g := &Gateway{cfg: cfg, stateChanged: make(chan struct{}), retryBudgets: map[fireflysaddle.Group]*retryBudget{}, engineReports: map[string]*sharedReport{}, blames: saddleblame.New(), endChecks: map[string]time.Time{}, durations: durationEstimator{classes: map[callClass]*classDurations{}}}
+	g.leaving, g.leave = context.WithCancel(context.Background())
 	g.ending, g.end = context.WithCancel(context.Background())
 	g.state.Store(&State{})
 	g.SetLimits(cfg.Limits)
--- /dev/null
+++ b/internal/direct/saddlegateway/heldevents.go
@@ -0,0 +1,37 @@
+package saddlegateway
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
+	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlesse"
+)
+
+// heldEvents are the blocks of an attempt whose answer begins once it is whole.
+type heldEvents struct {
+	blocks []saddlesse.Event
+	whole  bool // the attempt has ended, and the blocks may be sent
+}
+
+// add keeps a block.
+func (h *heldEvents) add(e saddlesse.Event) {
+	e.Raw = bytes.Clone(e.Raw)
+	h.blocks = append(h.blocks, e)
+}
+
+// startHoldTimer bounds the time for which a stream is held: its caller is to get an answer before
+// it leaves, because another entry can serve it.
+func (j *job) startHoldTimer(now time.Time) {
+	if j.route.Kind != saddlerouting.Streaming || j.holdTimer != nil {
+		return
+	}
+	limit := time.Duration(retryPatience * float64(j.route.CallerPatience()))
+	j.holdTimer = time.AfterFunc(j.startTime.Add(limit).Sub(now), j.giveUp)
+}
+
+func (j *job) stopHoldTimer() {
+	if j.holdTimer != nil {
+		j.holdTimer.Stop()
+	}
+}
--- a/internal/direct/saddlegateway/job.go
+++ b/internal/direct/saddlegateway/job.go
@@ -30,6 +30,8 @@
 	deadline      time.Time
 
 	stopEnding      func() bool // see claimAnswer
+	giveUp          func()      // ends the call with a refusal unless its answer has begun
+	holdTimer       *time.Timer // calls giveUp; nil: not started
 	answerClaimed   atomic.Bool // claimAnswer has returned true
 	progress        callProgress
 	retryPrepaid    atomic.Bool                 // the next retry has already been deducted from the budget
@@ -37,6 +39,7 @@
 	sends           int                         // sends so far
 	runs            int                         // sends that may have run on a target
 	headerSent      bool                        // Responder.Begin was called
+	held            bool                        // the answer begins once it is whole, see refusedByShutdown
 	eventsSent      int                         // events sent to the caller
 	attemptAddress  string                      // address that the most recent attempt was sent to
 	attemptLifetime string                      // start of the target at that address
--- a/internal/direct/saddlegateway/leavingretry.go
+++ b/internal/direct/saddlegateway/leavingretry.go
@@ -17,9 +17,12 @@
 	maxRetryDelayShare = 1.0 / 3
 )
 
+// leavingMessage is the message of a refusal because the process is shutting down.
+const leavingMessage = "the process is shutting down and may end before the answer"
+
 // refuseLeaving refuses the call because the process is shutting down.
 func (j *job) refuseLeaving(now time.Time) {
-	r := Refusal{Code: fireflysaddle.CodeLeaving, Message: "the process is shutting down and may end before the answer"}
+	r := Refusal{Code: fireflysaddle.CodeLeaving, Message: leavingMessage}
 	if j.runs > 0 {
 		r.Outcome = OutcomeUnknown
 	} else {
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -36,7 +36,7 @@
 			j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
 			return
 		}
-		if j.mayOutlastProcess(time.Now()) {
+		if j.refusedByShutdown(time.Now()) {
 			j.refuseLeaving(time.Now())
 			return
 		}
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -20,6 +20,9 @@
 // to be killed. It is a cancellation, which is no fault of the target.
 var errProcessEnding = fmt.Errorf("the process is about to end: %w", context.Canceled)
 
+// errLeaving ends the wait of calls that are not sent any more because a shutdown has begun.
+var errLeaving = fmt.Errorf("the process is shutting down: %w", context.Canceled)
+
 // shutdown is a planned end of the process.
 type shutdown struct {
 	beganAt     time.Time
@@ -30,12 +33,14 @@
 }
 
 // StartShutdown records that the process has been told to stop, when its lame-duck period
-// ends, and when it will be killed. Calls that may last longer are refused from now on, and
-// those that have no answer shortly before the process is killed are refused then.
+// ends, and when it will be killed. Calls that may last longer, and those that wait to be sent, are
+// refused from now on, and those that have no answer shortly before the process is killed are
+// refused then.
 func (g *Gateway) StartShutdown(now, lameDuckEnd, killAt time.Time) {
 	g.shutdown.Store(&shutdown{beganAt: now, lameDuck: lameDuckEnd.Sub(now), lameDuckEnd: lameDuckEnd, killAt: killAt, returning: newReturningCalls()})
 	g.cfg.Log.Info().Int64("in_progress", g.callsInProgress.Load()).Int64("answers_begun", g.answersBegun.Load()).
 		Int64("lame_duck_ms", lameDuckEnd.Sub(now).Milliseconds()).Int64("killed_after_ms", killAt.Sub(now).Milliseconds()).Msg("calls in progress as the shutdown begins")
+	g.leave()
 	time.AfterFunc(killAt.Sub(now)-shutdownMargin, g.end)
 }
 
@@ -43,10 +48,12 @@
 // claimAnswer has been called, and a function that releases its resources.
 func (j *job) endWithProcess(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	j.stopEnding = context.AfterFunc(j.ending, func() { cancel(errProcessEnding) })
+	j.giveUp = func() { cancel(errProcessEnding) }
+	j.stopEnding = context.AfterFunc(j.ending, j.giveUp)
 	stopWarning := context.AfterFunc(j.ending, j.warnOfCut)
 	return ctx, func() {
 		stopWarning()
+		j.stopHoldTimer()
 		if j.answerClaimed.Load() {
 			j.answersBegun.Add(-1)
 		}
@@ -74,6 +81,7 @@
 	if j.headerSent {
 		return true
 	}
+	j.stopHoldTimer()
 	claimed := j.stopEnding()
 	if j.answerClaimed.Store(claimed); claimed {
 		j.answersBegun.Add(1)
@@ -86,20 +94,23 @@
 	return errors.Is(context.Cause(ctx), errProcessEnding)
 }
 
-// mayOutlastProcess reports whether the call, if it is sent now, may take longer than the
-// time left until the process is killed. During the lame-duck period calls that can be
-// continued elsewhere need less time, because the balancer still sends calls then and most
-// would be refused in vain otherwise. An answer that has begun continues in any case.
-func (j *job) mayOutlastProcess(now time.Time) bool {
+// refusedByShutdown reports whether the call is not to be sent, because the process is shutting
+// down and the whole answer may come too late. A call that is sent all the same is held: its
+// answer begins once it is whole, because how long it takes is not sure. An answer that has begun
+// continues in any case.
+func (j *job) refusedByShutdown(now time.Time) bool {
 	s := j.shutdown.Load()
 	if s == nil || j.headerSent {
 		return false
 	}
-	refused, expected := j.outlastsProcess(now), j.expectedDuration(now, s.cautious(now, j.route))
+	refused, expected := j.mayEndTooLate(now), j.expectedDuration(now, s.cautious(now, j.route))
+	if j.held = !refused && j.mayOutlastProcess(now, s); j.held {
+		j.startHoldTimer(now)
+	}
 	j.progress.expected.Store(int64(expected))
 	countShutdownDecisions.Add(map[bool]string{false: "accepted", true: "refused"}[refused], 1)
 	j.logEvent(zerolog.InfoLevel).Int64("since_shutdown_ms", now.Sub(s.beganAt).Milliseconds()).Int("sends", j.sends).Int64("expected_ms", expected.Milliseconds()).
-		Int64("left_ms", s.timeLeft(now).Milliseconds()).Int("max_tokens", j.call.MaxOutputTokens).
+		Int64("left_ms", s.timeLeft(now).Milliseconds()).Int64("answer_time_ms", j.answerTime(now, s).Milliseconds()).Int("max_tokens", j.call.MaxOutputTokens).
 		Int("token_hint", j.call.OutputTokensHint).Bool("refused", refused).
 		Msg("expected duration compared with the time until the process is killed")
 	return refused
@@ -108,17 +119,50 @@
 // timeLeft returns the time in which an answer must end.
 func (s *shutdown) timeLeft(now time.Time) time.Duration { return s.killAt.Sub(now) - shutdownMargin }
 
-// cautious reports whether a call on a route must be almost certain to end in time.
+// cautious reports whether a call on a route must be almost certain to end in time. A stream that
+// can be continued elsewhere need not be: it is held for a short time only.
 func (s *shutdown) cautious(now time.Time, route *saddlerouting.Route) bool {
-	return !now.Before(s.lameDuckEnd) || !route.Retryable()
+	return !route.Retryable() || (route.Kind != saddlerouting.Streaming && !now.Before(s.lameDuckEnd))
+}
+
+// mayOutlastProcess reports whether the deadline of the call leaves it more time than the process
+// has.
+func (j *job) mayOutlastProcess(now time.Time, s *shutdown) bool {
+	return j.deadline.Sub(now) > s.timeLeft(now)
+}
+
+// answerTime returns the time in which the whole answer to a call that is sent now must have
+// arrived. Streams are held no longer than their callers expect to wait for the first event: later
+// than that, another entry serves them better.
+func (j *job) answerTime(now time.Time, s *shutdown) time.Duration {
+	if j.route.Kind != saddlerouting.Streaming {
+		return s.timeLeft(now)
+	}
+	wait := j.route.FirstByteObjective
+	if wait <= 0 {
+		wait = j.route.CallerPatience()
+	}
+	return min(s.timeLeft(now), j.startTime.Add(wait).Sub(now))
 }
 
-// outlastsProcess is mayOutlastProcess for a call whose answer has not begun, without a log line.
-func (j *job) outlastsProcess(now time.Time) bool {
+// mayEndTooLate reports whether, during a shutdown, the whole answer to a call that is sent now may
+// come too late.
+func (j *job) mayEndTooLate(now time.Time) bool {
 	s := j.shutdown.Load()
-	if s == nil {
-		return false
+	return s != nil && j.mayOutlastProcess(now, s) && j.expectedDuration(now, s.cautious(now, j.route)) > j.answerTime(now, s)
+}
+
+// waitUntilShutdown returns a context in which a call whose answer has not begun waits before it is
+// sent, and a function that releases its resources. It ends when a shutdown begins, because other
+// entries serve the call then.
+func (j *job) waitUntilShutdown(ctx context.Context) (context.Context, func()) {
+	if j.headerSent {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(j.leaving, func() { cancel(errLeaving) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
 	}
-	left := s.timeLeft(now)
-	return j.deadline.Sub(now) > left && j.expectedDuration(now, s.cautious(now, j.route)) > left
 }
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -29,7 +30,7 @@
 	j.lastEventID = j.call.LastEventID
 	j.sequence.start(j.lastEventID)
 	j.cfg.Fleet.RecordDemand(time.Now(), j.pool.Group)
-	if j.mayOutlastProcess(time.Now()) {
+	if j.refusedByShutdown(time.Now()) {
 		j.refuseLeaving(time.Now())
 		return
 	}
@@ -68,7 +69,7 @@
 		j.failCall(ctx, refusal.Code, refusal.Message, refusal.RetryAfter)
 		return false
 	}
-	if j.mayOutlastProcess(time.Now()) {
+	if j.refusedByShutdown(time.Now()) {
 		j.refuseLeaving(time.Now())
 		return false
 	}
@@ -99,7 +100,12 @@
 	if j.ranked {
 		await = j.awaitAdmittedChain
 	}
-	chain, release, refusal := await(ctx)
+	waitCtx, endWait := j.waitUntilShutdown(ctx)
+	defer endWait()
+	chain, release, refusal := await(waitCtx)
+	if refusal != nil && errors.Is(context.Cause(waitCtx), errLeaving) {
+		refusal = &Refusal{Code: fireflysaddle.CodeLeaving, Message: leavingMessage, RetryAfter: j.leavingRetryAfter(time.Now())}
+	}
 	return nextAttempt{chain: chain, release: release}, refusal
 }
 
--- a/internal/direct/saddlegateway/streamrelay.go
+++ b/internal/direct/saddlegateway/streamrelay.go
@@ -18,6 +18,7 @@
 	further bool // an earlier attempt has begun the answer to the caller
 	ids     attemptIDs
 	rest    eventless
+	kept    heldEvents
 	// reserve takes memory for what is held. It is needed before the answer begins only: later
 	// blocks are held no longer than they take to arrive.
 	reserve  func(n int) error
@@ -49,6 +50,23 @@
 	if r.further && !repeated {
 		return r.sequence.check(e)
 	}
+	if r.holds() {
+		return r.reserve(len(e.Raw))
+	}
+	return nil
+}
+
+// holds reports whether blocks are kept until the answer is whole.
+func (r *streamRelay) holds() bool { return r.held && !r.headerSent && !r.kept.whole }
+
+// sendKept sends the blocks that were kept, because the answer is whole.
+func (r *streamRelay) sendKept() error {
+	r.kept.whole = true
+	for _, e := range r.kept.blocks {
+		if err := r.deliver(e, true); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -56,6 +74,9 @@
 // is held until the answer has begun, and while further bytes have arrived.
 func (r *streamRelay) deliver(e saddlesse.Event, buffered bool) error {
 	switch {
+	case r.holds():
+		r.kept.add(e)
+		return nil
 	case r.alreadyDelivered(e.ID):
 		return nil
 	case e.HasData:
@@ -76,6 +97,9 @@
 	if r.watch.hasEvent.Load() {
 		r.watch.recordEvent()
 	}
+	if err := r.sendKept(); err != nil {
+		return r.endUndelivered(err)
+	}
 	r.rest.hold(e)
 	if err := r.writeHeld(); err != nil {
 		return r.endUndelivered(err)
@@ -132,7 +156,7 @@
 // write sends part of a stream to the caller, and begins the answer if it has not begun.
 func (r *streamRelay) write(raw []byte) error {
 	if !r.headerSent {
-		if !r.claimAnswer() {
+		if !r.claimAnswer() && !r.kept.whole {
 			return errProcessEnding
 		}
 		r.headerSent = true
