Large plain answers to calls that are sent during a shutdown are held as well

Cause: the first part of an answer is read up to 256 KB, and what is longer began at once. Change: an answer that is held is read as far as the memory for answers allows.

TestLargeAnswerThatStopsDuringTheShutdownDoesNotBegin failed on the parent, 2 of 2 rows; TestLargeAnswerIsHeldAndSentWhole holds what the change must not lose.

--- a/internal/direct/saddlegateway/firstpart.go
+++ b/internal/direct/saddlegateway/firstpart.go
@@ -27,12 +27,16 @@
 func (j *job) readFirst(reply *fireflysaddle.Reply, address string) (*firstPart, error) {
 	part := &firstPart{}
 	part.share, part.release = j.cfg.Budget.Open(address)
+	limit := bufferedAnswerBytes
+	if j.held {
+		limit = heldAnswerBytes
+	}
 	announced := reply.Length
 	if j.call.Method == http.MethodHead {
 		announced = 0
 	}
 	var err error
-	part.FirstPart, err = saddlebudget.ReadFirst(reply.Body, bufferedAnswerBytes, announced, part.share)
+	part.FirstPart, err = saddlebudget.ReadFirst(reply.Body, limit, announced, part.share)
 	if part.Refused != nil {
 		j.logExhausted(part.Refused).Int("bytes", len(part.Bytes)).Msg("answer passed on before its first part was complete")
 	}
--- a/internal/direct/saddlegateway/heldstream_test.go
+++ b/internal/direct/saddlegateway/heldstream_test.go
@@ -93,3 +93,49 @@
 		time.Sleep(time.Until(killed))
 	})
 }
+
+// Guards against a large plain answer that begins during the shutdown being cut: its target stops
+// sending after a part that is longer than what is read before other answers begin.
+func TestLargeAnswerThatStopsDuringTheShutdownDoesNotBegin(t *testing.T) {
+	const part = 600 << 10
+	for _, path := range []string{"/file/", "/status/"} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+					r := okReply("")
+					r.Body = &silentBody{Reader: strings.NewReader(strings.Repeat("x", part))}
+					return r, nil
+				})
+				f.setTimeouts(t, 20*time.Second)
+				for _, route := range f.gateway.State().Routing.Routes {
+					route.MaxAttempts = 1
+				}
+				killed := f.startShutdown()
+				got := f.serve(call(path))
+				is.True(time.Now().Before(killed))
+				is.Equal(got.status, 0)
+				is.True(got.refusal != nil)
+				is.Equal(got.refusal.Outcome, saddlegateway.OutcomeUnknown)
+				time.Sleep(time.Until(killed))
+			})
+		})
+	}
+}
+
+// Guards against a large answer that is held being refused or changed: it is whole in time.
+func TestLargeAnswerIsHeldAndSentWhole(t *testing.T) {
+	want := strings.Repeat("0123456789abcdef", 40<<10)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, answerSequence(answerAfter(50*time.Millisecond, func(fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+			return okReply(want), nil
+		})))
+		f.setTimeouts(t, 20*time.Second)
+		killed := f.startShutdown()
+		got := f.serve(call("/file/"))
+		is.Equal(got.refusal, nil)
+		is.True(got.body.String() == want)
+		time.Sleep(time.Until(killed))
+	})
+}
--- a/internal/direct/saddlegateway/plain.go
+++ b/internal/direct/saddlegateway/plain.go
@@ -20,6 +20,9 @@
 	// its header is sent to the caller, so that another target can be tried if the
 	// answer is truncated. It is smaller while there is no memory for more.
 	bufferedAnswerBytes = 256 << 10
+	// heldAnswerBytes is that size for an answer that is held, see refusedByShutdown. The memory
+	// for answers is smaller at most sites.
+	heldAnswerBytes = 64 << 20
 	// targetsFullRetryAfter is the retry delay after all targets of a group were full.
 	// A target runs a request in some tens of milliseconds.
 	targetsFullRetryAfter = 250 * time.Millisecond
