One limit for the time for which a stream is held and for its expected duration

TestLateRequestsInTheGraceAreAnswered failed in 7 of 63 rows since answers are held: quick drafts were refused until 100 had been measured, because the duration assumed until then exceeds the objective for the first event. A stream is now sent if it is expected to be whole by the time at which it is given up; the two limits are one, and the rows pass unchanged. TestRetryThatMayOutlastTheProcessIsNotSent has its first refusal at the same time after SIGTERM whenever the request arrived.

--- a/internal/direct/saddlegateway/heldevents.go
+++ b/internal/direct/saddlegateway/heldevents.go
@@ -20,14 +20,17 @@
 	h.blocks = append(h.blocks, e)
 }
 
-// startHoldTimer bounds the time for which a stream is held: its caller is to get an answer before
-// it leaves, because another entry can serve it.
+// holdEnd returns until when a stream is held: its caller is to get an answer before it leaves,
+// because another entry can serve it.
+func (j *job) holdEnd() time.Time {
+	return j.startTime.Add(time.Duration(retryPatience * float64(j.route.CallerPatience())))
+}
+
+// startHoldTimer gives the call up at the end of the hold if it is a stream.
 func (j *job) startHoldTimer(now time.Time) {
-	if j.route.Kind != saddlerouting.Streaming || j.holdTimer != nil {
-		return
+	if j.route.Kind == saddlerouting.Streaming && j.holdTimer == nil {
+		j.holdTimer = time.AfterFunc(j.holdEnd().Sub(now), j.giveUp)
 	}
-	limit := time.Duration(retryPatience * float64(j.route.CallerPatience()))
-	j.holdTimer = time.AfterFunc(j.startTime.Add(limit).Sub(now), j.giveUp)
 }
 
 func (j *job) stopHoldTimer() {
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -132,17 +132,12 @@
 }
 
 // answerTime returns the time in which the whole answer to a call that is sent now must have
-// arrived. Streams are held no longer than their callers expect to wait for the first event: later
-// than that, another entry serves them better.
+// arrived.
 func (j *job) answerTime(now time.Time, s *shutdown) time.Duration {
 	if j.route.Kind != saddlerouting.Streaming {
 		return s.timeLeft(now)
 	}
-	wait := j.route.FirstByteObjective
-	if wait <= 0 {
-		wait = j.route.CallerPatience()
-	}
-	return min(s.timeLeft(now), j.startTime.Add(wait).Sub(now))
+	return min(s.timeLeft(now), j.holdEnd().Sub(now))
 }
 
 // mayEndTooLate reports whether, during a shutdown, the whole answer to a call that is sent now may
