--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -35,6 +35,7 @@
 type vm struct {
 	name, zone, ip string
 	entry, control *process
+	diskless       bool // no control process
 }
 
 // process is a process of the system.
@@ -121,7 +122,9 @@
 func (c *cluster) controlAddresses() []string {
 	var out []string
 	for _, v := range c.vms {
-		out = append(out, c.address(v, c.ports.control))
+		if !v.diskless {
+			out = append(out, c.address(v, c.ports.control))
+		}
 	}
 	return out
 }
@@ -159,7 +162,11 @@
 	}
 	v.entry = &process{name: v.name + "/entry", args: []string{"gateway", "-settings", c.settingsFile(v, "gateway")}, log: filepath.Join(c.dir, v.name+"-entry.log")}
 	v.control = &process{name: v.name + "/control", args: []string{"control", "-settings", c.settingsFile(v, "control")}, log: filepath.Join(c.dir, v.name+"-control.log")}
-	return errors.Join(v.entry.start(), v.control.start())
+	var err error
+	for _, p := range v.processes() {
+		err = errors.Join(err, p.start())
+	}
+	return err
 }
 
 func (p *process) start() error {
@@ -226,7 +233,8 @@
 func (c *cluster) submit(version int, body []byte) (time.Time, error) {
 	start := time.Now()
 	for i := 0; time.Since(start) < 30*time.Second; i++ {
-		address := c.controlAddresses()[i%len(c.vms)]
+		controls := c.controlAddresses()
+		address := controls[i%len(controls)]
 		status, answer, err := c.call(http.MethodPut, "http://"+address+"/config", body)
 		c.rec.addf("operator sends version %d to %s: %s", version, address, outcome(status, err))
 		if err == nil && status < 500 && status != http.StatusTemporaryRedirect {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -35,6 +35,7 @@
 	"foreignrunner":      foreignRunner,
 	"lasttenant":         lastTenant,
 	"twomodels":          twoModels,
+	"stopsinseries":      stopsInSeries,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/rig/vms.go
+++ b/review/rig/vms.go
@@ -18,6 +18,13 @@
 	return v, nil
 }
 
+// addEntry starts a machine without a disk, which has an entry only.
+func (c *cluster) addEntry(name, zone string) error {
+	v := &vm{name: name, zone: zone, ip: c.nextIP(), diskless: true}
+	c.vms = append(c.vms, v)
+	return c.startVM(v, false)
+}
+
 // removeVM stops a machine for good, as the platform does: SIGTERM, and SIGKILL after
 // the grace time.
 func (c *cluster) removeVM(v *vm) {
@@ -51,4 +58,10 @@
 	return c.startVM(v, false)
 }
 
-func (v *vm) processes() []*process { return []*process{v.entry, v.control} }
+// processes returns the processes of the machine. One without a disk has no control process.
+func (v *vm) processes() []*process {
+	if v.diskless {
+		return []*process{v.entry}
+	}
+	return []*process{v.entry, v.control}
+}
