--- a/review/rig/stopsinseries.go
+++ b/review/rig/stopsinseries.go
@@ -8,14 +8,13 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
 
 const (
 	enginesPerZone  = 2
-	callersPerVM    = 40
+	usualCallers    = 40               // of each machine
 	warmUpTime      = 20 * time.Second // some 100 streams per entry
 	stopRounds      = 2
 	minStopGap      = time.Second
@@ -23,22 +22,25 @@
 	restartDelay    = 300 * time.Millisecond // from the exit of a process to its next start
 	roundGap        = 8 * time.Second
 	changeInterval  = 300 * time.Millisecond
-	slowTime        = 4 * time.Second // from a SIGTERM, in the zone of the machine, with the trouble
-	secondTermDelay = time.Second     // with SIGNALS=1
-	reloadDelay     = 2 * time.Second // as above
+	usualSlowTime   = 4                // s from a SIGTERM, in the zone of the machine, with the trouble
+	engineDrainTime = 12 * time.Second // with MOVE=1
+	secondTermDelay = time.Second      // with SIGNALS=1
+	reloadDelay     = 2 * time.Second  // as above
 )
 
 // series is the state of the case.
 type series struct {
-	c       *cluster
-	trouble bool
-	signals bool // a second SIGTERM and a SIGHUP during the grace time
-	move    bool // layers have to move as a leader stops
-	rng     *rand.Rand
-	lengths func(rng *rand.Rand) int // events of a stream
-	paces   map[string]*pace         // by zone
-	work    *workLog
-	moved   atomic.Bool
+	c          *cluster
+	trouble    bool
+	signals    bool // a second SIGTERM and a SIGHUP during the grace time
+	move       bool // layers have to move as a leader stops
+	rng        *rand.Rand
+	lengths    func(rng *rand.Rand) int // events of a stream
+	paces      map[string]*pace         // by zone
+	farPercent int                      // of the callers' estimates that are far too low
+	spread     int                      // of the estimates, see usualSpread
+	slowTime   time.Duration
+	work       *workLog
 
 	mu      sync.Mutex
 	streams []*stream
@@ -67,7 +69,8 @@
 	s := &series{
 		c: c, trouble: trouble, signals: os.Getenv("SIGNALS") == "1", move: os.Getenv("MOVE") == "1",
 		rng:     rand.New(rand.NewPCG(uint64(seed), 0)),
-		lengths: siteLength, paces: map[string]*pace{}, work: newWorkLog(),
+		lengths: siteLength, paces: map[string]*pace{}, farPercent: setting("FAR", 0), spread: setting("SPREAD", usualSpread),
+		slowTime: time.Duration(setting("SLOWTIME", usualSlowTime)) * time.Second, work: newWorkLog(),
 	}
 	for _, zone := range zones {
 		s.paces[zone] = &pace{factor: slowdown}
@@ -82,9 +85,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
+	perVM := setting("CALLERS", usualCallers)
 	for i, v := range c.vms {
-		for n := range callersPerVM {
-			rng := rand.New(rand.NewPCG(uint64(seed), uint64(1+i*callersPerVM+n)))
+		for n := range perVM {
+			rng := rand.New(rand.NewPCG(uint64(seed), uint64(1+i*perVM+n)))
 			callers.Go(func() { s.call(ctx, v, rng, n%2 == 0) })
 		}
 	}
@@ -137,18 +141,13 @@
 	return nil
 }
 
-// table returns a version of the configuration. Versions differ in the tenant's priority, and
-// in the layers that fit into an engine.
+// table returns a version of the configuration. Versions differ in the tenant's priority.
 func (s *series) table(version int) *table {
 	t := newTable(version, desk)
 	t.Tenants[0].Priority = 1 + version%3
 	t.addModel()
-	memory := splitMemory
-	if s.moved.Load() {
-		memory = smallMemory
-	}
 	engine := t.Backends[len(t.Backends)-1].Engine
-	engine["kinds"] = []any{map[string]any{"name": engineKind, "mb": memory, "pace": 1.4, "read_factor": 1.0}}
+	engine["kinds"] = []any{map[string]any{"name": engineKind, "mb": splitMemory, "pace": 1.4, "read_factor": 1.0}}
 	return t
 }
 
@@ -184,10 +183,10 @@
 	stop := &vmStop{vm: v, termAt: time.Now(), led: s.c.leader() == v, exits: map[string]exitState{}}
 	s.c.rec.addf("SIGTERM to %s, leader: %v", v.name, stop.led)
 	if s.trouble {
-		s.paces[v.zone].slowUntil(stop.termAt.Add(slowTime))
+		s.paces[v.zone].slowUntil(stop.termAt.Add(s.slowTime))
 	}
 	if s.move && stop.led {
-		s.moved.Store(!s.moved.Load())
+		s.drainEngines()
 	}
 	s.mu.Lock()
 	s.stops = append(s.stops, stop)
@@ -201,6 +200,29 @@
 	}
 }
 
+// drainEngines has all engines but one with the last layers drain for a time, so that others
+// have to give up theirs.
+func (s *series) drainEngines() {
+	kept := false
+	for _, t := range s.c.targets {
+		t.mu.Lock()
+		last := t.engine.to == modelLayers
+		if last && kept {
+			t.state = "draining"
+			s.c.rec.addf("%s drains", t.id)
+			time.AfterFunc(engineDrainTime, func() { t.setState("ready") })
+		}
+		kept = kept || last
+		t.mu.Unlock()
+	}
+}
+
+func (t *target) setState(state string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state = state
+}
+
 // signalAgain sends further signals to a process that is stopping.
 func (s *series) signalAgain(p *process) {
 	cmd, done := p.cmd, p.done
--- a/review/rig/streamcaller.go
+++ b/review/rig/streamcaller.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	hintSpread    = 0.5 // standard deviation of the logarithm
+	usualSpread   = 50 // 100 times the standard deviation of the estimates' logarithm
+	farFactor     = 10 // by which some estimates are too low, with FAR
 	maxRetryAfter = time.Second
 	redialDelay   = 50 * time.Millisecond
 )
@@ -69,6 +70,15 @@
 	}
 }
 
+// hint draws a caller's estimate of a number of tokens.
+func (s *series) hint(tokens int, rng *rand.Rand) int {
+	n := float64(tokens) * math.Exp(float64(s.spread)/100*rng.NormFloat64())
+	if rng.IntN(100) < s.farPercent {
+		n /= farFactor
+	}
+	return max(1, int(n))
+}
+
 // send sends a request and reads its events.
 func (s *series) send(client *http.Client, v *vm, rng *rand.Rand) *stream {
 	out := &stream{id: newID(), vm: v, want: s.lengths(rng), sentAt: time.Now()}
@@ -95,8 +105,7 @@
 		return out
 	}
 	req.Host = host
-	tokens := tokensPerEvent * out.want
-	hint := max(1, int(float64(tokens)*math.Exp(hintSpread*rng.NormFloat64())))
+	hint := s.hint(tokensPerEvent*out.want, rng)
 	for name, value := range map[string]string{
 		header("request"): out.id, "Model": "m", header("tokens"): fmt.Sprintf("760,%d", tokensPerEvent*maxEvents), header("hint"): strconv.Itoa(hint),
 		header("prompt"): "5c1e07a2:700,e4402b7d:60", header("budget"): strconv.FormatInt(draftBudget.Milliseconds(), 10), header("key"): callerKey,
--- a/review/rig/streamengine.go
+++ b/review/rig/streamengine.go
@@ -17,7 +17,6 @@
 	tokensPerEvent = 2
 	usualSlowdown  = 2
 	splitMemory    = 10000.0 // MB, for five of the layers
-	smallMemory    = 8000.0  // MB, for four of them
 	meanEvents     = 86.0
 	eventSpread    = 0.89 // standard deviation of the logarithm
 	minEvents      = 4
