--- a/review/rig/streamverdict.go
+++ b/review/rig/streamverdict.go
@@ -81,6 +81,7 @@
 	passedOn := s.work.runs[t.id] > 0
 	if !passedOn && t.endedAt.Sub(t.sentAt) <= lossSlack {
 		n.unread++
+		s.describe(t, s.stopOf(t), "closed unread", lines)
 		return
 	}
 	stop := s.stopOf(t)
