--- a/review/rig/streamverdict.go
+++ b/review/rig/streamverdict.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -155,8 +156,13 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "cut (%s): %s at %s, %d of %d events, error %v, kept connection: %v, passed on %d times", class, t.id, t.vm.name, t.events, t.want, t.err, t.reused, s.work.runs[t.id])
 	if stop != nil {
-		since := func(at time.Time) int64 { return at.Sub(stop.termAt).Milliseconds() }
-		fmt.Fprintf(&b, "; ms after SIGTERM (leader: %v): sent %d, passed on %d, ended %d, last work of an engine %d, process ended %d (killed: %v)",
+		since := func(at time.Time) string {
+			if at.IsZero() {
+				return "never"
+			}
+			return strconv.FormatInt(at.Sub(stop.termAt).Milliseconds(), 10)
+		}
+		fmt.Fprintf(&b, "; ms after SIGTERM (leader: %v): sent %s, passed on %s, ended %s, last work of an engine %s, process ended %s (killed: %v)",
 			stop.led, since(t.sentAt), since(s.work.first[t.id]), since(t.endedAt), since(s.work.last[t.id]), since(stop.exits[t.vm.entry.name].at), stop.exits[t.vm.entry.name].killed)
 	}
 	b.WriteString("\n")
