Entry: begin no answer during a shutdown that may be cut, refuse before its timeout

Seen by callers of an entry to agents with a shutdown timeout: streams that the entry accepted after SIGTERM, or whose first token came after it, got the head of an answer and were cut when the timeout passed.

Cause: the shutdown timeout was a limit of the shutdown's wait, not a deadline of the requests, and the head of a stream was sent with its first token although the end of the answer was not sure.

Now the head of a stream is sent during the shutdown only once the answer is whole, so a failure can still be sent instead; no estimate is involved. 300 ms before the timeout all work on requests ends: what has no answer gets a failure with the code "leaving", a Retry-After and whether it ran; a stream that began before SIGTERM ends with that failure as its last event. Agents are asked for the outcome of calls until 100 ms before. Failures with "leaving" of requests that may have run have the status 502.

--- a/internal/entry/saddleentry/await.go
+++ b/internal/entry/saddleentry/await.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/entry/saddleroute"
 	"github.com/fireflysaddle/fireflysaddle/internal/pipeline/saddlechain"
 )
@@ -29,6 +31,9 @@
 		stage, ok = s.router.ChooseService(now, s.subscriber.View(), requirements)
 		return []saddlechain.Stage{stage}, ok
 	})
+	if errors.Is(err, errEnding) {
+		return saddlechain.Stage{}, &fireflysaddle.RefusedError{Code: fireflysaddle.CodeLeaving, Message: errEnding.Error(), RetryAfter: leavingRetryAfter}
+	}
 	if err != nil {
 		return saddlechain.Stage{}, noTargetError(requirements, lastErr)
 	}
@@ -49,7 +54,7 @@
 			return nil
 		}
 		if ctx.Err() != nil {
-			return ctx.Err()
+			return context.Cause(ctx)
 		}
 		if ok {
 			continue // choose others, without the unreachable target
@@ -62,7 +67,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return context.Cause(ctx)
 		case <-time.After(targetPollInterval):
 		}
 	}
--- a/internal/entry/saddleentry/body.go
+++ b/internal/entry/saddleentry/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -16,23 +17,25 @@
 // bodyTimeout bounds how long a caller may take to send its body.
 const bodyTimeout = 30 * time.Second
 
-// readBody returns a middleware that reads the whole body, bounded in size and
-// time, before it calls the handler. It clears the read deadline afterwards,
-// because an expired one would cancel the request while its answer is produced.
-func readBody(maxBytes int) echo.MiddlewareFunc {
-	return func(next echo.HandlerFunc) echo.HandlerFunc {
-		return func(c echo.Context) error {
-			r := c.Request()
-			control := http.NewResponseController(c.Response())
-			_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-			body, err := io.ReadAll(http.MaxBytesReader(c.Response(), r.Body, int64(maxBytes)))
-			if err != nil {
-				return bodyFailure(err).write(c)
-			}
-			_ = control.SetReadDeadline(time.Time{})
-			r.Body = io.NopCloser(bytes.NewReader(body))
-			return next(c)
+// readBody is a middleware that reads the whole body, bounded in size and time,
+// before it calls the handler. It clears the read deadline afterwards, because an
+// expired one would cancel the request while its answer is produced.
+func (s *Server) readBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		r := c.Request()
+		control := http.NewResponseController(c.Response())
+		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+		stop := context.AfterFunc(s.end.requests, func() { _ = control.SetReadDeadline(time.Now()) })
+		body, err := io.ReadAll(http.MaxBytesReader(c.Response(), r.Body, int64(s.cfg.BodyLimit)))
+		if stopped := stop(); err != nil && !stopped {
+			return endingFailure(fireflysaddle.NotExecuted).write(c)
 		}
+		if err != nil {
+			return bodyFailure(err).write(c)
+		}
+		_ = control.SetReadDeadline(time.Time{})
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		return next(c)
 	}
 }
 
--- a/internal/entry/saddleentry/claims.go
+++ b/internal/entry/saddleentry/claims.go
@@ -94,7 +94,7 @@
 // most recordTimeout and then continues in the background. Until the outcome is
 // recorded, a resend gets the answer from the agent.
 func (s *Server) recordOutcome(ctx context.Context, claim *saddlewire.Claim, answer *saddlewire.Answer) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	ctx, cancel := s.end.outcomeContext(ctx, recordTimeout)
 	defer cancel()
 	if err := s.tryRecordOutcome(ctx, claim, answer); err == nil {
 		return
@@ -120,7 +120,9 @@
 // starts from the beginning. It returns false when the claim is not known to be
 // removed. In that case another request may have replaced the claim and may run.
 func (s *Server) releaseClaim(ctx context.Context, claim *saddlewire.Claim) (released bool, err error) {
-	result, err := s.command(context.WithoutCancel(ctx), recordTimeout, &saddlewire.Command{
+	ctx, cancel := s.end.outcomeContext(ctx, recordTimeout)
+	defer cancel()
+	result, err := s.command(ctx, recordTimeout, &saddlewire.Command{
 		Change: &saddlewire.Command_SettleClaim{SettleClaim: &saddlewire.SettleClaim{
 			Workspace: claim.GetWorkspace(),
 			Key:       claim.GetKey(),
--- a/internal/entry/saddleentry/drafts.go
+++ b/internal/entry/saddleentry/drafts.go
@@ -1,7 +1,6 @@
 package saddleentry
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -41,8 +40,8 @@
 		prompt:      body.prompt(),
 		maxTokens:   body.MaxTokens,
 	}
-	out := newCompletionWriter(c, now, meta.request, body, chat)
-	ctx, cancel := context.WithDeadline(c.Request().Context(), meta.deadline)
+	out := newCompletionWriter(c, now, meta.request, body, chat, s.stopping.Load)
+	ctx, cancel := s.end.requestContext(c.Request().Context(), meta.deadline)
 	defer cancel()
 	err = s.runDraft(ctx, d, out.writeToken)
 	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "draft_end", Request: meta.request, Detail: outcomeName(err)})
--- a/internal/entry/saddleentry/failure.go
+++ b/internal/entry/saddleentry/failure.go
@@ -92,6 +92,10 @@
 		return http.StatusTooManyRequests
 	case fireflysaddle.CodeDeadline, fireflysaddle.CodeOutcomeUnknown:
 		return http.StatusGatewayTimeout
+	case fireflysaddle.CodeLeaving:
+		if f.ExecutionStatus != fireflysaddle.NotExecuted {
+			return http.StatusBadGateway
+		}
 	case fireflysaddle.CodeTargetFailed:
 		return http.StatusBadGateway
 	}
--- a/internal/entry/saddleentry/keyed.go
+++ b/internal/entry/saddleentry/keyed.go
@@ -30,7 +30,7 @@
 // resend through any entry finds the claim. If the caller disconnects, the call
 // continues until its deadline, because the caller can fetch the outcome by a resend.
 func (s *Server) runKeyed(ctx context.Context, c call) (callReply, error) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
+	ctx, cancel := s.end.requestContext(context.WithoutCancel(ctx), c.deadline)
 	defer cancel()
 	r := &keyedCall{Server: s, call: c, requirements: c.requirements(), attemptNumber: 1}
 	for n := uint32(1); n <= maxAttempts; n++ {
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -163,6 +163,8 @@
 		f := refusalFailure(refused)
 		f.ExecutionStatus = status
 		return f
+	case errors.Is(err, errEnding):
+		return endingFailure(status)
 	case errors.Is(err, context.DeadlineExceeded):
 		return &failure{Code: fireflysaddle.CodeDeadline, Message: "the deadline passed", ExecutionStatus: status, RetryAfter: defaultRetryAfter}
 	}
--- a/internal/entry/saddleentry/seal.go
+++ b/internal/entry/saddleentry/seal.go
@@ -109,7 +109,7 @@
 // sendSeal sends a seal request over a new connection, because the connection that
 // carried the request may be unresponsive.
 func (s *Server) sendSeal(ctx context.Context, claim *saddlewire.Claim, age time.Duration) (*saddlewire.SealResponse, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sealTimeout)
+	ctx, cancel := s.end.outcomeContext(ctx, sealTimeout)
 	defer cancel()
 	conn, err := saddlelink.DialWithNetwork(ctx, s.cfg.Network, claim.GetAddress())
 	if err != nil {
--- a/internal/entry/saddleentry/server.go
+++ b/internal/entry/saddleentry/server.go
@@ -44,6 +44,7 @@
 	control       *saddleclient.Client
 	pool          *saddlelink.Pool
 	stopping      atomic.Bool
+	end           *shutdownEnd
 	background    sync.WaitGroup  // work that continues after its caller was answered
 	backgroundCtx context.Context //nolint:containedctx // context of the background work; cancelled by the clean-up function that New returns
 
@@ -68,6 +69,7 @@
 		cfg:      cfg,
 		listener: lis,
 		callers:  callers,
+		end:      newShutdownEnd(),
 		router:   saddleroute.New(saddlechoice.NewLatencyChooser(rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation))))),
 		budget:   saddleretry.NewBudget(saddleretry.DefaultShare, saddleretry.DefaultReserve),
 	}
@@ -141,10 +143,14 @@
 
 // shutdown reports the entry as not ready, closes the connections between requests, continues
 // to accept new ones for the lame-duck time while the load balancer reacts, and then waits for
-// the requests in progress and the background work. ShutdownTimeout limits this wait.
+// the requests in progress and the background work. ShutdownTimeout limits this wait; requests
+// that are still in progress shortly before are given up, so that their callers get a failure.
 func (s *Server) shutdown(ctx context.Context, srv *http.Server, served <-chan error) error {
 	s.stopping.Store(true)
 	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "lame_duck"})
+	if s.cfg.ShutdownTimeout > 0 {
+		defer s.end.schedule(s.cfg.LameDuck + s.cfg.ShutdownTimeout)()
+	}
 	s.subscriber.SendHeartbeats()
 	closingCtx, stopClosing := context.WithCancel(ctx)
 	defer stopClosing()
@@ -196,7 +202,7 @@
 	e.HTTPErrorHandler = handleError
 	e.Pre(s.closeConnections)
 	e.Use(middleware.Recover())
-	e.Use(readBody(s.cfg.BodyLimit))
+	e.Use(s.readBody)
 	e.POST("/v1/chat/completions", s.handleChat)
 	e.POST("/v1/completions", s.handleCompletion)
 	e.POST(saddleannounce.PathAnnounce, refuseAnnouncement)
--- a/internal/entry/saddleentry/services.go
+++ b/internal/entry/saddleentry/services.go
@@ -63,7 +63,7 @@
 		return asFailure(err).write(c)
 	}
 	s.cfg.Timeline.Add(now, saddletimeline.Event{Name: "call_received", Request: meta.request, Subject: meta.deployment.GetWorkspace()})
-	ctx, cancel := context.WithDeadline(c.Request().Context(), meta.deadline)
+	ctx, cancel := s.end.requestContext(c.Request().Context(), meta.deadline)
 	defer cancel()
 	out, err := s.runCall(ctx, in)
 	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "call_end", Request: meta.request, Detail: outcomeName(err)})
--- a/internal/entry/saddleentry/writer.go
+++ b/internal/entry/saddleentry/writer.go
@@ -22,37 +22,47 @@
 	streamStarted bool
 	tokens        int
 	text          strings.Builder
-	eventBuf      bytes.Buffer // reused for each event
+	eventBuf      bytes.Buffer // events that are not sent yet; reused
 	choices       [1]choice    // reused for each event
+	stopping      func() bool  // reports whether the process has been told to stop
 }
 
-const eventPrefix = "data: "
+const (
+	eventPrefix = "data: "
+	endOfStream = eventPrefix + "[DONE]\n\n"
+)
 
-func newCompletionWriter(c echo.Context, now time.Time, id string, body completionRequest, chat bool) *completionWriter {
-	return &completionWriter{c: c, created: now, id: id, model: body.Model, stream: body.Stream, chat: chat}
+func newCompletionWriter(c echo.Context, now time.Time, id string, body completionRequest, chat bool, stopping func() bool) *completionWriter {
+	return &completionWriter{c: c, created: now, id: id, model: body.Model, stream: body.Stream, chat: chat, stopping: stopping}
 }
 
-// writeToken sends the next token, or buffers it if the answer is not streamed.
+// writeToken sends the next token, or buffers it if the answer is not streamed. A stopping
+// process begins no stream before the answer is whole.
 func (w *completionWriter) writeToken(text string) error {
 	w.tokens++
 	if !w.stream {
 		w.text.WriteString(text)
 		return nil
 	}
-	w.startStream()
 	chunk := w.newChunk(w.newChoice(text), nil)
-	return w.writeEvent(&chunk)
+	if err := w.addEvent(&chunk); err != nil {
+		return err
+	}
+	if !w.streamStarted && w.stopping() {
+		return nil // the process may end before the answer is whole
+	}
+	return w.send()
 }
 
 // finish completes the answer.
 func (w *completionWriter) finish() error {
 	stop := "stop"
 	if w.stream {
-		w.startStream()
-		if err := w.writeEvent(w.newChunk(w.newChoice(""), &stop)); err != nil {
+		if err := w.addEvent(w.newChunk(w.newChoice(""), &stop)); err != nil {
 			return err
 		}
-		return w.writeData("[DONE]")
+		w.eventBuf.WriteString(endOfStream)
+		return w.send()
 	}
 	ch := choice{Text: w.text.String(), FinishReason: &stop}
 	if w.chat {
@@ -70,7 +80,10 @@
 		return f.write(w.c)
 	}
 	countRefusals.Add(1)
-	return w.writeEvent(f.body())
+	if err := w.addEvent(f.body()); err != nil {
+		return err
+	}
+	return w.send()
 }
 
 func (w *completionWriter) startStream() {
@@ -109,29 +122,22 @@
 	return completion{ID: w.id, Object: object, Created: w.created.Unix(), Model: w.model, Choices: w.choices[:]}
 }
 
-// writeEvent writes body as a server-sent event.
-func (w *completionWriter) writeEvent(body any) error {
-	w.eventBuf.Reset()
+// addEvent adds body to the events to be sent.
+func (w *completionWriter) addEvent(body any) error {
 	w.eventBuf.WriteString(eventPrefix)
 	if err := json.NewEncoder(&w.eventBuf).Encode(body); err != nil { // Encode appends a newline
 		return err
 	}
-	w.eventBuf.WriteByte('\n')
-	return w.flush()
+	return w.eventBuf.WriteByte('\n')
 }
 
-func (w *completionWriter) writeData(data string) error {
-	w.eventBuf.Reset()
-	w.eventBuf.WriteString(eventPrefix)
-	w.eventBuf.WriteString(data)
-	w.eventBuf.WriteString("\n\n")
-	return w.flush()
-}
-
-func (w *completionWriter) flush() error {
+// send sends the events, after the head of the answer if it has not been sent.
+func (w *completionWriter) send() error {
+	w.startStream()
 	if _, err := w.c.Response().Write(w.eventBuf.Bytes()); err != nil {
 		return err
 	}
+	w.eventBuf.Reset()
 	w.c.Response().Flush()
 	return nil
 }
