Agent: refuse what waits for a slot when told to stop

Seen by callers of an entry: a request that waited for a slot of a target whose agent was told to stop waited on, and either began shortly before the agent's shutdown timeout or was cut with it.

Now drain closes the gate: queued requests, and those that were admitted but have not reached the gate, are refused at once with "leaving", which proves that they were not run, so the entry sends them to another target.

--- a/internal/agent/saddleagent/server.go
+++ b/internal/agent/saddleagent/server.go
@@ -142,11 +142,16 @@
 	return nil
 }
 
-// drain refuses new requests, reports the shutdown to control, and waits until the
-// requests in progress have ended, at most for the shutdown timeout.
+// drain refuses new requests and those that wait for a slot, reports the shutdown to
+// control, and waits until the requests in progress have ended, at most for the shutdown
+// timeout.
 func (s *Server) drain(ctx context.Context) error {
 	s.stopping.Store(true)
-	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "drain_begin"})
+	now := time.Now()
+	if b := s.localTarget.announced(); b != nil {
+		b.gate.Close(now, shutdownRefusal())
+	}
+	s.cfg.Timeline.Add(now, saddletimeline.Event{Name: "drain_begin"})
 	s.control.SendHeartbeats()
 	if s.cfg.ShutdownTimeout > 0 {
 		var cancel context.CancelFunc
--- a/internal/agent/saddleagent/ticket.go
+++ b/internal/agent/saddleagent/ticket.go
@@ -31,7 +31,7 @@
 		return nil, newRefusal(fireflysaddle.CodeDeadline, "the deadline passed before the request reached the agent")
 	}
 	if s.stopping.Load() {
-		return nil, newRefusal(fireflysaddle.CodeLeaving, "the agent is shutting down")
+		return nil, shutdownRefusal()
 	}
 	b, leaving := s.localTarget.live()
 	if b == nil {
@@ -94,6 +94,10 @@
 	return time.Duration(t.GetBudgetMs()) * time.Millisecond
 }
 
+func shutdownRefusal() *fireflysaddle.RefusedError {
+	return newRefusal(fireflysaddle.CodeLeaving, "the agent is shutting down")
+}
+
 func newRefusal(code fireflysaddle.Code, format string, args ...any) *fireflysaddle.RefusedError {
 	return &fireflysaddle.RefusedError{Code: code, Message: fmt.Sprintf(format, args...)}
 }
--- a/internal/agent/saddlegate/gate.go
+++ b/internal/agent/saddlegate/gate.go
@@ -16,7 +16,8 @@
 	waiters     map[fireflysaddle.RequestID]*waiter
 	sequence    uint64
 	finished    uint64
-	expiryTimer *time.Timer // calls schedule when the next queued request expires
+	expiryTimer *time.Timer                 // calls schedule when the next queued request expires
+	closed      *fireflysaddle.RefusedError // refusal of all requests once the gate is closed
 }
 
 // waiter is a queued request. Its channel is closed when the request is admitted
@@ -60,6 +61,18 @@
 	return release, nil
 }
 
+// Close refuses the queued requests and those that come later. Requests that run keep their slots.
+func (g *Gate) Close(now time.Time, refusal *fireflysaddle.RefusedError) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = refusal
+	for id := range g.waiters {
+		g.admitter.Withdraw(now, id)
+		g.resolve(id, refusal)
+	}
+	g.schedule(now)
+}
+
 // Load returns the load of the target.
 func (g *Gate) Load(now time.Time) Load {
 	g.mu.Lock()
@@ -73,6 +86,9 @@
 func (g *Gate) offer(now time.Time, d fireflysaddle.Demand) (*waiter, fireflysaddle.RequestID, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.closed != nil {
+		return nil, "", g.closed
+	}
 	g.sequence++
 	d.Request = fireflysaddle.RequestID(fmt.Sprintf("%s#%d", d.Request, g.sequence))
 	if err := g.admitter.Offer(now, d); err != nil {
--- a/internal/agent/saddlegate/gate_test.go
+++ b/internal/agent/saddlegate/gate_test.go
@@ -83,6 +83,27 @@
 	})
 }
 
+// Guards against requests starting at a target whose agent is stopping.
+func TestClosedGateStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, release := newFullGate(t)
+		leaving := &fireflysaddle.RefusedError{Code: fireflysaddle.CodeLeaving}
+		start := time.Now()
+		time.AfterFunc(time.Second, func() { g.Close(time.Now(), leaving) })
+		_, err := g.Enter(t.Context(), demand("queued"))
+		is.Equal(code(err), fireflysaddle.CodeLeaving)
+		is.Equal(time.Since(start), time.Second)
+		load := g.Load(time.Now())
+		is.Equal(load.Queued, 0)
+		is.Equal(load.Running, 1)
+		release()
+		is.Equal(g.Load(time.Now()).Running, 0)
+		_, err = g.Enter(t.Context(), demand("late"))
+		is.Equal(code(err), fireflysaddle.CodeLeaving)
+	})
+}
+
 // Two attempts of one request at one target must not release each other's slot.
 func TestAttemptsOfOneRequestHoldSeparateSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/saddleentry/cluster_test.go
+++ b/internal/entry/saddleentry/cluster_test.go
@@ -21,9 +21,10 @@
 )
 
 const (
-	callSilenceTimeout = time.Second
-	clusterSettleTime  = 2 * time.Second // virtual time; enough for heartbeats and updates to reach all processes
-	occupantKey        = "occupant"      // key and body of the call, or prompt of the draft, that occupies a slot
+	callSilenceTimeout   = time.Second
+	clusterSettleTime    = 2 * time.Second // virtual time; enough for heartbeats and updates to reach all processes
+	agentShutdownTimeout = 5 * time.Second
+	occupantKey          = "occupant" // key and body of the call, or prompt of the draft, that occupies a slot
 )
 
 // step is a point in the processing of a request.
@@ -66,6 +67,7 @@
 type agentProcess struct {
 	testTarget *testTarget
 	cancel     context.CancelFunc
+	stop       func() // begins the shutdown, with agentShutdownTimeout
 }
 
 // runWithCluster runs a test with entry-1, entry-2 and agent-1, whose target is a
@@ -145,7 +147,7 @@
 		Node: fireflysaddle.NodeID(name), Incarnation: fireflysaddle.Incarnation(incarnation), Centre: "centre-1",
 		Listen: name + ":1", Advertise: name + ":1", AnnounceAddress: name + ":2", Controls: []string{controlAddress},
 		HeartbeatInterval: 500 * time.Millisecond, SilenceTimeout: 2 * time.Second, ProbeInterval: time.Second, TargetLostTimeout: 3 * time.Second,
-		StepTimeout: time.Second, MaxQueueWait: time.Minute, Log: zerolog.Nop(),
+		StepTimeout: time.Second, MaxQueueWait: time.Minute, ShutdownTimeout: agentShutdownTimeout, Log: zerolog.Nop(),
 		Network: w.net.forProcess(name), Adapters: target,
 	})
 	if err != nil {
@@ -154,10 +156,11 @@
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.mu.Lock()
-	w.agents[name] = &agentProcess{testTarget: target, cancel: cancel}
+	stop := make(chan struct{})
+	w.agents[name] = &agentProcess{testTarget: target, cancel: cancel, stop: func() { close(stop) }}
 	w.mu.Unlock()
 	w.wg.Go(func() {
-		_ = s.Run(ctx, nil)
+		_ = s.Run(ctx, stop)
 		_ = cleanup()
 	})
 	group := serviceGroup
