Tests: deliver what a stopping entry has sent before its process ends

TestStreamsAreNotCutAtTheShutdownTimeout failed once with "gone": the network of the cluster tests discards what is sent and not yet read when a process is killed, and the entry ends in the instant in which it writes its last failure. The end of a real process delivers it. Nothing else in the test changes.

--- a/internal/entry/saddleentry/shutdownend_test.go
+++ b/internal/entry/saddleentry/shutdownend_test.go
@@ -20,8 +20,9 @@
 	endingEntry    = "entry-3"
 	endingLameDuck = time.Second
 	endingTimeout  = 4 * time.Second
-	longDraft      = 200 // tokens, which take longer than endingLameDuck and endingTimeout
-	shortDraft     = 20  // tokens, which take 1 s
+	deliveryTime   = time.Millisecond // until callers have read what was sent
+	longDraft      = 200              // tokens, which take longer than endingLameDuck and endingTimeout
+	shortDraft     = 20               // tokens, which take 1 s
 )
 
 // startEndingEntry starts an entry with a shutdown timeout, whose process is killed when its
@@ -40,6 +41,7 @@
 	stopped := make(chan struct{})
 	w.wg.Go(func() {
 		_ = s.Run(w.ctx, stopped)
+		time.Sleep(deliveryTime) // kill discards what was sent, unlike the end of a process
 		w.net.kill(endingEntry)
 		_ = cleanup()
 	})
