Entry: refuse a draft at once that outlasts the stopping entry

Cause: agents refuse what they expect to miss its deadline, but were told the caller's deadline, not the end of the entry.

Now the tickets of drafts have the time left of a stopping entry as their budget. A refusal for that reason is not retried at other targets, which have no more time; it is passed on as not run with "leaving" and a Retry-After. The expectation only refuses earlier: if it is too low, nothing is cut, because the head of the answer still waits for its end.

--- a/internal/entry/saddleentry/attempt.go
+++ b/internal/entry/saddleentry/attempt.go
@@ -140,8 +140,10 @@
 	head := a.chain.Head()
 	conn := s.pool.Conn(ctx, head.Address)
 	defer func() { _ = conn.Close() }()
+	meta := d.requestMeta
+	meta.deadline = s.end.limit(meta.deadline)
 	in := &saddlewire.DraftRequest{
-		Ticket:    s.ticket(time.Now(), d.requestMeta, a.number, head.Incarnation),
+		Ticket:    s.ticket(time.Now(), meta, a.number, head.Incarnation),
 		Model:     d.model,
 		Chain:     saddlechain.ToWire(a.chain.Stages()),
 		Spares:    saddlechain.ToWire(a.spares),
--- a/internal/entry/saddleentry/ending.go
+++ b/internal/entry/saddleentry/ending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflysaddle/fireflysaddle"
@@ -29,6 +30,8 @@
 
 	cancelRequests context.CancelFunc
 	cancelOutcomes context.CancelFunc
+
+	at atomic.Pointer[time.Time] // when outcomes ends; nil before the shutdown, or without a timeout
 }
 
 func newShutdownEnd() *shutdownEnd {
@@ -38,9 +41,11 @@
 	return e
 }
 
-// schedule ends the contexts before the shutdown timeout, which is in left. The returned function
-// stops the timers.
-func (e *shutdownEnd) schedule(left time.Duration) (stop func()) {
+// schedule ends the contexts before the shutdown timeout, which is left after now. The returned
+// function stops the timers.
+func (e *shutdownEnd) schedule(now time.Time, left time.Duration) (stop func()) {
+	at := now.Add(left - resolveMargin)
+	e.at.Store(&at)
 	requests := time.AfterFunc(left-refusalMargin, e.cancelRequests)
 	outcomes := time.AfterFunc(left-resolveMargin, e.cancelOutcomes)
 	return func() {
@@ -73,6 +78,21 @@
 	}
 }
 
+// limit returns the deadline of an attempt for a request with the given deadline. It is later than
+// the end of the request's context, so that an agent never gives up first.
+func (e *shutdownEnd) limit(deadline time.Time) time.Time {
+	if at := e.at.Load(); at != nil && at.Before(deadline) {
+		return *at
+	}
+	return deadline
+}
+
+// refusedForShutdown reports whether an attempt was refused because the entry ends before it would.
+func (e *shutdownEnd) refusedForShutdown(deadline time.Time, err error) bool {
+	var refused *fireflysaddle.RefusedError
+	return errors.As(err, &refused) && refused.Code == fireflysaddle.CodeDeadline && e.limit(deadline).Before(deadline)
+}
+
 // endingFailure returns the failure of a request that was given up because of the shutdown.
 func endingFailure(status fireflysaddle.ExecutionStatus) *failure {
 	return &failure{Code: fireflysaddle.CodeLeaving, Message: errEnding.Error(), ExecutionStatus: status, RetryAfter: leavingRetryAfter}
--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -62,6 +62,9 @@
 			return nil
 		}
 		status = executionStatusAfter(status, lastErr, len(delivered))
+		if s.end.refusedForShutdown(d.deadline, lastErr) {
+			return endingFailure(status)
+		}
 		if final := s.finalDraftError(ctx, lastErr, status); final != nil {
 			return final
 		}
--- a/internal/entry/saddleentry/server.go
+++ b/internal/entry/saddleentry/server.go
@@ -149,7 +149,7 @@
 	s.stopping.Store(true)
 	s.cfg.Timeline.Add(time.Now(), saddletimeline.Event{Name: "lame_duck"})
 	if s.cfg.ShutdownTimeout > 0 {
-		defer s.end.schedule(s.cfg.LameDuck + s.cfg.ShutdownTimeout)()
+		defer s.end.schedule(time.Now(), s.cfg.LameDuck+s.cfg.ShutdownTimeout)()
 	}
 	s.subscriber.SendHeartbeats()
 	closingCtx, stopClosing := context.WithCancel(ctx)
--- a/internal/entry/saddleentry/shutdownend_test.go
+++ b/internal/entry/saddleentry/shutdownend_test.go
@@ -98,6 +98,28 @@
 	}
 }
 
+// Guards against callers who wait until the shutdown timeout for a draft whose target knows at once
+// that it lasts longer.
+func TestDraftThatOutlastsTheStoppingEntryIsRefusedAtOnce(t *testing.T) {
+	runWithCluster(t, fireflysaddle.KindEngine, func(t *testing.T, w *testCluster) {
+		is := is.New(t)
+		for range 20 { // the target measures its rate
+			is.Equal(w.streamedDraft("entry-2", "measured", shortDraft).kind, "answer")
+		}
+		stop := w.startEndingEntry()
+		is.Equal(w.streamedDraft(endingEntry, "before", longDraft).kind, "answer")
+		stop()
+		time.Sleep(endingLameDuck / 2)
+		out := w.streamedDraft(endingEntry, "long", longDraft)
+		is.Equal(out.kind, "no")
+		is.Equal(out.code, string(fireflysaddle.CodeLeaving))
+		is.True(out.retryAfter != "")
+		is.True(out.elapsed < 100*time.Millisecond)
+		is.Equal(w.executionLog.countBody("long"), 0)
+		is.Equal(w.streamedDraft(endingEntry, "short", shortDraft).kind, "answer")
+	})
+}
+
 // Guards against a stream that began before the stop ending at the shutdown timeout without
 // telling its caller.
 func TestStreamInProgressAtTheShutdownTimeoutEndsWithAFailure(t *testing.T) {
