Tests: further signals during a shutdown of an entry and an agent cut no stream

Both processes were found sound: SIGTERM and SIGINT after the first are taken and ignored, SIGHUP reloads nothing in these roles.

--- a/internal/daemon/saddledaemon/shutdown_processes_test.go
+++ b/internal/daemon/saddledaemon/shutdown_processes_test.go
@@ -31,6 +31,28 @@
 	f.entry.Stop(t)
 }
 
+// Guards against a stream being cut by signals that follow the first SIGTERM, to the entry or to
+// the agent that serves it.
+func TestFurtherSignalsDoNotCutStreamsOfAShutdown(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture(t, "100ms")
+	_, agent := f.startTarget(t, "drafting-1", 0, layers)
+	f.awaitTargets(t, 1)
+	tokens := f.streamLong(t, f.entry.Listen, func() {
+		for range 2 {
+			for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT} {
+				f.entry.Signal(sig)
+				agent.Signal(sig)
+			}
+		}
+	})
+	is.Equal(tokens, expectedLongTokens())
+	is.Equal(f.interruption(), "")
+	f.entry.Stop(t)
+	agent.Stop(t)
+}
+
 // lameDuckExceedingTokens is a number of tokens that take longer than the lame-duck
 // period of 3 s.
 const lameDuckExceedingTokens = 500
