--- a/internal/entry/saddleentry/rundraft.go
+++ b/internal/entry/saddleentry/rundraft.go
@@ -62,6 +62,9 @@
 			return nil
 		}
 		status = executionStatusAfter(status, lastErr, len(delivered))
+		if s.end.refusedForShutdown(d.deadline, lastErr) {
+			return endingFailure(status)
+		}
 		if final := s.finalDraftError(ctx, lastErr, status); final != nil {
 			return final
 		}
@@ -163,6 +166,8 @@
 		f := refusalFailure(refused)
 		f.ExecutionStatus = status
 		return f
+	case errors.Is(err, errEnding):
+		return endingFailure(status)
 	case errors.Is(err, context.DeadlineExceeded):
 		return &failure{Code: fireflysaddle.CodeDeadline, Message: "the deadline passed", ExecutionStatus: status, RetryAfter: defaultRetryAfter}
 	}
