A stopping gateway does not wait for control before it refuses a call

Cause: a call whose configuration is too old waits up to 1.2 s for control, and only then the shutdown was looked at. Another entry may know the configuration, so the wait ends when a shutdown begins.

TestCallThatWaitsForControlIsRefusedOnceTheShutdownBegins failed before, 6 of 6 rows.

--- a/internal/direct/saddlegateway/gateway.go
+++ b/internal/direct/saddlegateway/gateway.go
@@ -173,7 +173,7 @@
 
 // awaitAdmission admits the call. It waits for a configuration that is recent enough, up
 // to configWait and at most half of the caller's time-out: a process that has just
-// started receives a configuration within one or two seconds.
+// started receives a configuration within one or two seconds. It does not wait during a shutdown.
 func (j *job) awaitAdmission(ctx context.Context, clock func() time.Time) (*saddlerouting.Route, *saddlerouting.Tenant, *Refusal) {
 	wait := configWait
 	if j.call.Timeout > 0 {
@@ -191,8 +191,12 @@
 		if refusal == nil || refusal.Code != fireflysaddle.CodeNoMajority {
 			return route, tenant, refusal
 		}
+		if j.leaving.Err() != nil { // another entry may know
+			return route, tenant, &Refusal{Code: fireflysaddle.CodeLeaving, Message: leavingMessage, RetryAfter: shutdownRetryAfter}
+		}
 		select {
 		case <-changed:
+		case <-j.leaving.Done():
 		case <-timer.C:
 			return route, tenant, refusal
 		case <-ctx.Done():
--- a/internal/direct/saddlegateway/shutdown_test.go
+++ b/internal/direct/saddlegateway/shutdown_test.go
@@ -182,6 +182,29 @@
 	}
 }
 
+// Guards against callers waiting at a stopping gateway that waits for control before it refuses them.
+func TestCallThatWaitsForControlIsRefusedOnceTheShutdownBegins(t *testing.T) {
+	for _, path := range []string{"/file/", "/draft/"} {
+		for _, arrival := range []time.Duration{-300 * time.Millisecond, 0, lameDuck} {
+			t.Run(fmt.Sprintf("%s, %s after SIGTERM", strings.Trim(path, "/"), arrival), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newFixture(t, answerSequence(ok))
+					f.setRouting(routing(t), time.Minute) // too old to verify keys by
+					killed := f.startShutdownBefore(arrival)
+					arrived := time.Now()
+					got := f.serve(call(path))
+					is.Equal(time.Since(arrived), max(0, -arrival))
+					is.Equal(got.refusal.Code, fireflysaddle.CodeLeaving)
+					is.Equal(got.refusal.Outcome, saddlegateway.OutcomeNotRun)
+					is.True(got.refusal.RetryAfter > 0)
+					time.Sleep(time.Until(killed))
+				})
+			})
+		}
+	}
+}
+
 // Guards against the first streams of a process being a measure for all: only the shortest
 // ones have ended by then.
 func TestFirstStreamsAreNoMeasureOfLongOnes(t *testing.T) {
