Only waits are ended by a shutdown, not refusals for the limits of engines

The limits hold at every entry.

Cause: each refusal was replaced once the shutdown had begun, and whether it had was seen by another goroutine. Now a refusal is replaced only where a wait has ended, which is decided at once, and calls whose deadline comes before the kill go on waiting.

TestHeldStreamIsGivenUpWhileItsCallerWaits and TestHeldStreamOfTwoAttemptsIsWhole hold what had no test: without the timer of the hold the former fails.

--- a/internal/direct/saddlegateway/admission.go
+++ b/internal/direct/saddlegateway/admission.go
@@ -113,6 +113,9 @@
 	case g := <-w.granted: // at the same time
 		return j.endWait(w, now, g)
 	default:
+		if refusal := j.refuseWaiting(ctx); refusal != nil {
+			return saddlefleet.Chain{}, nil, refusal
+		}
 		return saddlefleet.Chain{}, nil, a.refused(w, saddleadmission.Decision{Reason: saddleadmission.ReasonExpired}).refusal
 	}
 }
--- a/internal/direct/saddlegateway/awaitchain.go
+++ b/internal/direct/saddlegateway/awaitchain.go
@@ -53,6 +53,9 @@
 			return chain, release, nil
 		}
 	}
+	if refusal := j.refuseWaiting(ctx); refusal != nil {
+		return saddlefleet.Chain{}, nil, refusal
+	}
 	if full {
 		return saddlefleet.Chain{}, nil, &Refusal{Code: fireflysaddle.CodeOverloaded, Message: "no chain has capacity", RetryAfter: noCapacityRetryAfter}
 	}
--- a/internal/direct/saddlegateway/heldstream_test.go
+++ b/internal/direct/saddlegateway/heldstream_test.go
@@ -139,3 +139,49 @@
 		time.Sleep(time.Until(killed))
 	})
 }
+
+// Guards against a held stream being given up later than its caller waits.
+func TestHeldStreamIsGivenUpWhileItsCallerWaits(t *testing.T) {
+	const before = 100
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+			if n <= before {
+				return pacedEvents(10, 5*time.Millisecond)(f)
+			}
+			r := okReply("")
+			r.Body = &silentBody{Reader: strings.NewReader(eventStream(0, 4))}
+			return r, nil
+		})
+		f.setTimeouts(t, 20*time.Second)
+		serveQuickStreams(t, f, "/feed/")
+		killed := f.startShutdown()
+		began := time.Now()
+		got := f.serve(call("/feed/"))
+		is.True(time.Since(began) < callerPatience)
+		is.Equal(got.refusal.Outcome, saddlegateway.OutcomeUnknown)
+		time.Sleep(time.Until(killed))
+	})
+}
+
+// Guards against a held stream whose first attempt fails being joined of two attempts.
+func TestHeldStreamOfTwoAttemptsIsWhole(t *testing.T) {
+	const before = 100
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+			if n == before+1 {
+				return truncatedReply(eventStream(0, 4)), nil
+			}
+			return pacedEvents(10, 5*time.Millisecond)(f)
+		})
+		f.setTimeouts(t, 20*time.Second)
+		serveQuickStreams(t, f, "/draft/")
+		killed := f.startShutdown()
+		got := f.serve(call("/draft/"))
+		is.Equal(got.refusal, nil)
+		is.Equal(f.fakeTargets.forwarded()[before+1].LastEventID, "")
+		is.Equal(got.body.String(), eventStream(0, 9))
+		time.Sleep(time.Until(killed))
+	})
+}
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/fireflysaddle/fireflysaddle"
 	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
 
@@ -148,16 +149,33 @@
 }
 
 // waitUntilShutdown returns a context in which a call whose answer has not begun waits before it is
-// sent, and a function that releases its resources. It ends when a shutdown begins, because other
-// entries serve the call then.
+// sent, and a function that releases its resources. It ends when a shutdown begins that the call may
+// outlast, because other entries serve the call then.
 func (j *job) waitUntilShutdown(ctx context.Context) (context.Context, func()) {
 	if j.headerSent {
 		return ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(j.leaving, func() { cancel(errLeaving) })
+	leave := func() {
+		if s := j.shutdown.Load(); j.mayOutlastProcess(time.Now(), s) {
+			cancel(errLeaving)
+		}
+	}
+	if j.leaving.Err() != nil {
+		leave()
+	}
+	stop := context.AfterFunc(j.leaving, leave)
 	return ctx, func() {
 		stop()
 		cancel(nil)
 	}
 }
+
+// refuseWaiting returns a refusal if a wait in the context of waitUntilShutdown has ended because
+// of a shutdown.
+func (j *job) refuseWaiting(ctx context.Context) *Refusal {
+	if !errors.Is(context.Cause(ctx), errLeaving) {
+		return nil
+	}
+	return &Refusal{Code: fireflysaddle.CodeLeaving, Message: leavingMessage, RetryAfter: j.leavingRetryAfter(time.Now())}
+}
--- a/internal/direct/saddlegateway/stream.go
+++ b/internal/direct/saddlegateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -103,9 +102,6 @@
 	waitCtx, endWait := j.waitUntilShutdown(ctx)
 	defer endWait()
 	chain, release, refusal := await(waitCtx)
-	if refusal != nil && errors.Is(context.Cause(waitCtx), errLeaving) {
-		refusal = &Refusal{Code: fireflysaddle.CodeLeaving, Message: leavingMessage, RetryAfter: j.leavingRetryAfter(time.Now())}
-	}
 	return nextAttempt{chain: chain, release: release}, refusal
 }
 
