A slow attempt is not ended during a shutdown for one that is not sent

What callers would see: a slow plain request at a stopping gateway gets a 502 half a second before its target would have answered.

Cause: the attempt is ended once another target is reserved, and the shutdown is looked at only when that one is to be sent to. The time left is compared before, as for a hedge.

TestSlowAttemptIsNotEndedForOneThatIsNotSent failed before.

--- a/internal/direct/saddlegateway/attemptlimit.go
+++ b/internal/direct/saddlegateway/attemptlimit.go
@@ -54,6 +54,9 @@
 		return
 	}
 	now := time.Now()
+	if l.job.mayEndTooLate(now) { // another attempt would not be sent
+		return
+	}
 	next, ok := l.job.secureNextAttempt(l.ctx, now, l.exclusions)
 	if !ok {
 		l.timer.Reset(secureInterval)
