No hedge of a stream without an event is sent during a shutdown

What callers would see: a stream sent before SIGTERM that has no event yet is sent to a second chain after SIGTERM, begins there at once, and is cut at the kill if that chain turns slow. Found by a review.

Cause: a hedge was sent by the estimate alone, and its answer was not held. The first attempt continues, and its caller gets a refusal if it fails.

TestHedgeSentDuringTheShutdownDoesNotBeginTheAnswer failed before.

--- a/internal/direct/saddlegateway/hedge.go
+++ b/internal/direct/saddlegateway/hedge.go
@@ -32,7 +32,7 @@
 // attempt continues. Once a target there begins to answer, the present attempt is aborted, and
 // the hedge continues the stream. It must be called with chainMu held.
 func (w *watchdog) startHedge(now time.Time, delay time.Duration, without string, cause error) {
-	if !w.mayHedge() || (!w.answerBegun && !w.hasEvent.Load() && w.job.mayEndTooLate(now)) {
+	if !w.mayHedge() || (!w.answerBegun && !w.hasEvent.Load() && w.job.mayBeCut(now)) {
 		return
 	}
 	out := w.exclusions
--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -145,7 +145,13 @@
 // come too late.
 func (j *job) mayEndTooLate(now time.Time) bool {
 	s := j.shutdown.Load()
-	return s != nil && j.mayOutlastProcess(now, s) && j.expectedDuration(now, s.cautious(now, j.route)) > j.answerTime(now, s)
+	return j.mayBeCut(now) && j.expectedDuration(now, s.cautious(now, j.route)) > j.answerTime(now, s)
+}
+
+// mayBeCut reports whether the answer to a call may be cut by the kill if it begins before it is whole.
+func (j *job) mayBeCut(now time.Time) bool {
+	s := j.shutdown.Load()
+	return s != nil && j.mayOutlastProcess(now, s)
 }
 
 // waitUntilShutdown returns a context in which a call whose answer has not begun waits before it is
--- a/internal/direct/saddlegateway/stoppingattempts_test.go
+++ b/internal/direct/saddlegateway/stoppingattempts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,3 +66,40 @@
 		time.Sleep(time.Until(killed))
 	})
 }
+
+// Guards against an attempt that is sent during the shutdown, beside one that was sent before it and
+// has no event, beginning the answer before it is whole: the quick stream turns slow.
+func TestHedgeSentDuringTheShutdownDoesNotBeginTheAnswer(t *testing.T) {
+	const (
+		before = 100
+		lossAt = 110 * time.Millisecond // after the call was sent
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+			r := okReply("")
+			switch {
+			case n <= before:
+				return pacedEvents(10, 5*time.Millisecond)(f)
+			case n == before+1:
+				r.Body = &silentBody{Reader: strings.NewReader("")}
+			default:
+				r.Body = &silentBody{Reader: strings.NewReader(eventStream(0, 4))}
+			}
+			return r, nil
+		})
+		f.fakeTargets.report = lateReport
+		f.setTimeouts(t, 20*time.Second)
+		serveQuickStreams(t, f, "/draft/")
+		killed := f.startShutdownBefore(-10 * time.Millisecond)
+		time.AfterFunc(lossAt, func() {
+			f.fleet.MarkDown(time.Now(), f.fakeTargets.forwarded()[before].Address, "late")
+		})
+		ctx, cancel := context.WithDeadline(t.Context(), killed)
+		defer cancel()
+		got := &fakeResponder{}
+		f.gateway.Serve(ctx, func() time.Time { return f.now }, call("/draft/"), got)
+		is.Equal(got.status, 0)
+		time.Sleep(time.Second)
+	})
+}
