--- a/internal/direct/saddlegateway/shutdown.go
+++ b/internal/direct/saddlegateway/shutdown.go
@@ -7,9 +7,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-
-	"github.com/fireflysaddle/fireflysaddle"
-	"github.com/fireflysaddle/fireflysaddle/internal/direct/saddlerouting"
 )
 
 // shutdownMargin is the time before the end of the process at which calls without an
@@ -21,9 +18,6 @@
 // to be killed. It is a cancellation, which is no fault of the target.
 var errProcessEnding = fmt.Errorf("the process is about to end: %w", context.Canceled)
 
-// errLeaving ends the wait of calls that are not sent any more because a shutdown has begun.
-var errLeaving = fmt.Errorf("the process is shutting down: %w", context.Canceled)
-
 // shutdown is a planned end of the process.
 type shutdown struct {
 	beganAt     time.Time
@@ -45,6 +39,9 @@
 	time.AfterFunc(killAt.Sub(now)-shutdownMargin, g.end)
 }
 
+// timeLeft returns the time in which an answer must end.
+func (s *shutdown) timeLeft(now time.Time) time.Duration { return s.killAt.Sub(now) - shutdownMargin }
+
 // endWithProcess returns a context that ends when the process is about to be killed, unless
 // claimAnswer has been called, and a function that releases its resources.
 func (j *job) endWithProcess(ctx context.Context) (context.Context, func()) {
@@ -94,94 +91,3 @@
 func isProcessEnding(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), errProcessEnding)
 }
-
-// refusedByShutdown reports whether the call is not to be sent, because the process is shutting
-// down and the whole answer may come too late. A call that is sent all the same is held: its
-// answer begins once it is whole, because how long it takes is not sure. An answer that has begun
-// continues in any case.
-func (j *job) refusedByShutdown(now time.Time) bool {
-	s := j.shutdown.Load()
-	if s == nil || j.headerSent {
-		return false
-	}
-	refused, expected := j.mayEndTooLate(now), j.expectedDuration(now, s.cautious(now, j.route))
-	if j.held = !refused && j.mayOutlastProcess(now, s); j.held {
-		j.startHoldTimer(now)
-	}
-	j.progress.expected.Store(int64(expected))
-	countShutdownDecisions.Add(map[bool]string{false: "accepted", true: "refused"}[refused], 1)
-	j.logEvent(zerolog.InfoLevel).Int64("since_shutdown_ms", now.Sub(s.beganAt).Milliseconds()).Int("sends", j.sends).Int64("expected_ms", expected.Milliseconds()).
-		Int64("left_ms", s.timeLeft(now).Milliseconds()).Int64("answer_time_ms", j.answerTime(now, s).Milliseconds()).Int("max_tokens", j.call.MaxOutputTokens).
-		Int("token_hint", j.call.OutputTokensHint).Bool("refused", refused).
-		Msg("expected duration compared with the time until the process is killed")
-	return refused
-}
-
-// timeLeft returns the time in which an answer must end.
-func (s *shutdown) timeLeft(now time.Time) time.Duration { return s.killAt.Sub(now) - shutdownMargin }
-
-// cautious reports whether a call on a route must be almost certain to end in time. A stream that
-// can be continued elsewhere need not be: it is held for a short time only.
-func (s *shutdown) cautious(now time.Time, route *saddlerouting.Route) bool {
-	return !route.Retryable() || (route.Kind != saddlerouting.Streaming && !now.Before(s.lameDuckEnd))
-}
-
-// mayOutlastProcess reports whether the deadline of the call leaves it more time than the process
-// has.
-func (j *job) mayOutlastProcess(now time.Time, s *shutdown) bool {
-	return j.deadline.Sub(now) > s.timeLeft(now)
-}
-
-// answerTime returns the time in which the whole answer to a call that is sent now must have
-// arrived.
-func (j *job) answerTime(now time.Time, s *shutdown) time.Duration {
-	if j.route.Kind != saddlerouting.Streaming {
-		return s.timeLeft(now)
-	}
-	return min(s.timeLeft(now), j.holdEnd().Sub(now))
-}
-
-// mayEndTooLate reports whether, during a shutdown, the whole answer to a call that is sent now may
-// come too late.
-func (j *job) mayEndTooLate(now time.Time) bool {
-	s := j.shutdown.Load()
-	return j.mayBeCut(now) && j.expectedDuration(now, s.cautious(now, j.route)) > j.answerTime(now, s)
-}
-
-// mayBeCut reports whether the answer to a call may be cut by the kill if it begins before it is whole.
-func (j *job) mayBeCut(now time.Time) bool {
-	s := j.shutdown.Load()
-	return s != nil && j.mayOutlastProcess(now, s)
-}
-
-// waitUntilShutdown returns a context in which a call whose answer has not begun waits before it is
-// sent, and a function that releases its resources. It ends when a shutdown begins that the call may
-// outlast, because other entries serve the call then.
-func (j *job) waitUntilShutdown(ctx context.Context) (context.Context, func()) {
-	if j.headerSent {
-		return ctx, func() {}
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	leave := func() {
-		if s := j.shutdown.Load(); j.mayOutlastProcess(time.Now(), s) {
-			cancel(errLeaving)
-		}
-	}
-	if j.leaving.Err() != nil {
-		leave()
-	}
-	stop := context.AfterFunc(j.leaving, leave)
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
-}
-
-// refuseWaiting returns a refusal if a wait in the context of waitUntilShutdown has ended because
-// of a shutdown.
-func (j *job) refuseWaiting(ctx context.Context) *Refusal {
-	if !errors.Is(context.Cause(ctx), errLeaving) {
-		return nil
-	}
-	return &Refusal{Code: fireflysaddle.CodeLeaving, Message: leavingMessage, RetryAfter: j.leavingRetryAfter(time.Now())}
-}
