--- a/internal/direct/saddlegateway/heldstream_test.go
+++ b/internal/direct/saddlegateway/heldstream_test.go
@@ -22,6 +22,19 @@
 	}
 }
 
+// stallAfter answers with ten events, one each 5 ms, and after a number of requests with the first
+// half of them only.
+func stallAfter(requests int) func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+	return func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+		if n <= requests {
+			return pacedEvents(10, 5*time.Millisecond)(f)
+		}
+		r := okReply("")
+		r.Body = &silentBody{Reader: strings.NewReader(eventStream(0, 4))}
+		return r, nil
+	}
+}
+
 // Guards against a stream that a stopping gateway has accepted as a quick one beginning and being
 // cut: its engine stops sending after the first events.
 func TestQuickStreamThatTurnsSlowDuringTheShutdownDoesNotBegin(t *testing.T) {
@@ -31,14 +44,7 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFixture(t, func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
-			if n <= before {
-				return pacedEvents(10, 5*time.Millisecond)(f)
-			}
-			r := okReply("")
-			r.Body = &silentBody{Reader: strings.NewReader(eventStream(0, 4))}
-			return r, nil
-		})
+		f := newFixture(t, stallAfter(before))
 		f.setTimeouts(t, 20*time.Second)
 		for _, route := range f.gateway.State().Routing.Routes {
 			route.MaxAttempts = 1
@@ -145,14 +151,7 @@
 	const before = 100
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFixture(t, func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
-			if n <= before {
-				return pacedEvents(10, 5*time.Millisecond)(f)
-			}
-			r := okReply("")
-			r.Body = &silentBody{Reader: strings.NewReader(eventStream(0, 4))}
-			return r, nil
-		})
+		f := newFixture(t, stallAfter(before))
 		f.setTimeouts(t, 20*time.Second)
 		serveQuickStreams(t, f, "/feed/")
 		killed := f.startShutdown()
