--- a/internal/direct/saddlegateway/heldstream_test.go
+++ b/internal/direct/saddlegateway/heldstream_test.go
@@ -22,9 +22,9 @@
 	}
 }
 
-// stallAfter answers with ten events, one each 5 ms, and after a number of requests with the first
+// turnSlowAfter answers with ten events, one each 5 ms, and after a number of requests with the first
 // half of them only.
-func stallAfter(requests int) func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
+func turnSlowAfter(requests int) func(int, fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
 	return func(n int, f fireflysaddle.Forward) (*fireflysaddle.Reply, error) {
 		if n <= requests {
 			return pacedEvents(10, 5*time.Millisecond)(f)
@@ -44,7 +44,7 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFixture(t, stallAfter(before))
+		f := newFixture(t, turnSlowAfter(before))
 		f.setTimeouts(t, 20*time.Second)
 		for _, route := range f.gateway.State().Routing.Routes {
 			route.MaxAttempts = 1
@@ -151,7 +151,7 @@
 	const before = 100
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFixture(t, stallAfter(before))
+		f := newFixture(t, turnSlowAfter(before))
 		f.setTimeouts(t, 20*time.Second)
 		serveQuickStreams(t, f, "/feed/")
 		killed := f.startShutdown()
